--- /dev/null
+++ b/src/core/backoff.ts
@@ -0,0 +1,11 @@
+/**
+ * Exponential back-off with full jitter: clients that failed together do not return together.
+ */
+import type { Random } from './random.js'
+
+export interface BackoffLimits { baseMs: number, maxMs: number }
+
+export function computeBackoff (attempt: number, limits: BackoffLimits, random: Random): number {
+  const ceiling = Math.min(limits.maxMs, limits.baseMs * 2 ** Math.min(attempt, 20))
+  return Math.floor(random.next() * ceiling)
+}
--- /dev/null
+++ b/src/core/channel.ts
@@ -0,0 +1,32 @@
+/**
+ * A bounded queue between callbacks and a task that reads it with `for await`.
+ */
+export class Channel<T> implements AsyncIterable<T> {
+  private readonly items: T[] = []
+  private wake: (() => void) | undefined
+  private closed = false
+
+  constructor (private readonly capacity = Infinity) {}
+
+  /** False when the channel is closed or full; the item is then not taken. */
+  push (item: T): boolean {
+    if (this.closed || this.items.length >= this.capacity) return false
+    this.items.push(item)
+    this.wake?.()
+    return true
+  }
+
+  close (): void {
+    this.closed = true
+    this.wake?.()
+  }
+
+  async * [Symbol.asyncIterator] (): AsyncGenerator<T> {
+    while (true) {
+      while (this.items.length > 0) yield this.items.shift() as T
+      if (this.closed) return
+      await new Promise<void>(resolve => { this.wake = resolve })
+      this.wake = undefined
+    }
+  }
+}
--- /dev/null
+++ b/src/core/events.ts
@@ -0,0 +1,42 @@
+/**
+ * Event streams of `most` for pushing code, and their hand-over to tasks that read with `for await`.
+ */
+import { from } from 'most'
+import type { Stream } from 'most'
+import symbolObservable from 'symbol-observable'
+import type { Channel } from './channel.js'
+
+/** The package is CommonJS: its symbol is the `default` of what an ES module imports. */
+const OBSERVABLE = ((symbolObservable as { default?: symbol }).default ?? symbolObservable) as symbol
+
+interface Listener<T> { next: (value: T) => void, complete: () => void }
+
+/** A hot stream: a listener gets what is emitted after it began to listen. */
+export class Emitter<T> {
+  private readonly listeners = new Set<Listener<T>>()
+
+  /** Built for each use, since a stream of `most` shares one subscription between its observers. */
+  get stream (): Stream<T> {
+    const subscribe = (listener: Listener<T>): { unsubscribe: () => void } => {
+      this.listeners.add(listener)
+      return { unsubscribe: () => { this.listeners.delete(listener) } }
+    }
+    const observable = { subscribe, [OBSERVABLE]: () => observable }
+    return from(observable as never) as unknown as Stream<T>
+  }
+
+  emit (value: T): void {
+    for (const listener of [...this.listeners]) listener.next(value)
+  }
+}
+
+/** Runs until the signal is aborted; the channel gets each event. */
+export function drainStream<T> (stream: Stream<T>, channel: Channel<T>, signal: AbortSignal): void {
+  const subscription = stream.subscribe({
+    next: event => { channel.push(event) },
+    error: () => { channel.close() },
+    complete: () => {}
+  })
+  if (signal.aborted) subscription.unsubscribe()
+  else signal.addEventListener('abort', () => { subscription.unsubscribe() }, { once: true })
+}
--- /dev/null
+++ b/src/core/fault.ts
@@ -0,0 +1,37 @@
+/**
+ * Errors as data. A fault has a code for programs, a message for people and,
+ * where it concerns a value, the path to that value with what was expected and found.
+ */
+import { z } from 'zod'
+
+export const faultSchema = z.object({
+  code: z.string(),
+  message: z.string(),
+  path: z.array(z.union([z.string(), z.number()])).default([]),
+  expected: z.string().optional(),
+  found: z.string().optional(),
+  version: z.number().optional()
+})
+export type Fault = z.infer<typeof faultSchema>
+
+export type FaultDetail = Partial<Omit<Fault, 'code' | 'message'>>
+
+export function makeFault (code: string, message: string, detail: FaultDetail = {}): Fault {
+  return { code, message, path: [], ...detail }
+}
+
+/** Formats a path as `routes.confirm.deadlineMs`; the document itself is `(document)`. */
+export function formatPath (path: Fault['path']): string {
+  return path.length === 0 ? '(document)' : path.join('.')
+}
+
+/** One line for people: path, message, and what was expected and found. */
+export function formatFault (fault: Fault): string {
+  const detail = fault.expected === undefined ? '' : ` (expected ${fault.expected}, found ${fault.found ?? 'nothing'})`
+  const place = fault.path.length === 0 ? '' : `${formatPath(fault.path)}: `
+  return `${place}${fault.message}${detail}`
+}
+
+export function describeError (error: unknown): string {
+  return error instanceof Error ? error.message : String(error)
+}
--- /dev/null
+++ b/src/core/hash.ts
@@ -0,0 +1,28 @@
+/**
+ * Canonical text and hashes. Two values that are equal as JSON have the same text,
+ * whatever the order of their keys, so the hash shows whether two nodes hold the same content.
+ */
+import { createHash } from 'node:crypto'
+import { configure } from 'safe-stable-stringify'
+
+const HASH_BYTES = 12
+
+const stringify = configure({ deterministic: true, strict: true })
+
+export function formatCanonical (value: unknown): string {
+  return stringify(value) ?? 'null'
+}
+
+/** Base64url of the first 12 bytes of SHA-256: enough against accidents, not against forgery. */
+export function hashText (text: string): string {
+  return createHash('sha256').update(text).digest().subarray(0, HASH_BYTES).toString('base64url')
+}
+
+export function hashValue (value: unknown): string {
+  return hashText(formatCanonical(value))
+}
+
+/** A non-negative 32-bit number for spreading keys over shards. */
+export function hashIndex (text: string, buckets: number): number {
+  return createHash('sha256').update(text).digest().readUInt32BE(0) % buckets
+}
--- /dev/null
+++ b/src/document/queries/references.ts
@@ -0,0 +1,13 @@
+/**
+ * The other services that a document refers to, by its routes and by `needs`.
+ */
+import type { Document } from '../schema.js'
+
+export function listReferences (document: Document): string[] {
+  const names = new Set(document.needs)
+  for (const route of Object.values(document.routes)) {
+    for (const name of Object.keys(route.to)) names.add(name)
+  }
+  names.delete(document.service)
+  return [...names].sort()
+}
--- /dev/null
+++ b/src/document/schema.ts
@@ -0,0 +1,80 @@
+/**
+ * The document of a service: how it is reached, which targets serve it and on what terms.
+ * Times are in milliseconds, sizes in bytes. Collections are maps by name, so that the
+ * difference between two versions stays as small as the edit.
+ */
+import { z } from 'zod'
+
+export const MAX_BODY_BYTES = 1024 ** 3
+const MAX_DEADLINE_MS = 600_000
+
+/** Names of services, routes and labels: lower case, digits and hyphens, at most 63 characters. */
+export const nameSchema = z.string().regex(/^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$/, 'must be lower-case letters, digits and hyphens')
+
+export const destinationSchema = z.strictObject({
+  weight: z.number().int().min(0).max(1000).default(100),
+  labels: z.record(nameSchema, z.string().max(63)).default({})
+})
+export type Destination = z.infer<typeof destinationSchema>
+
+/**
+ * `idempotent`: may be sent again at any time. `once`: runs at most once per idempotency key.
+ * `plain`: has no key; sent again only after it was certainly not run.
+ */
+export const routeKindSchema = z.enum(['idempotent', 'once', 'plain'])
+export type RouteKind = z.infer<typeof routeKindSchema>
+
+/** Decides who is served first when slots are scarce. */
+export const routeClassSchema = z.enum(['critical', 'normal', 'bulk'])
+export type RouteClass = z.infer<typeof routeClassSchema>
+
+export const routeSchema = z.strictObject({
+  methods: z.array(z.enum(['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE'])).min(1),
+  path: z.string().startsWith('/').max(512),
+  kind: routeKindSchema,
+  class: routeClassSchema.default('normal'),
+  deadlineMs: z.number().int().min(1).max(MAX_DEADLINE_MS),
+  maxBodyBytes: z.number().int().min(0).max(MAX_BODY_BYTES).default(1024 * 1024),
+  /** Services that serve the route, by name. Empty means the document's own service. */
+  to: z.record(nameSchema, destinationSchema).default({})
+})
+export type Route = z.infer<typeof routeSchema>
+
+export const limitsSchema = z.strictObject({
+  slots: z.number().int().min(1).max(10_000).default(6),
+  connections: z.number().int().min(1).max(100_000).default(130),
+  queue: z.number().int().min(0).max(10_000).default(12)
+})
+export type Limits = z.infer<typeof limitsSchema>
+
+export const retriesSchema = z.strictObject({
+  attempts: z.number().int().min(1).max(5).default(3),
+  budgetPercent: z.number().min(0).max(100).default(20),
+  minPerSecond: z.number().min(0).max(1000).default(3)
+})
+export type Retries = z.infer<typeof retriesSchema>
+
+export const documentSchema = z.strictObject({
+  service: nameSchema,
+  routes: z.record(nameSchema, routeSchema),
+  limits: limitsSchema.prefault({}),
+  retries: retriesSchema.prefault({}),
+  /** `same-first`: own zone, then own region, then the rest. `any`: all zones alike. */
+  zones: z.enum(['same-first', 'any']).default('same-first'),
+  /** Names of callers that may call. Absent means any. */
+  callers: z.array(nameSchema).optional(),
+  /** Other services that this one needs, besides those its routes name. */
+  needs: z.array(nameSchema).default([])
+})
+export type Document = z.infer<typeof documentSchema>
+
+/** The value of a platform object of kind `service`. A deleted service keeps a value without a document. */
+export const editSchema = z.object({
+  editId: z.string(),
+  earlierEditIds: z.array(z.string()).default([]),
+  author: z.string().default('unknown'),
+  acceptedAt: z.number(),
+  document: z.unknown().optional(),
+  deleted: z.boolean().default(false)
+})
+export type Edit = z.infer<typeof editSchema>
--- /dev/null
+++ b/src/membership/own.ts
@@ -0,0 +1,62 @@
+/**
+ * The record of a node's own host. Only this class raises its sequence.
+ */
+import type { Announcement, HostRecord } from './schema.js'
+
+export type HostIdentity = Pick<HostRecord, 'host' | 'zone' | 'region' | 'inbound' | 'peer' | 'admin' | 'incarnation'>
+
+interface Heard { announcement: Announcement, at: number }
+
+export class OwnHost {
+  private readonly heard = new Map<string, Heard>()
+  private sequence = 0
+  private leaving = false
+
+  constructor (private readonly identity: HostIdentity) {}
+
+  get isLeaving (): boolean {
+    return this.leaving
+  }
+
+  get host (): string {
+    return this.identity.host
+  }
+
+  find (target: string): Announcement | undefined {
+    return this.heard.get(target)?.announcement
+  }
+
+  /** Time of the last heartbeat of each target, on the monotonic clock. */
+  listHeard (): Array<{ target: string, at: number }> {
+    return [...this.heard].map(([target, one]) => ({ target, at: one.at }))
+  }
+
+  /** Commands only: see commands/announce.ts. True when something besides the time changed. */
+  hear (announcement: Announcement, at: number): boolean {
+    const before = this.heard.get(announcement.target)
+    this.heard.set(announcement.target, { announcement, at })
+    return JSON.stringify(before?.announcement) !== JSON.stringify(announcement)
+  }
+
+  /** Commands only: see commands/announce.ts. */
+  forget (target: string): boolean {
+    return this.heard.delete(target)
+  }
+
+  /** Commands only: see commands/leave.ts. */
+  markLeaving (): void {
+    this.leaving = true
+  }
+
+  /** A record that outranks all earlier ones of this process. */
+  makeRecord (): HostRecord {
+    this.sequence += 1
+    return {
+      ...this.identity,
+      sequence: this.sequence,
+      state: this.leaving ? 'leaving' : 'serving',
+      targets: [...this.heard.values()].map(one => one.announcement),
+      lost: false
+    }
+  }
+}
--- /dev/null
+++ b/src/membership/schema.ts
@@ -0,0 +1,54 @@
+/**
+ * Records of hosts and their targets. A record has one owner, the node of its host, and is
+ * ordered by (incarnation, sequence). Addresses are `ip:port`.
+ */
+import { z } from 'zod'
+import { nameSchema } from '../document/index.js'
+
+export const targetStateSchema = z.enum(['starting', 'ready', 'leaving'])
+export type TargetState = z.infer<typeof targetStateSchema>
+
+/** What a target posts to the node of its host, repeated each second as heartbeat. */
+export const announcementSchema = z.strictObject({
+  service: nameSchema,
+  target: nameSchema,
+  address: z.string().regex(/^[0-9.]+:[0-9]+$/, 'must be ip:port'),
+  slots: z.number().int().min(1).max(10_000).default(6),
+  connections: z.number().int().min(1).max(100_000).default(130),
+  labels: z.record(nameSchema, z.string().max(63)).default({}),
+  state: targetStateSchema.default('ready')
+})
+export type Announcement = z.infer<typeof announcementSchema>
+
+export const hostRecordSchema = z.object({
+  host: z.string(),
+  zone: z.string(),
+  region: z.string(),
+  inbound: z.string(),
+  peer: z.string(),
+  admin: z.string(),
+  /** Start time of the node process in ms; a restarted node's records outrank the earlier ones. */
+  incarnation: z.number().int(),
+  sequence: z.number().int(),
+  state: z.enum(['serving', 'leaving']),
+  targets: z.array(announcementSchema),
+  /** Set by the node that saw the host go silent; any later record of the owner clears it. */
+  lost: z.boolean().default(false)
+})
+export type HostRecord = z.infer<typeof hostRecordSchema>
+
+/** A target as routing sees it. */
+export interface Target {
+  readonly id: string
+  readonly service: string
+  readonly host: string
+  readonly zone: string
+  readonly region: string
+  readonly inbound: string
+  readonly address: string
+  readonly slots: number
+  readonly connections: number
+  readonly labels: Readonly<Record<string, string>>
+  readonly state: TargetState
+  readonly lost: boolean
+}
--- /dev/null
+++ b/src/metrics/registry.ts
@@ -0,0 +1,53 @@
+/**
+ * Counters and HDR histograms of one process, with a text form for scrapers. Values of
+ * histograms are integers in the unit that their name ends with (`_ms`, `_us`).
+ */
+import { build } from 'hdr-histogram-js'
+import type { Histogram } from 'hdr-histogram-js'
+
+export type Labels = Readonly<Record<string, string>>
+
+const HIGHEST_VALUE = 3_600_000_000
+const REPORTED_PERCENTILES = [50, 90, 99, 99.9] as const
+
+export class Metrics {
+  private readonly counters = new Map<string, number>()
+  private readonly histograms = new Map<string, Histogram>()
+
+  count (name: string, labels: Labels = {}, by = 1): void {
+    const key = formatKey(name, labels)
+    this.counters.set(key, (this.counters.get(key) ?? 0) + by)
+  }
+
+  observe (name: string, value: number): void {
+    const held = this.histograms.get(name)
+    const histogram = held ?? build({ highestTrackableValue: HIGHEST_VALUE, numberOfSignificantValueDigits: 3 })
+    if (held === undefined) this.histograms.set(name, histogram)
+    histogram.recordValue(Math.min(HIGHEST_VALUE, Math.max(0, Math.round(value))))
+  }
+
+  readCounter (name: string, labels: Labels = {}): number {
+    return this.counters.get(formatKey(name, labels)) ?? 0
+  }
+
+  listCounters (): Array<[string, number]> {
+    return [...this.counters]
+  }
+
+  formatText (): string {
+    const lines = this.listCounters().map(([key, value]) => `${key} ${value}`)
+    for (const [name, histogram] of this.histograms) lines.push(...formatHistogram(name, histogram))
+    return `${lines.sort().join('\n')}\n`
+  }
+}
+
+function formatKey (name: string, labels: Labels): string {
+  const pairs = Object.entries(labels).map(([label, value]) => `${label}="${value}"`)
+  return pairs.length === 0 ? `comfreyspoke_${name}` : `comfreyspoke_${name}{${pairs.join(',')}}`
+}
+
+function formatHistogram (name: string, histogram: Histogram): string[] {
+  const lines = REPORTED_PERCENTILES.map(percentile =>
+    `comfreyspoke_${name}{quantile="${percentile / 100}"} ${histogram.getValueAtPercentile(percentile)}`)
+  return [...lines, `comfreyspoke_${name}_max ${histogram.maxValue}`, `comfreyspoke_${name}_count ${histogram.totalCount}`]
+}
--- /dev/null
+++ b/src/platform/counting.ts
@@ -0,0 +1,51 @@
+/**
+ * Counts each call to the platform by kind of call and kind of object, since the platform's rates are limited.
+ */
+import type { Result } from '../core/index.js'
+import type { Kind, ObjectList, StoredObject, StoreFault, WatchEvent, Write } from './schema.js'
+import { ObjectStore, StoreCommands, StoreQueries } from './store.js'
+
+export type CountCall = (call: 'get' | 'list' | 'watch' | 'write', kind: Kind) => void
+
+class CountingQueries extends StoreQueries {
+  constructor (private readonly inner: StoreQueries, private readonly count: CountCall) {
+    super()
+  }
+
+  override async get (kind: Kind, name: string): Promise<Result<StoredObject | undefined, StoreFault>> {
+    this.count('get', kind)
+    return await this.inner.get(kind, name)
+  }
+
+  override async list (kind: Kind): Promise<Result<ObjectList, StoreFault>> {
+    this.count('list', kind)
+    return await this.inner.list(kind)
+  }
+
+  override watch (kind: Kind, from: number, signal: AbortSignal): AsyncIterable<Result<WatchEvent, StoreFault>> {
+    this.count('watch', kind)
+    return this.inner.watch(kind, from, signal)
+  }
+}
+
+class CountingCommands extends StoreCommands {
+  constructor (private readonly inner: StoreCommands, private readonly count: CountCall) {
+    super()
+  }
+
+  override async write (change: Write): Promise<Result<number, StoreFault>> {
+    this.count('write', change.kind)
+    return await this.inner.write(change)
+  }
+}
+
+export class CountingObjectStore extends ObjectStore {
+  readonly queries: StoreQueries
+  readonly commands: StoreCommands
+
+  constructor (inner: ObjectStore, count: CountCall) {
+    super()
+    this.queries = new CountingQueries(inner.queries, count)
+    this.commands = new CountingCommands(inner.commands, count)
+  }
+}
--- /dev/null
+++ b/src/platform/schema.ts
@@ -0,0 +1,54 @@
+/**
+ * Objects of the platform's object API. The platform gives each object a version at every
+ * write, which rises for as long as the object exists. Values are at most a megabyte of JSON.
+ */
+import { z } from 'zod'
+
+/** Kinds that the project keeps on the platform. */
+export const kindSchema = z.enum(['service', 'referrers', 'history', 'duty', 'claim'])
+export type Kind = z.infer<typeof kindSchema>
+
+export const MAX_VALUE_BYTES = 1_000_000
+
+export const storedObjectSchema = z.object({
+  kind: kindSchema,
+  name: z.string(),
+  version: z.number().int().positive(),
+  value: z.unknown()
+})
+export type StoredObject = z.infer<typeof storedObjectSchema>
+
+/** `revision` is where a watch that misses nothing after this list starts. */
+export const objectListSchema = z.object({
+  revision: z.number().int().nonnegative(),
+  objects: z.array(storedObjectSchema)
+})
+export type ObjectList = z.infer<typeof objectListSchema>
+
+export const watchEventSchema = z.object({
+  revision: z.number().int(),
+  object: storedObjectSchema
+})
+export type WatchEvent = z.infer<typeof watchEventSchema>
+
+/** A conditional write: `expected` is the version to replace, 0 for an object that must not exist yet. */
+export const writeSchema = z.object({
+  kind: kindSchema,
+  name: z.string(),
+  expected: z.number().int().nonnegative(),
+  value: z.unknown()
+})
+export type Write = z.infer<typeof writeSchema>
+
+/**
+ * `conflict`: another version is there (`version` says which, 0 for none); nothing was written.
+ * `unreachable`: the call did not reach the platform. `unknown`: no answer came, and a write may
+ * have taken effect. `throttled`: refused by the platform's rate limit. `too-old`: a watch from a
+ * revision that is no longer kept. `invalid`: the platform refused the call or its answer makes no sense.
+ */
+export const storeFaultSchema = z.object({
+  code: z.enum(['conflict', 'unreachable', 'unknown', 'throttled', 'too-old', 'too-large', 'invalid']),
+  message: z.string(),
+  version: z.number().int().optional()
+})
+export type StoreFault = z.infer<typeof storeFaultSchema>
--- /dev/null
+++ b/src/timeline/commands/record.ts
@@ -0,0 +1,15 @@
+/**
+ * Records events of one process on its ring.
+ */
+import type { EventRing, HybridClock } from '../ring.js'
+import type { EventDetail, EventKind } from '../schema.js'
+
+export class Recorder {
+  constructor (
+    private readonly ring: EventRing, private readonly clock: HybridClock, private readonly node: string, private readonly zone: string
+  ) {}
+
+  record (kind: EventKind, text: string, detail: EventDetail = {}): void {
+    this.ring.push({ ...this.clock.advance(), node: this.node, zone: this.zone, kind, text, ...detail })
+  }
+}
--- /dev/null
+++ b/src/timeline/ring.ts
@@ -0,0 +1,39 @@
+/**
+ * The last events of one process, bounded, with its hybrid logical clock.
+ */
+import type { Clock } from '../core/index.js'
+import type { TimelineEvent } from './schema.js'
+
+export const RING_EVENTS = 4_096
+
+export interface HybridTime { wall: number, counter: number }
+
+export class HybridClock {
+  private wall = 0
+  private counter = 0
+
+  constructor (private readonly clock: Clock) {}
+
+  /** A time later than all that this clock gave or saw. */
+  advance (seen?: HybridTime): HybridTime {
+    const wall = Math.max(this.clock.now(), this.wall, seen?.wall ?? 0)
+    const after = [wall === this.wall ? this.counter : -1, wall === seen?.wall ? seen.counter : -1]
+    this.counter = Math.max(...after) + 1
+    this.wall = wall
+    return { wall, counter: this.counter }
+  }
+}
+
+export class EventRing {
+  private events: TimelineEvent[] = []
+
+  /** Commands only: see commands/record.ts. */
+  push (event: TimelineEvent): void {
+    this.events.push(event)
+    if (this.events.length > RING_EVENTS * 2) this.events = this.events.slice(-RING_EVENTS)
+  }
+
+  list (): readonly TimelineEvent[] {
+    return this.events.slice(-RING_EVENTS)
+  }
+}
