Add one path from the operator's tool to a target's answer

Nodes, platform stand-in and targets run as separate processes. Calls marked once carry no claim yet.

--- /dev/null
+++ b/src/node/http.ts
@@ -0,0 +1,30 @@
+/**
+ * HTTP servers of a node, one for each port.
+ */
+import { createServer } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import { once } from 'node:events'
+
+export type Handle = (message: IncomingMessage, response: ServerResponse) => Promise<void>
+
+const HEADERS_TIMEOUT_MS = 10_000
+
+export function splitAddress (address: string): { host: string, port: number } {
+  const at = address.lastIndexOf(':')
+  return { host: address.slice(0, at), port: Number(address.slice(at + 1)) }
+}
+
+export async function startServer (address: string, handle: Handle): Promise<Server> {
+  const server = createServer({ headersTimeout: HEADERS_TIMEOUT_MS, requestTimeout: 0 }, (message, response) => {
+    handle(message, response).catch(() => { response.destroy() })
+  })
+  const { host, port } = splitAddress(address)
+  server.listen(port, host)
+  await once(server, 'listening')
+  return server
+}
+
+export function writeJson (response: ServerResponse, status: number, value: unknown): void {
+  response.writeHead(status, { 'content-type': 'application/json' })
+  response.end(JSON.stringify(value))
+}
--- /dev/null
+++ b/src/node/tasks/admin.ts
@@ -0,0 +1,28 @@
+/**
+ * The admin port: health, readiness and metrics.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Metrics } from '../../metrics/index.js'
+import type { Replica } from '../../peer/index.js'
+import { writeJson } from '../http.js'
+
+export interface AdminContext { replica: Replica, metrics: Metrics }
+
+export async function serveAdmin ({ replica, metrics }: AdminContext, message: IncomingMessage, response: ServerResponse): Promise<void> {
+  switch (message.url) {
+    case '/healthz':
+      writeJson(response, 200, { status: 'ok' })
+      return
+    case '/readyz':
+      writeJson(response, replica.ready && !replica.own.isLeaving ? 200 : 503, {
+        ready: replica.ready, leaving: replica.own.isLeaving, upstream: replica.place.upstream, duties: [...replica.duties]
+      })
+      return
+    case '/metrics':
+      response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' })
+      response.end(metrics.formatText())
+      return
+    default:
+      writeJson(response, 404, { message: 'try /healthz, /readyz or /metrics' })
+  }
+}
--- /dev/null
+++ b/src/node/tasks/local.ts
@@ -0,0 +1,49 @@
+/**
+ * The local port: announcements of this host's targets.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { json } from 'node:stream/consumers'
+import type { Clock, Logger } from '../../core/index.js'
+import { ANNOUNCE_TIMEOUT_MS, announcementSchema, announceTarget, expireTargets } from '../../membership/index.js'
+import { receiveRecords } from '../../peer/index.js'
+import type { Receiver } from '../../peer/index.js'
+import type { Recorder } from '../../timeline/index.js'
+import { writeJson } from '../http.js'
+
+export interface LocalContext { receiver: Receiver, clock: Clock, recorder: Recorder, log: Logger }
+
+export async function serveLocal ({ receiver, clock, recorder }: LocalContext, message: IncomingMessage, response: ServerResponse): Promise<void> {
+  if (message.method !== 'POST' || message.url !== '/announce') {
+    writeJson(response, 404, { message: 'POST /announce is all there is' })
+    return
+  }
+  const announcement = announcementSchema.safeParse(await json(message).catch(() => undefined))
+  if (!announcement.success) {
+    writeJson(response, 400, { message: 'bad announcement', issues: announcement.error.issues })
+    return
+  }
+  const { own } = receiver.replica
+  const isNew = own.find(announcement.data.target) === undefined
+  const record = announceTarget(own, announcement.data, clock.monotonic())
+  if (record !== undefined) {
+    receiveRecords(receiver, [record])
+    const kind = announcement.data.state === 'leaving' ? 'target-leaving' : 'target-joined'
+    if (isNew || kind === 'target-leaving') recorder.record(kind, announcement.data.target, { service: announcement.data.service, host: own.host })
+  }
+  writeJson(response, 200, { leaving: own.isLeaving })
+}
+
+/** Drops targets of this host whose heartbeats stopped. */
+export async function expireSilent ({ receiver, clock, recorder, log }: LocalContext, signal: AbortSignal): Promise<void> {
+  const { own } = receiver.replica
+  while (!signal.aborted) {
+    await clock.sleep(ANNOUNCE_TIMEOUT_MS / 6, signal)
+    const lost = expireTargets(own, clock.monotonic())
+    if (lost.length === 0) continue
+    receiveRecords(receiver, [own.makeRecord()])
+    for (const target of lost) {
+      log.warn(`target ${target} stopped announcing itself`)
+      recorder.record('target-lost', target, { host: own.host })
+    }
+  }
+}
--- /dev/null
+++ b/src/peer/index.ts
@@ -0,0 +1,22 @@
+/**
+ * Distribution between nodes: the replica, the messages, and one task for each peer.
+ */
+export { MsgpackCodec, Codec } from './codec.js'
+export { Dialer } from './dialer.js'
+export { PeerClient } from './client.js'
+export { startPeerServer } from './server.js'
+export type { PeerHandlers } from './server.js'
+export { Replica } from './replica.js'
+export type { Change, Place, Refusal } from './replica.js'
+export { SubscriberRegistry } from './commands/admit.js'
+export type { AdmissionLimits } from './commands/admit.js'
+export { receiveEntries, receiveRecords } from './commands/receive.js'
+export type { OnApplied, Receiver } from './commands/receive.js'
+export { serveSubscriber } from './tasks/downstream.js'
+export type { Publisher } from './tasks/downstream.js'
+export { PeerUpstream } from './tasks/upstream.js'
+export { Upstream } from './upstream.js'
+export type { UpstreamEnd } from './upstream.js'
+export { makeFetchAnswer, makeStatus } from './queries/status.js'
+export { makeUpdate, readUpdate } from './queries/difference.js'
+export type { DrainAnswer, DrainRequest, FetchAnswer, StatusAnswer } from './messages.js'
--- /dev/null
+++ b/src/peer/replica.ts
@@ -0,0 +1,75 @@
+/**
+ * What a node holds of the shared state, and its place in the distribution tree. Tasks share
+ * one replica; the functions in commands/ change it and emit what changed.
+ */
+import { Emitter } from '../core/index.js'
+import type { HostRecord } from '../membership/index.js'
+import { MemberTable, OwnHost } from '../membership/index.js'
+import type { HostIdentity } from '../membership/index.js'
+import { SnapshotTable } from '../snapshot/index.js'
+import type { Entry } from '../snapshot/index.js'
+import { AckTable } from './acks.js'
+import type { Lagging } from './messages.js'
+
+const KEPT_VERSIONS = 8
+
+/** `source` is the peer that the change came from; it does not get it back. */
+export interface Change { services: readonly string[], hosts: readonly string[], source?: string }
+
+export interface Refusal { service: string, version: number, reason: string }
+
+/** Where the node stands in the tree. An empty path means that no head or relay is above it. */
+export interface Place {
+  path: readonly string[]
+  pathPeers: readonly string[]
+  tick: number
+  sourceUp: boolean
+  renewals: Readonly<Record<string, number>>
+  candidates: readonly string[]
+  upstream: string
+}
+
+const UNROOTED: Place = { path: [], pathPeers: [], tick: 0, sourceUp: false, renewals: {}, candidates: [], upstream: '' }
+
+export class Replica {
+  readonly table = new SnapshotTable()
+  readonly members = new MemberTable()
+  readonly own: OwnHost
+  readonly acks = new AckTable()
+  readonly changes = new Emitter<Change>()
+  readonly moves = new Emitter<Place>()
+  readonly duties = new Set<string>()
+  readonly refusals = new Map<string, Refusal>()
+  held: Lagging[] = []
+  ready = false
+  place: Place = UNROOTED
+  private readonly recent = new Map<string, Entry[]>()
+
+  constructor (readonly identity: HostIdentity) {
+    this.own = new OwnHost(identity)
+  }
+
+  get isRooted (): boolean {
+    return this.place.path.length > 0
+  }
+
+  findVersion (service: string, version: number): Entry | undefined {
+    return this.recent.get(service)?.find(entry => entry.version === version)
+  }
+
+  /** Commands only: keeps a version as base for differences. */
+  keepVersion (entry: Entry): void {
+    this.recent.set(entry.service, [entry, ...(this.recent.get(entry.service) ?? [])].slice(0, KEPT_VERSIONS))
+  }
+
+  /** Commands only: see commands/move.ts. */
+  moveTo (place: Place): void {
+    this.place = place
+    this.moves.emit(place)
+  }
+
+  listRecords (hosts?: Iterable<string>): HostRecord[] {
+    if (hosts === undefined) return [...this.members.list()]
+    return [...hosts].flatMap(host => this.members.get(host) ?? [])
+  }
+}
--- /dev/null
+++ b/src/request/queries/route.ts
@@ -0,0 +1,57 @@
+/**
+ * Which route of which document a call takes, and which targets may serve it. One snapshot answers both.
+ */
+import { Err, Ok, makeFailure } from '../../core/index.js'
+import type { Failure, Random, Result } from '../../core/index.js'
+import type { Document, Route } from '../../document/index.js'
+import type { Target } from '../../membership/index.js'
+import type { Snapshot } from '../../snapshot/index.js'
+import type { Call } from '../schema.js'
+
+export interface Resolved { document: Document, version: number, name: string, route: Route, service: string, targets: readonly Target[] }
+
+export function resolveRoute (snapshot: Snapshot, call: Call, random: Random): Result<Resolved, Failure> {
+  const entry = snapshot.entries.get(call.service)
+  const document = entry?.document
+  if (entry === undefined || document === undefined) return Err(makeFailure('not-run', 404, 'no_service', `no service ${call.service}`))
+  if (document.callers !== undefined && !document.callers.includes(call.caller ?? '')) {
+    return Err(makeFailure('not-run', 403, 'caller_refused', `${call.service} does not let ${call.caller ?? 'unnamed callers'} in`))
+  }
+  const found = findRoute(document, call)
+  if (found === undefined) return Err(makeFailure('not-run', 404, 'no_route', `${call.service} has no route for ${call.method} ${call.path}`))
+  const [name, route] = found
+  if ((call.bodyBytes ?? 0) > route.maxBodyBytes) {
+    return Err(makeFailure('not-run', 413, 'body_too_large', `body above ${route.maxBodyBytes} bytes`))
+  }
+  const service = pickDestination(document, route, random)
+  const labels = Object.entries(route.to[service]?.labels ?? {})
+  const all = snapshot.targets.get(service) ?? []
+  const targets = labels.length === 0 ? all : all.filter(target => labels.every(([label, value]) => target.labels[label] === value))
+  return Ok({ document, version: entry.version, name, route, service, targets })
+}
+
+/** The longest path that matches whole segments wins. */
+function findRoute (document: Document, call: Call): [string, Route] | undefined {
+  const path = call.path.split('?')[0] ?? '/'
+  let best: [string, Route] | undefined
+  for (const [name, route] of Object.entries(document.routes)) {
+    if (!route.methods.some(method => method === call.method) || !matchesPath(route.path, path)) continue
+    if (best === undefined || route.path.length > best[1].path.length) best = [name, route]
+  }
+  return best
+}
+
+function matchesPath (prefix: string, path: string): boolean {
+  return path === prefix || path.startsWith(prefix.endsWith('/') ? prefix : `${prefix}/`)
+}
+
+function pickDestination (document: Document, route: Route, random: Random): string {
+  const destinations = Object.entries(route.to)
+  const total = destinations.reduce((sum, [, one]) => sum + one.weight, 0)
+  let left = random.next() * total
+  for (const [service, one] of destinations) {
+    left -= one.weight
+    if (left < 0) return service
+  }
+  return document.service
+}
--- /dev/null
+++ b/src/request/schema.ts
@@ -0,0 +1,34 @@
+/**
+ * A call as the decisions see it: typed values, no sockets and no bytes.
+ */
+import { z } from 'zod'
+
+export const HEADERS = {
+  service: 'x-comfreyspoke-service',
+  caller: 'x-comfreyspoke-caller',
+  deadline: 'x-comfreyspoke-deadline-ms',
+  hops: 'x-comfreyspoke-hops',
+  request: 'x-comfreyspoke-request',
+  attempt: 'x-comfreyspoke-attempt',
+  verdict: 'x-comfreyspoke-verdict',
+  target: 'x-comfreyspoke-target',
+  routeClass: 'x-comfreyspoke-class',
+  key: 'idempotency-key'
+} as const
+
+export const MAX_HOPS = 8
+
+export const callSchema = z.object({
+  request: z.string(),
+  service: z.string(),
+  caller: z.string().optional(),
+  method: z.string(),
+  path: z.string(),
+  hops: z.number().int(),
+  /** What the caller allows, in milliseconds; the route's own deadline caps it. */
+  deadlineMs: z.number().optional(),
+  key: z.string().optional(),
+  bodyBytes: z.number().int().optional(),
+  hasBody: z.boolean()
+})
+export type Call = z.infer<typeof callSchema>
--- /dev/null
+++ b/src/request/tasks/inbound.ts
@@ -0,0 +1,65 @@
+/**
+ * The task of one request that another node sent for a target of this host.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { Err, failureSchema, makeFailure } from '../../core/index.js'
+import type { Failure, Result } from '../../core/index.js'
+import { routeClassSchema } from '../../document/index.js'
+import { writeAnswer, writeFailure } from '../answer.js'
+import type { LocalTargets } from '../commands/admit.js'
+import type { Answer, Exchanger, Outgoing } from '../exchange.js'
+import { filterHeaders } from '../headers.js'
+import type { Permit } from '../slots.js'
+import { HEADERS } from '../schema.js'
+
+export interface LocalRun { target: string, routeClass: string, waitMs: number, outgoing: Omit<Outgoing, 'address'> }
+
+export interface InboundContext { local: LocalTargets, exchanger: Exchanger }
+
+export interface Held { answer: Answer, permit: Permit }
+
+/** Runs a request on a target of this host. The permit is to be released when the answer has been passed on. */
+export async function runLocal ({ local, exchanger }: InboundContext, run: LocalRun): Promise<Result<Held, Failure>> {
+  const routeClass = routeClassSchema.catch('normal').parse(run.routeClass)
+  const admitted = await local.admit({ target: run.target, routeClass, waitMs: run.waitMs, signal: run.outgoing.signal })
+  if (admitted.err) return admitted
+  const { announcement, permit } = admitted.val
+  const sent = await exchanger.send({ ...run.outgoing, address: announcement.address })
+  if (sent.ok) return sent.map(answer => ({ answer, permit }))
+  permit.release()
+  return sent
+}
+
+export async function serveInbound (context: InboundContext, message: IncomingMessage, response: ServerResponse): Promise<void> {
+  const request = String(message.headers[HEADERS.request] ?? '')
+  const left = new AbortController()
+  response.on('close', () => { left.abort() })
+  const waitMs = Number(message.headers[HEADERS.deadline] ?? 0)
+  const signal = AbortSignal.any([left.signal, AbortSignal.timeout(Math.max(1, waitMs))])
+  const held = await runLocal(context, {
+    target: String(message.headers[HEADERS.target] ?? ''),
+    routeClass: String(message.headers[HEADERS.routeClass] ?? ''),
+    waitMs,
+    outgoing: { method: message.method ?? 'GET', path: message.url ?? '/', headers: filterHeaders(message.headers), body: readBody(message), signal }
+  })
+  if (held.err) {
+    writeFailure(response, held.val, request)
+    return
+  }
+  await writeAnswer(response, held.val.answer, request)
+  held.val.permit.release()
+}
+
+export function readBody (message: IncomingMessage): IncomingMessage | undefined {
+  const length = Number(message.headers['content-length'] ?? 0)
+  return length > 0 || message.headers['transfer-encoding'] !== undefined ? message : undefined
+}
+
+/** A failure that the last node reported, as the first node sees it. */
+export async function readFailure (answer: Answer): Promise<Result<Answer, Failure>> {
+  try {
+    return Err(failureSchema.parse(await answer.body.json()))
+  } catch {
+    return Err(makeFailure('may-have-run', 502, 'bad_answer', 'the node of the target gave an answer that does not parse'))
+  }
+}
--- /dev/null
+++ b/src/tool/commands/drain.ts
@@ -0,0 +1,26 @@
+/**
+ * `comfreyspoke drain`: tells the node of a host to take no new work.
+ */
+import { defineCommand } from 'citty'
+import { makeFault } from '../../core/index.js'
+import { Dialer, MsgpackCodec, PeerClient } from '../../peer/index.js'
+import { JSON_FLAG } from '../flags.js'
+import { printResult, reportFaults } from '../output.js'
+
+export const drainCommand = defineCommand({
+  meta: { name: 'drain', description: 'Tell a host to take no new work; requests in flight end.' },
+  args: {
+    peer: { type: 'positional', required: true, description: 'peer address of the host\'s node, ip:port' },
+    token: { type: 'string', description: 'operator token [COMFREYSPOKE_OPERATOR_TOKEN]' },
+    ...JSON_FLAG
+  },
+  run: async ({ args }) => {
+    const client = new PeerClient(new MsgpackCodec(), new Dialer())
+    const token = args.token ?? process.env.COMFREYSPOKE_OPERATOR_TOKEN
+    const answer = await client.drainHost(args.peer, token === undefined ? {} : { token })
+    client.close()
+    if (answer.err) reportFaults(args.json, [answer.val])
+    else if (!answer.val.accepted) reportFaults(args.json, [makeFault('refused', answer.val.message)])
+    else printResult(args.json, answer.val, answer.val.message)
+  }
+})
--- /dev/null
+++ b/src/tool/queries/list.ts
@@ -0,0 +1,33 @@
+/**
+ * `comfreyspoke list`: prints the services and their accepted versions.
+ */
+import { defineCommand } from 'citty'
+import { listEdits } from '../../document/index.js'
+import type { StoredEdit } from '../../document/index.js'
+import { COMMON_FLAGS, openPlatform } from '../flags.js'
+import { printResult, reportFaults } from '../output.js'
+
+function makeRow ({ service, version, edit }: StoredEdit) {
+  return { service, version, author: edit.author, acceptedAt: edit.acceptedAt, deleted: edit.deleted }
+}
+
+function formatRow ({ service, version, author, acceptedAt, deleted }: ReturnType<typeof makeRow>): string {
+  const state = deleted ? 'deleted' : `by ${author}`
+  return `${service}\tversion ${version}\t${state}\t${new Date(acceptedAt).toISOString()}`
+}
+
+export const listCommand = defineCommand({
+  meta: { name: 'list', description: 'List services with their accepted versions.' },
+  args: { ...COMMON_FLAGS },
+  run: async ({ args }) => {
+    const store = openPlatform(args.platform)
+    const found = await listEdits(store)
+    await store.close()
+    if (found.err) {
+      reportFaults(args.json, [found.val])
+      return
+    }
+    const rows = found.val.map(makeRow)
+    printResult(args.json, rows, rows.map(formatRow).join('\n'))
+  }
+})
--- /dev/null
+++ b/standins/node/main.ts
@@ -0,0 +1,32 @@
+/**
+ * The node program behind links with delays: the first argument is the placement as JSON, the second
+ * the host's index, the rest are the flags of `comfreyspoke-node`. `POST /links {zone, state}` on
+ * the links port cuts and restores links; `GET /links` gives the bytes on them.
+ */
+import { json } from 'node:stream/consumers'
+import { runMain } from 'citty'
+import { z } from 'zod'
+import { defineNodeCommand, startServer, writeJson } from '../../src/node/index.js'
+import { formatAddress } from '../layout/schema.js'
+import type { Placement } from '../layout/schema.js'
+import { LinkDialer } from '../link/dialer.js'
+
+const cutSchema = z.object({ zone: z.string(), state: z.enum(['up', 'reset', 'silent']) })
+
+const placement = JSON.parse(process.argv[2] ?? '{}') as Placement
+const index = Number(process.argv[3])
+const dialer = new LinkDialer(placement, index)
+const own = placement.hosts.find(host => host.index === index)
+if (own === undefined) throw new Error(`no host ${index} in the placement`)
+
+await startServer(formatAddress(own, 'links'), async (message, response) => {
+  if (message.method === 'POST') {
+    const cut = cutSchema.parse(await json(message))
+    dialer.setLinks(cut.zone, cut.state)
+  }
+  writeJson(response, 200, dialer.controlBytes)
+})
+
+const rawArgs = process.argv.slice(4).map(flag =>
+  flag.startsWith('--platform=') ? `--platform=${dialer.resolvePlatform(flag.slice('--platform='.length))}` : flag)
+await runMain(defineNodeCommand(async () => dialer), { rawArgs })
--- /dev/null
+++ b/tests/path.test.ts
@@ -0,0 +1,71 @@
+/**
+ * The whole path in separate processes: a document from the operator's tool, a call through two nodes, a target's answer.
+ */
+import { spawnSync } from 'node:child_process'
+import { afterAll, beforeAll, describe, expect, test } from '@jest/globals'
+import { sendCall } from '../standins/caller/load.js'
+import { findBlock, Processes } from '../standins/layout/processes.js'
+import { formatAddress, MANDAP, placeHosts } from '../standins/layout/schema.js'
+import type { HostLayout, Placement } from '../standins/layout/schema.js'
+
+let placement: Placement
+let processes: Processes
+
+function runTool (...args: string[]): { code: number | null, stdout: string, stderr: string } {
+  const { status, stdout, stderr } = spawnSync(process.execPath, ['dist/src/bin/tool.js', ...args, `--platform=${processes.platform}`], { encoding: 'utf8' })
+  return { code: status, stdout, stderr }
+}
+
+function getHost (index: number): HostLayout {
+  const host = placement.hosts[index]
+  if (host === undefined) throw new Error(`no host ${index}`)
+  return host
+}
+
+beforeAll(async () => {
+  placement = placeHosts(MANDAP, await findBlock(), 2)
+  processes = new Processes(placement)
+  await processes.startPlatform()
+  for (const host of placement.hosts) {
+    processes.startNode(host)
+    processes.startTarget(host)
+  }
+  for (const service of ['design-gallery', 'counter-desk']) expect(runTool('apply', `examples/${service}.yaml`)).toMatchObject({ code: 0 })
+  await processes.awaitReady(placement.hosts, 30_000)
+})
+
+afterAll(async () => { await processes.stopAll() })
+
+describe('the whole path', () => {
+  test('a caller gets the whole answer of a target in another region', async () => {
+    const call = { service: 'design-gallery', method: 'PUT', path: '/photos/1', once: false, bodyBytes: 300_000 } as const
+    const result = await sendUntilRun(getHost(0), call)
+    expect(result).toMatchObject({ verdict: 'ran', status: 200 })
+  })
+
+  test('an unknown service is refused as not run', async () => {
+    const result = await sendCall(formatAddress(getHost(0), 'caller'), { service: 'nobody', method: 'GET', path: '/', once: false, bodyBytes: 0 })
+    expect(result).toMatchObject({ verdict: 'not-run', status: 404 })
+  })
+
+  test('a stale edit loses with a conflict and its own exit code', () => {
+    const { code, stderr } = runTool('apply', 'examples/counter-desk.yaml', '--expected=1')
+    expect(code).toBe(3)
+    expect(stderr).toContain('conflict')
+  })
+
+  test('status counts the nodes that have the newest version in force', async () => {
+    const { code, stdout } = runTool('status')
+    expect(code).toBe(0)
+    expect(stdout).toContain(`in force on ${placement.hosts.length} of ${placement.hosts.length} nodes`)
+  })
+})
+
+/** Targets are announced a moment after the nodes are ready. */
+async function sendUntilRun (host: HostLayout, call: Parameters<typeof sendCall>[1]): ReturnType<typeof sendCall> {
+  for (let attempt = 0; ; attempt += 1) {
+    const result = await sendCall(formatAddress(host, 'caller'), call)
+    if (result.verdict === 'ran' || attempt === 50) return result
+    await new Promise(resolve => { setTimeout(resolve, 100) })
+  }
+}
