--- a/src/node/start.ts
+++ b/src/node/start.ts
@@ -13,11 +13,12 @@
 import type { DrainAnswer, DrainRequest, PeerHandlers, Receiver } from '../peer/index.js'
 import { CountingObjectStore, HttpObjectStore } from '../platform/index.js'
 import { BudgetRetryPolicy, LocalTargets, serveCaller, serveInbound, UndiciExchanger, ZonePicker } from '../request/index.js'
-import { EventRing, HybridClock, Recorder } from '../timeline/index.js'
+import { EventRing, filterEvents, HybridClock, Recorder } from '../timeline/index.js'
 import { startServer } from './http.js'
 import type { NodeSettings } from './settings.js'
 import { serveAdmin } from './tasks/admin.js'
 import { Follower } from './tasks/follow.js'
+import { recordChanges } from './tasks/observe.js'
 import { expireSilent, serveLocal } from './tasks/local.js'
 
 const TARGET_CONNECTIONS = 130
@@ -78,6 +79,7 @@
       await startServer(settings.admin, async (message, response) => { await serveAdmin({ replica, metrics: this.metrics }, message, response) })
     )
     void expireSilent(localContext, this.stopped.signal)
+    recordChanges(replica, this.recorder, this.stopped.signal)
     this.following = this.makeFollower().run(this.stopped.signal)
     this.createLog('node').info(`${settings.host} in ${settings.zone} serves callers on ${settings.caller}`)
   }
@@ -139,7 +141,7 @@
       subscribe: async call => { await serveSubscriber(publisher, call) },
       fetch: () => makeFetchAnswer(replica),
       status: () => makeStatus(replica),
-      timeline: () => ({ events: [...this.ring.list()] }),
+      timeline: ({ filter }) => ({ events: filterEvents(this.ring.list(), filter) }),
       drain: request => this.acceptDrain(request)
     }
   }
--- a/src/peer/client.ts
+++ b/src/peer/client.ts
@@ -5,6 +5,7 @@
 import type { ChannelCredentials, MethodDefinition } from '@grpc/grpc-js'
 import { Err, Ok, describeError, makeFault } from '../core/index.js'
 import type { Fault, Result } from '../core/index.js'
+import type { EventFilter } from '../timeline/index.js'
 import type { Codec } from './codec.js'
 import type { Dialer } from './dialer.js'
 import type { DrainAnswer, DrainRequest, FetchAnswer, StatusAnswer, TimelineAnswer } from './messages.js'
@@ -41,8 +42,8 @@
     return await this.callOnce(address, this.queries.status, {})
   }
 
-  async queryTimeline (address: string): Promise<Result<TimelineAnswer, Fault>> {
-    return await this.callOnce(address, this.queries.timeline, {})
+  async queryTimeline (address: string, filter: EventFilter = {}): Promise<Result<TimelineAnswer, Fault>> {
+    return await this.callOnce(address, this.queries.timeline, { filter })
   }
 
   async drainHost (address: string, request: DrainRequest): Promise<Result<DrainAnswer, Fault>> {
--- a/src/peer/messages.ts
+++ b/src/peer/messages.ts
@@ -4,7 +4,7 @@
  */
 import { z } from 'zod'
 import { hostRecordSchema } from '../membership/index.js'
-import { timelineEventSchema } from '../timeline/index.js'
+import { eventFilterSchema, timelineEventSchema } from '../timeline/index.js'
 
 /** Hybrid logical time of the sender, so that events of two nodes can be ordered. */
 export const stampSchema = z.object({ wall: z.number(), counter: z.number().int() })
@@ -113,7 +113,7 @@
 })
 export type StatusAnswer = z.infer<typeof statusAnswerSchema>
 
-export const timelineRequestSchema = z.object({})
+export const timelineRequestSchema = z.object({ filter: eventFilterSchema })
 export type TimelineRequest = z.infer<typeof timelineRequestSchema>
 
 export const timelineAnswerSchema = z.object({ events: z.array(timelineEventSchema) })
--- /dev/null
+++ b/src/timeline/queries/explain.ts
@@ -0,0 +1,57 @@
+/**
+ * When a version was in force on a host, and what the time before was spent on.
+ */
+import type { TimelineEvent } from '../schema.js'
+
+export interface ExplainQuestion {
+  service: string
+  version: number
+  host: string
+  /** Wall-clock time of acceptance in ms, where the platform still has the edit. */
+  acceptedAt?: number
+}
+
+/** Sentences in the order of time. Works from the events that the host itself recorded. */
+export function explainVersion (events: readonly TimelineEvent[], { service, version, host, acceptedAt }: ExplainQuestion): string[] {
+  const own = events.filter(event => event.node === host)
+  const ofService = own.filter(event => event.service === service)
+  const staged = ofService.find(event => event.kind === 'document-staged' && (event.version ?? 0) >= version)
+  const applied = ofService.find(event => event.kind === 'document-applied' && (event.version ?? 0) >= version)
+  const accepted = acceptedAt === undefined ? [] : [`${formatTime(acceptedAt)} accepted as version ${version}`]
+  const until = applied?.wall ?? Infinity
+  const trouble = own.filter(event => isTrouble(event, service) && event.wall >= (acceptedAt ?? 0) && event.wall <= until)
+  return [
+    ...accepted,
+    ...trouble.map(event => `${formatTime(event.wall)} ${event.kind}: ${event.text}`),
+    describeArrival(staged, version, host, acceptedAt),
+    describeApplication(applied, version, host, acceptedAt)
+  ]
+}
+
+function isTrouble (event: TimelineEvent, service: string): boolean {
+  if (event.kind === 'document-held' || event.kind === 'document-refused') return event.service === service
+  return ['upstream-lost', 'upstream-changed', 'duty-lost', 'node-started', 'node-ready'].includes(event.kind)
+}
+
+function describeArrival (staged: TimelineEvent | undefined, version: number, host: string, acceptedAt: number | undefined): string {
+  if (staged === undefined) return `${host} has no record of receiving version ${version} or a later one`
+  return `${formatTime(staged.wall)} ${describeVersion(staged, version)} received${formatDelay(staged.wall, acceptedAt)}: ${staged.text}`
+}
+
+function describeApplication (applied: TimelineEvent | undefined, version: number, host: string, acceptedAt: number | undefined): string {
+  if (applied === undefined) return `version ${version} is not in force on ${host}, as far as its events go back`
+  return `${formatTime(applied.wall)} ${describeVersion(applied, version)} in force${formatDelay(applied.wall, acceptedAt)}`
+}
+
+/** A later version that arrived first stands for the one asked about, which then never was in force by itself. */
+function describeVersion (event: TimelineEvent, version: number): string {
+  return event.version === version ? `version ${version}` : `version ${event.version ?? 0}, which replaced ${version},`
+}
+
+function formatDelay (wall: number, acceptedAt: number | undefined): string {
+  return acceptedAt === undefined ? '' : ` ${wall - acceptedAt} ms after acceptance`
+}
+
+function formatTime (wall: number): string {
+  return new Date(wall).toISOString()
+}
--- a/src/tool/exit.ts
+++ b/src/tool/exit.ts
@@ -22,7 +22,8 @@
   unreachable: EXIT.unreachable,
   throttled: EXIT.unreachable,
   unknown: EXIT.unknown,
-  missing: EXIT.missing
+  missing: EXIT.missing,
+  usage: EXIT.usage
 }
 
 export function findExitCode (faultCode: string): number {
--- a/src/tool/main.ts
+++ b/src/tool/main.ts
@@ -7,6 +7,7 @@
 import { getCommand } from './queries/get.js'
 import { listCommand } from './queries/list.js'
 import { statusCommand } from './queries/status.js'
+import { timelineCommand } from './queries/timeline.js'
 
 export const toolCommand = defineCommand({
   meta: { name: 'comfreyspoke', description: 'Edits the documents of services and shows what is in force.' },
@@ -15,6 +16,7 @@
     drain: drainCommand,
     get: getCommand,
     list: listCommand,
-    status: statusCommand
+    status: statusCommand,
+    timeline: timelineCommand
   }
 })
--- a/src/tool/queries/status.ts
+++ b/src/tool/queries/status.ts
@@ -5,22 +5,18 @@
 import { Err, Ok, makeFault } from '../../core/index.js'
 import type { Fault, Result } from '../../core/index.js'
 import { listEdits } from '../../document/index.js'
-import { leaseSchema } from '../../duty/index.js'
 import { Dialer, MsgpackCodec, PeerClient } from '../../peer/index.js'
 import type { StatusAnswer } from '../../peer/index.js'
 import type { ObjectStore } from '../../platform/index.js'
 import { COMMON_FLAGS, openPlatform } from '../flags.js'
+import { listHeadPeers } from '../heads.js'
 import { printResult, reportFaults } from '../output.js'
 
 /** The holder of the platform's region sees every region that follows it, so the largest tree answers. */
 async function queryHeads (store: ObjectStore, client: PeerClient): Promise<Result<StatusAnswer, Fault>> {
-  const found = await store.queries.list('duty')
-  if (found.err) return Err(makeFault(found.val.code, found.val.message))
-  const heads = found.val.objects.filter(object => object.name.startsWith('head-')).flatMap(object => {
-    const lease = leaseSchema.safeParse(object.value)
-    return lease.success ? [lease.data.peer] : []
-  })
-  const answers = await Promise.all(heads.map(async peer => await client.queryStatus(peer)))
+  const heads = await listHeadPeers(store)
+  if (heads.err) return heads
+  const answers = await Promise.all(heads.val.map(async peer => await client.queryStatus(peer)))
   const best = answers.flatMap(answer => answer.ok ? [answer.val] : []).sort((left, right) => right.nodes - left.nodes)[0]
   return best === undefined ? Err(makeFault('unreachable', 'no head of a region answers')) : Ok(best)
 }
--- /dev/null
+++ b/src/tool/queries/timeline.ts
@@ -0,0 +1,139 @@
+/**
+ * `comfreyspoke timeline`: the events of all processes in one order, as text, JSON lines or an HTML page.
+ */
+import { writeFile } from 'node:fs/promises'
+import { defineCommand } from 'citty'
+import { Err, Ok, makeFault } from '../../core/index.js'
+import type { Fault, Result } from '../../core/index.js'
+import { readEdit } from '../../document/index.js'
+import type { HostRecord } from '../../membership/index.js'
+import { Dialer, MsgpackCodec, PeerClient } from '../../peer/index.js'
+import type { ObjectStore } from '../../platform/index.js'
+import { eventFilterSchema, explainVersion, formatEvents, formatPage, mergeEvents } from '../../timeline/index.js'
+import type { EventFilter, ExplainQuestion, TimelineEvent } from '../../timeline/index.js'
+import { COMMON_FLAGS, openPlatform } from '../flags.js'
+import { listHeadPeers, listHosts } from '../heads.js'
+import { printResult, reportFaults } from '../output.js'
+
+/** More hosts than this are asked only when `--zone` or `--host` narrows them down. */
+const MAX_HOSTS = 500
+const PARALLEL_QUERIES = 32
+
+interface Collected { events: TimelineEvent[], silent: string[], skipped: number }
+
+async function collectEvents (client: PeerClient, hosts: readonly HostRecord[], filter: EventFilter): Promise<Collected> {
+  const asked = hosts.slice(0, MAX_HOSTS)
+  const rings: TimelineEvent[][] = []
+  const silent: string[] = []
+  for (let first = 0; first < asked.length; first += PARALLEL_QUERIES) {
+    const group = asked.slice(first, first + PARALLEL_QUERIES)
+    const answers = await Promise.all(group.map(async record => await client.queryTimeline(record.peer, filter)))
+    answers.forEach((answer, index) => {
+      if (answer.ok) rings.push(answer.val.events)
+      else silent.push(group[index]?.host ?? '')
+    })
+  }
+  return { events: mergeEvents(rings), silent, skipped: hosts.length - asked.length }
+}
+
+async function findHosts (store: ObjectStore, client: PeerClient, peer: string | undefined): Promise<Result<HostRecord[], Fault>> {
+  const peers = peer === undefined ? await listHeadPeers(store) : Ok([peer])
+  return peers.err ? peers : await listHosts(client, peers.val)
+}
+
+function parseTime (text: string | undefined): number | undefined {
+  return text === undefined ? undefined : Date.parse(text)
+}
+
+/** Wall-clock time of acceptance, where the version asked about is still the accepted one. */
+async function findAcceptedAt (store: ObjectStore, service: string, version: number): Promise<number | undefined> {
+  const edit = await readEdit(store, service)
+  return edit.ok && edit.val?.version === version ? edit.val.edit.acceptedAt : undefined
+}
+
+export const timelineCommand = defineCommand({
+  meta: { name: 'timeline', description: 'Show the events of all processes in one order.' },
+  args: {
+    service: { type: 'string', description: 'only events of this service' },
+    version: { type: 'string', description: 'only events of this version' },
+    request: { type: 'string', description: 'only events of this request identifier' },
+    host: { type: 'string', description: 'only events that this host recorded or that are about it' },
+    zone: { type: 'string', description: 'only events recorded in this zone' },
+    since: { type: 'string', description: 'from this time on, ISO 8601' },
+    until: { type: 'string', description: 'up to this time, ISO 8601' },
+    explain: { type: 'boolean', default: false, description: 'say when --version of --service was in force on --host, and why not before' },
+    html: { type: 'string', description: 'write a page with one lane for each process to this file' },
+    peer: { type: 'string', description: 'peer address of a node to learn the hosts from (default: the heads of all regions)' },
+    ...COMMON_FLAGS
+  },
+  run: async ({ args }) => {
+    const question = readQuestion(args)
+    if (question.err) {
+      reportFaults(args.json, question.val)
+      return
+    }
+    const store = openPlatform(args.platform)
+    const client = new PeerClient(new MsgpackCodec(), new Dialer())
+    const hosts = await findHosts(store, client, args.peer)
+    if (hosts.err) reportFaults(args.json, [hosts.val])
+    else if (question.val.explain !== undefined) await printExplanation(store, client, hosts.val, question.val.explain, args.json)
+    else await printEvents(await collectEvents(client, selectHosts(hosts.val, question.val.filter), question.val.filter), args.json, args.html)
+    client.close()
+    await store.close()
+  }
+})
+
+interface Question { filter: EventFilter, explain?: ExplainQuestion }
+
+interface QuestionFlags {
+  service?: string
+  version?: string
+  request?: string
+  host?: string
+  zone?: string
+  since?: string
+  until?: string
+  explain: boolean
+}
+
+function readQuestion (flags: QuestionFlags): Result<Question, Fault[]> {
+  const { service, request, host, zone } = flags
+  const filter = eventFilterSchema.safeParse({
+    service,
+    request,
+    host,
+    zone,
+    version: flags.version === undefined ? undefined : Number(flags.version),
+    since: parseTime(flags.since),
+    until: parseTime(flags.until)
+  })
+  if (!filter.success) return Err(filter.error.issues.map(issue => makeFault('usage', `--${issue.path.join('.')}: ${issue.message}`)))
+  if (!flags.explain) return Ok({ filter: filter.data })
+  const { version } = filter.data
+  if (service === undefined || version === undefined || host === undefined) {
+    return Err([makeFault('usage', '--explain needs --service, --version and --host')])
+  }
+  return Ok({ filter: filter.data, explain: { service, version, host } })
+}
+
+/** Any host may have events about another one, so `--host` alone does not narrow down whom to ask. */
+function selectHosts (hosts: readonly HostRecord[], { zone }: EventFilter): HostRecord[] {
+  return hosts.filter(record => zone === undefined || record.zone === zone)
+}
+
+async function printExplanation (
+  store: ObjectStore, client: PeerClient, hosts: readonly HostRecord[], question: ExplainQuestion, json: boolean
+): Promise<void> {
+  const { events } = await collectEvents(client, hosts.filter(record => record.host === question.host), {})
+  const acceptedAt = await findAcceptedAt(store, question.service, question.version)
+  const lines = explainVersion(events, acceptedAt === undefined ? question : { ...question, acceptedAt })
+  printResult(json, lines, lines.join('\n'))
+}
+
+async function printEvents ({ events, silent, skipped }: Collected, json: boolean, html: string | undefined): Promise<void> {
+  if (html !== undefined) await writeFile(html, formatPage(events))
+  if (json) process.stdout.write(events.map(event => `${JSON.stringify(event)}\n`).join(''))
+  else if (html === undefined) process.stdout.write(`${formatEvents(events)}\n`)
+  if (silent.length > 0) process.stderr.write(`comfreyspoke: no answer from ${silent.join(', ')}\n`)
+  if (skipped > 0) process.stderr.write(`comfreyspoke: ${skipped} hosts were not asked; narrow them down by --zone\n`)
+}
--- /dev/null
+++ b/tests/timeline.test.ts
@@ -0,0 +1,83 @@
+/**
+ * The time line: one order over processes whose wall clocks differ, filters, and the answer to
+ * when a version was in force on a host. Guards against a message that seems to arrive before it was sent.
+ */
+import { describe, expect, test } from '@jest/globals'
+import fc from 'fast-check'
+import { EventRing, explainVersion, filterEvents, formatPage, HybridClock, mergeEvents, Recorder, RING_EVENTS } from '../src/timeline/index.js'
+import type { HybridTime } from '../src/timeline/index.js'
+import { makeClock } from './fixtures/clock.js'
+import { makeEvent } from './fixtures/event.js'
+import { readProofParameters } from './fixtures/proof.js'
+
+function compareTimes (left: HybridTime, right: HybridTime): number {
+  return left.wall - right.wall || left.counter - right.counter
+}
+
+describe('hybrid clock', () => {
+  test('a receipt is later than its sending, whatever the wall clocks do', () => {
+    const steps = fc.array(fc.record({ from: fc.nat(2), to: fc.nat(2), drift: fc.integer({ min: -50, max: 50 }) }), { maxLength: 50 })
+    fc.assert(fc.property(steps, sequence => {
+      const walls = [makeClock(1_000), makeClock(5_000), makeClock(900)]
+      const clocks = walls.map(wall => new HybridClock(wall))
+      for (const { from, to, drift } of sequence) {
+        walls[from]?.advance(drift)
+        const sent = clocks[from]?.advance() as HybridTime
+        const received = clocks[to]?.advance(sent) as HybridTime
+        expect(compareTimes(received, sent)).toBeGreaterThan(0)
+      }
+    }), readProofParameters())
+  })
+})
+
+describe('ring', () => {
+  test('keeps the last events only', () => {
+    const ring = new EventRing()
+    const recorder = new Recorder(ring, new HybridClock(makeClock()), 'host-1', 'a')
+    for (let index = 0; index < RING_EVENTS * 3; index += 1) recorder.record('call-failed', String(index))
+    expect(ring.list()).toHaveLength(RING_EVENTS)
+    expect(ring.list().at(-1)?.text).toBe(String(RING_EVENTS * 3 - 1))
+  })
+})
+
+describe('queries', () => {
+  test('events of several processes come in one order', () => {
+    const merged = mergeEvents([[makeEvent({ wall: 2 }), makeEvent({ wall: 5 })], [makeEvent({ wall: 2, counter: 1, node: 'host-2' })]])
+    expect(merged.map(event => [event.wall, event.counter])).toEqual([[2, 0], [2, 1], [5, 0]])
+  })
+
+  test('a host filter finds what others recorded about a dead host', () => {
+    const events = [makeEvent({ node: 'host-2', host: 'host-9', kind: 'target-lost' }), makeEvent({ node: 'host-2' })]
+    expect(filterEvents(events, { host: 'host-9' })).toEqual([events[0]])
+  })
+
+  test('events before the asked time are left out', () => {
+    expect(filterEvents([makeEvent()], { since: 2_000 })).toEqual([])
+  })
+
+  test('explains when a version was in force and what delayed it', () => {
+    const events = [
+      makeEvent({ wall: 1_200, kind: 'upstream-lost', text: '127.0.0.1:7402: silent' }),
+      makeEvent({ wall: 2_000, kind: 'document-staged', service: 'desk', version: 7, text: 'from host-3' }),
+      makeEvent({ wall: 2_001, kind: 'document-applied', service: 'desk', version: 7 })
+    ]
+    const lines = explainVersion(events, { service: 'desk', version: 7, host: 'host-1', acceptedAt: 1_000 })
+    expect(lines.map(line => line.slice(25))).toEqual([
+      'accepted as version 7',
+      'upstream-lost: 127.0.0.1:7402: silent',
+      'version 7 received 1000 ms after acceptance: from host-3',
+      'version 7 in force 1001 ms after acceptance'
+    ])
+  })
+
+  test('says so when a version never arrived', () => {
+    const lines = explainVersion([], { service: 'desk', version: 7, host: 'host-1' })
+    expect(lines).toEqual(['host-1 has no record of receiving version 7 or a later one', 'version 7 is not in force on host-1, as far as its events go back'])
+  })
+
+  test('the page shows text of events as text', () => {
+    const page = formatPage([makeEvent({ text: '<script>alert(1)</script>' })])
+    expect(page).not.toContain('<script>alert')
+    expect(page).toContain('&lt;script&gt;alert(1)')
+  })
+})
