--- /dev/null
+++ b/src/metrics/process.ts
@@ -0,0 +1,13 @@
+/**
+ * What this process costs its host, in the names that scrapers expect. Seconds and bytes.
+ */
+export function formatProcess (): string {
+  const { user, system } = process.cpuUsage()
+  const memory = process.memoryUsage()
+  return [
+    `process_cpu_seconds_total ${(user + system) / 1_000_000}`,
+    `process_resident_memory_bytes ${memory.rss}`,
+    `nodejs_heap_used_bytes ${memory.heapUsed}`,
+    `process_uptime_seconds ${process.uptime()}`
+  ].join('\n') + '\n'
+}
--- a/src/node/tasks/admin.ts
+++ b/src/node/tasks/admin.ts
@@ -2,6 +2,7 @@
  * The admin port: health, readiness and metrics.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import { formatProcess } from '../../metrics/index.js'
 import type { Metrics } from '../../metrics/index.js'
 import type { Replica } from '../../peer/index.js'
 import { writeJson } from '../http.js'
@@ -20,7 +21,7 @@
       return
     case '/metrics':
       response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' })
-      response.end(metrics.formatText())
+      response.end(metrics.formatText() + formatProcess())
       return
     default:
       writeJson(response, 404, { message: 'try /healthz, /readyz or /metrics' })
--- a/standins/layout/processes.ts
+++ b/standins/layout/processes.ts
@@ -60,6 +60,11 @@
     this.spawn(`node ${host.host}`, 'standins/node/main.js', [JSON.stringify(this.placement), String(host.index), ...flags, `--log-level=${this.logLevel}`])
   }
 
+  /** Several nodes in one process, each with an announced target. */
+  startNodes (indexes: readonly number[]): void {
+    this.spawn(`nodes ${indexes[0] ?? 0}`, 'standins/node/many.js', [JSON.stringify(this.placement), indexes.join(','), this.platformUrl])
+  }
+
   startTarget (host: HostLayout): void {
     const options = {
       service: host.service, target: `t-${host.index}`, address: formatAddress(host, 'target'), node: formatAddress(host, 'local'), serviceMs: host.serviceMs
