--- a/standins/bench/fleet.ts
+++ b/standins/bench/fleet.ts
@@ -31,13 +31,18 @@
   static async start (nodes: number): Promise<Fleet> {
     const placement = placeHosts(MANDAP, await findBlock(), Math.ceil(nodes / MANDAP.services.length))
     const processes = new Processes(placement)
-    await processes.startPlatform()
     const groups: number[][] = []
     for (let first = 0; first < placement.hosts.length; first += NODES_PER_PROCESS) {
       groups.push(placement.hosts.slice(first, first + NODES_PER_PROCESS).map(host => host.index))
     }
-    for (const group of groups) processes.startNodes(group)
-    await processes.awaitReady(placement.hosts, READY_LIMIT_MS)
+    try {
+      await processes.startPlatform()
+      for (const group of groups) processes.startNodes(group)
+      await processes.awaitReady(placement.hosts, READY_LIMIT_MS)
+    } catch (error) {
+      await processes.stopAll()
+      throw error
+    }
     return new Fleet(placement, processes, groups)
   }
 
--- a/standins/layout/processes.ts
+++ b/standins/layout/processes.ts
@@ -93,6 +93,7 @@
     return code
   }
 
+  /** To be called also when a start failed: the processes do not end by themselves. */
   async stopAll (): Promise<void> {
     const running = [...this.children.values()].filter(child => child.exitCode === null && child.signalCode === null)
     const exits = running.map(async child => { await once(child, 'exit') })
