--- a/src/node/start.ts
+++ b/src/node/start.ts
@@ -175,6 +175,6 @@
 
   private noteApplied ({ service, version, acceptedAt }: { service: string, version: number, acceptedAt: number }): void {
     this.metrics.observe('convergence_ms', this.clock.now() - acceptedAt)
-    this.recorder.record('document-applied', `${service} version ${version}`, { service, version })
+    this.recorder.record('document-applied', 'in force', { service, version })
   }
 }
--- a/src/timeline/queries/page.ts
+++ b/src/timeline/queries/page.ts
@@ -19,7 +19,11 @@
   'upstream-changed': '#7d5ba6',
   'upstream-lost': '#b98fd6',
   'target-lost': '#c0392b',
-  'call-failed': '#e67e22'
+  'call-failed': '#e67e22',
+  'node-started': '#000000',
+  'node-stopping': '#555555',
+  'target-joined': '#c8c8c8',
+  'target-leaving': '#e8b563'
 }
 const OTHER_COLOUR = '#888888'
 
--- a/standins/demo/main.ts
+++ b/standins/demo/main.ts
@@ -1,7 +1,8 @@
 /**
  * The demo: one deployment at its real size in separate processes. Applies documents, sends calls
  * from several zones, edits a document meanwhile, kills a node and a target, and prints what came of it.
- * `--kamisori` takes the other deployment, `--json` prints JSON. Exit code 1 when a promise was broken.
+ * `--kamisori` takes the other deployment, `--json` prints JSON, `--timeline=FILE` writes the time line
+ * of all nodes as an HTML page. Exit code 1 when a promise was broken.
  */
 import { execFile } from 'node:child_process'
 import { mkdtemp, readFile, writeFile } from 'node:fs/promises'
@@ -10,6 +11,7 @@
 import { setTimeout as delay } from 'node:timers/promises'
 import { fileURLToPath } from 'node:url'
 import { promisify } from 'node:util'
+import { formatPage, mergeEvents } from '../../src/timeline/index.js'
 import { sendCalls } from '../caller/load.js'
 import type { CallKind, CallResult } from '../caller/load.js'
 import { findBlock, Processes } from '../layout/processes.js'
@@ -41,6 +43,7 @@
 
 const isKamisori = process.argv.includes('--kamisori')
 const isJson = process.argv.includes('--json')
+const timelineFile = process.argv.find(flag => flag.startsWith('--timeline='))?.slice('--timeline='.length)
 
 async function applyFile (platform: string, file: string): Promise<AcceptedEdit> {
   const tool = fileURLToPath(new URL('../../src/bin/tool.js', import.meta.url))
@@ -95,6 +98,7 @@
 
 async function report ({ layout, hosts }: Placement, { results, edits, before, alive }: Outcome): Promise<boolean> {
   const rings = await collectEvents(alive)
+  if (timelineFile !== undefined) await writeFile(timelineFile, formatPage(mergeEvents(rings)))
   const convergence = measureConvergence(edits, rings)
   const after = await sumLinkBytes(alive)
   const runs = await collectRuns(hosts)
