--- a/src/node/command.ts
+++ b/src/node/command.ts
@@ -3,6 +3,7 @@
  */
 import { defineCommand } from 'citty'
 import type { ArgsDef, CommandDef } from 'citty'
+import { loadCredentials } from '../peer/index.js'
 import type { Dialer } from '../peer/index.js'
 import { formatVariable, nodeSettingsSchema, readSettings } from './settings.js'
 import { Node } from './start.js'
@@ -34,7 +35,12 @@
     process.stderr.write(`comfreyspoke-node: ${settings.val.message}\n`)
     process.exit(BAD_SETTING_EXIT)
   }
-  const node = new Node(settings.val, dialer)
+  const credentials = await loadCredentials({ ca: settings.val['tls-ca'], cert: settings.val['tls-cert'], key: settings.val['tls-key'] })
+  if (credentials.err) {
+    process.stderr.write(`comfreyspoke-node: ${credentials.val.message}\n`)
+    process.exit(BAD_SETTING_EXIT)
+  }
+  const node = new Node(settings.val, credentials.val, dialer)
   for (const signal of ['SIGTERM', 'SIGINT'] as const) {
     process.once(signal, () => { node.stop().then(() => { process.exit(0) }, () => { process.exit(1) }) })
   }
--- a/src/node/start.ts
+++ b/src/node/start.ts
@@ -10,7 +10,7 @@
 import {
   Dialer, makeFetchAnswer, makeStatus, MsgpackCodec, PeerClient, receiveRecords, Replica, serveSubscriber, startPeerServer, SubscriberRegistry
 } from '../peer/index.js'
-import type { DrainAnswer, DrainRequest, PeerHandlers, Receiver } from '../peer/index.js'
+import type { DrainAnswer, DrainRequest, PeerCredentials, PeerHandlers, Receiver } from '../peer/index.js'
 import { CountingObjectStore, HttpObjectStore } from '../platform/index.js'
 import { BudgetRetryPolicy, LocalTargets, serveCaller, serveInbound, UndiciExchanger, ZonePicker } from '../request/index.js'
 import { EventRing, filterEvents, HybridClock, Recorder } from '../timeline/index.js'
@@ -46,7 +46,7 @@
   private inFlight = 0
   private stopping: Promise<void> | undefined
 
-  constructor (private readonly settings: NodeSettings, dialer: Dialer = new Dialer()) {
+  constructor (private readonly settings: NodeSettings, private readonly credentials: PeerCredentials, dialer: Dialer = new Dialer()) {
     this.createLog = prefix => createLogger(prefix, settings['log-level'])
     this.recorder = new Recorder(this.ring, new HybridClock(this.clock), settings.host, settings.zone)
     this.replica = new Replica({
@@ -60,7 +60,7 @@
     })
     this.receiver = { replica: this.replica, clock: this.clock, onApplied: entry => { this.noteApplied(entry) } }
     this.store = new HttpObjectStore(settings.platform)
-    this.client = new PeerClient(new MsgpackCodec(), dialer)
+    this.client = new PeerClient(new MsgpackCodec(), dialer, credentials.client)
     this.peerExchanger = new UndiciExchanger(PEER_CONNECTIONS, address => dialer.resolve(address))
     this.local = new LocalTargets(this.replica.own, () => this.replica.table.current, this.clock)
   }
@@ -69,7 +69,7 @@
     const { settings, replica } = this
     this.recorder.record('node-started', `zone ${settings.zone}`)
     receiveRecords(this.receiver, [replica.own.makeRecord()])
-    this.peerServer = await startPeerServer(settings.peer, new MsgpackCodec(), this.makePeerHandlers())
+    this.peerServer = await startPeerServer(settings.peer, new MsgpackCodec(), this.makePeerHandlers(), this.credentials.server)
     const localContext = { receiver: this.receiver, clock: this.clock, recorder: this.recorder, log: this.createLog('member') }
     const callerContext = this.makeCallerContext()
     this.https.push(
--- a/src/peer/index.ts
+++ b/src/peer/index.ts
@@ -2,6 +2,8 @@
  * Distribution between nodes: the replica, the messages, and one task for each peer.
  */
 export { MsgpackCodec, Codec } from './codec.js'
+export { loadCredentials } from './credentials.js'
+export type { PeerCredentials, TlsFiles } from './credentials.js'
 export { Dialer } from './dialer.js'
 export { PeerClient } from './client.js'
 export { startPeerServer } from './server.js'
--- a/src/tool/commands/drain.ts
+++ b/src/tool/commands/drain.ts
@@ -3,8 +3,7 @@
  */
 import { defineCommand } from 'citty'
 import { makeFault } from '../../core/index.js'
-import { Dialer, MsgpackCodec, PeerClient } from '../../peer/index.js'
-import { JSON_FLAG } from '../flags.js'
+import { JSON_FLAG, openNodes, TLS_FLAGS } from '../flags.js'
 import { printResult, reportFaults } from '../output.js'
 
 export const drainCommand = defineCommand({
@@ -12,10 +11,11 @@
   args: {
     peer: { type: 'positional', required: true, description: 'peer address of the host\'s node, ip:port' },
     token: { type: 'string', description: 'operator token [COMFREYSPOKE_OPERATOR_TOKEN]' },
+    ...TLS_FLAGS,
     ...JSON_FLAG
   },
   run: async ({ args }) => {
-    const client = new PeerClient(new MsgpackCodec(), new Dialer())
+    const client = await openNodes(args)
     const token = args.token ?? process.env.COMFREYSPOKE_OPERATOR_TOKEN
     const answer = await client.drainHost(args.peer, token === undefined ? {} : { token })
     client.close()
--- a/src/tool/queries/status.ts
+++ b/src/tool/queries/status.ts
@@ -5,10 +5,9 @@
 import { Err, Ok, makeFault } from '../../core/index.js'
 import type { Fault, Result } from '../../core/index.js'
 import { listEdits } from '../../document/index.js'
-import { Dialer, MsgpackCodec, PeerClient } from '../../peer/index.js'
-import type { StatusAnswer } from '../../peer/index.js'
+import type { PeerClient, StatusAnswer } from '../../peer/index.js'
 import type { ObjectStore } from '../../platform/index.js'
-import { COMMON_FLAGS, openPlatform } from '../flags.js'
+import { COMMON_FLAGS, openNodes, openPlatform, TLS_FLAGS } from '../flags.js'
 import { listHeadPeers } from '../heads.js'
 import { printResult, reportFaults } from '../output.js'
 
@@ -34,10 +33,10 @@
 
 export const statusCommand = defineCommand({
   meta: { name: 'status', description: 'Show which version is in force on how many nodes, and which nodes lag or refused.' },
-  args: { ...COMMON_FLAGS },
+  args: { ...TLS_FLAGS, ...COMMON_FLAGS },
   run: async ({ args }) => {
     const store = openPlatform(args.platform)
-    const client = new PeerClient(new MsgpackCodec(), new Dialer())
+    const client = await openNodes(args)
     const [edits, status] = await Promise.all([listEdits(store), queryHeads(store, client)])
     client.close()
     await store.close()
--- a/src/tool/queries/timeline.ts
+++ b/src/tool/queries/timeline.ts
@@ -7,11 +7,11 @@
 import type { Fault, Result } from '../../core/index.js'
 import { readEdit } from '../../document/index.js'
 import type { HostRecord } from '../../membership/index.js'
-import { Dialer, MsgpackCodec, PeerClient } from '../../peer/index.js'
+import type { PeerClient } from '../../peer/index.js'
 import type { ObjectStore } from '../../platform/index.js'
 import { eventFilterSchema, explainVersion, formatEvents, formatPage, mergeEvents } from '../../timeline/index.js'
 import type { EventFilter, ExplainQuestion, TimelineEvent } from '../../timeline/index.js'
-import { COMMON_FLAGS, openPlatform } from '../flags.js'
+import { COMMON_FLAGS, openNodes, openPlatform, TLS_FLAGS } from '../flags.js'
 import { listHeadPeers, listHosts } from '../heads.js'
 import { printResult, reportFaults } from '../output.js'
 
@@ -64,6 +64,7 @@
     explain: { type: 'boolean', default: false, description: 'say when --version of --service was in force on --host, and why not before' },
     html: { type: 'string', description: 'write a page with one lane for each process to this file' },
     peer: { type: 'string', description: 'peer address of a node to learn the hosts from (default: the heads of all regions)' },
+    ...TLS_FLAGS,
     ...COMMON_FLAGS
   },
   run: async ({ args }) => {
@@ -73,7 +74,7 @@
       return
     }
     const store = openPlatform(args.platform)
-    const client = new PeerClient(new MsgpackCodec(), new Dialer())
+    const client = await openNodes(args)
     const hosts = await findHosts(store, client, args.peer)
     if (hosts.err) reportFaults(args.json, [hosts.val])
     else if (question.val.explain !== undefined) await printExplanation(store, client, hosts.val, question.val.explain, args.json)
--- a/standins/node/many.ts
+++ b/standins/node/many.ts
@@ -4,6 +4,7 @@
  */
 import { setTimeout as delay } from 'node:timers/promises'
 import { request } from 'undici'
+import { loadCredentials } from '../../src/peer/index.js'
 import { Node, readSettings, startServer, writeJson } from '../../src/node/index.js'
 import { formatAddress, listNodeFlags } from '../layout/schema.js'
 import type { HostLayout, Placement } from '../layout/schema.js'
@@ -21,7 +22,7 @@
   const flags = listNodeFlags(placement, host, dialer.resolvePlatform(platform)).map(flag => flag.slice(2).split('=', 2))
   const settings = readSettings({ ...Object.fromEntries(flags), 'log-level': 'error' }, {})
   if (settings.err) throw new Error(settings.val.message)
-  await new Node(settings.val, dialer).start()
+  await new Node(settings.val, (await loadCredentials({})).unwrap(), dialer).start()
   void announceAlways(host)
 }
 
--- /dev/null
+++ b/tests/credentials.test.ts
@@ -0,0 +1,58 @@
+/**
+ * Who may speak on the peer port: with TLS files a stranger without a certificate of the authority gets nothing.
+ */
+import { afterEach, beforeAll, describe, expect, test } from '@jest/globals'
+import type { Server } from '@grpc/grpc-js'
+import { Dialer, loadCredentials, MsgpackCodec, PeerClient, startPeerServer } from '../src/peer/index.js'
+import type { PeerCredentials, TlsFiles } from '../src/peer/index.js'
+import { findBlock } from '../standins/layout/processes.js'
+import { makeCertificate } from './fixtures/certificate.js'
+
+let ip = ''
+let port = 7500
+beforeAll(async () => { ip = `127.${await findBlock()}.1.1` })
+
+const open: Array<() => void> = []
+afterEach(() => { for (const close of open.splice(0)) close() })
+
+async function makeCredentials (files: TlsFiles): Promise<PeerCredentials> {
+  return (await loadCredentials(files)).unwrap()
+}
+
+async function servePeer (credentials: PeerCredentials): Promise<string> {
+  const refuse = (): never => { throw new Error('not asked here') }
+  const handlers = { subscribe: async () => {}, fetch: refuse, status: refuse, timeline: () => ({ events: [] }), drain: refuse }
+  const address = `${ip}:${port++}`
+  const server: Server = await startPeerServer(address, new MsgpackCodec(), handlers, credentials.server)
+  open.push(() => { server.forceShutdown() })
+  return address
+}
+
+function makeClient (credentials: PeerCredentials): PeerClient {
+  const client = new PeerClient(new MsgpackCodec(), new Dialer(), credentials.client)
+  open.push(() => { client.close() })
+  return client
+}
+
+describe('credentials of the peer port', () => {
+  test('a client with a certificate of the authority is served', async () => {
+    const credentials = await makeCredentials(makeCertificate(ip))
+    const address = await servePeer(credentials)
+    expect((await makeClient(credentials).queryTimeline(address)).ok).toBe(true)
+  })
+
+  test.each([
+    ['without TLS', async (): Promise<PeerCredentials> => await makeCredentials({})],
+    ['with a certificate of another authority', async (): Promise<PeerCredentials> => await makeCredentials(makeCertificate(ip))]
+  ])('a client %s gets nothing', async (_name, make) => {
+    const address = await servePeer(await makeCredentials(makeCertificate(ip)))
+    const answer = await makeClient(await make()).queryTimeline(address)
+    expect(answer.err && answer.val.code).toBe('unreachable')
+  })
+
+  test('an incomplete set of files is refused', async () => {
+    const { ca } = makeCertificate(ip)
+    const loaded = await loadCredentials({ ca })
+    expect(loaded.err && loaded.val.message).toBe('settings --tls-ca, --tls-cert and --tls-key go together')
+  })
+})
