--- a/standins/bench/main.ts
+++ b/standins/bench/main.ts
@@ -2,11 +2,13 @@
  * Measurements: `bench NAME [ARGUMENT…] [--json FILE]`. Each prints its rows and may write them to a file.
  */
 import { writeFile } from 'node:fs/promises'
+import { runCapacity } from './capacity.js'
 import { runConvergence } from './convergence.js'
 
 type Bench = (args: readonly string[]) => Promise<unknown>
 
 const BENCHES: Readonly<Record<string, Bench>> = {
+  capacity: runCapacity,
   convergence: runConvergence
 }
 
