--- a/src/node/settings.ts
+++ b/src/node/settings.ts
@@ -25,6 +25,7 @@
   'admit-per-second': z.coerce.number().int().min(1).max(10_000).default(20).describe('new subscribers per second'),
   'drain-timeout': z.coerce.number().int().min(0).max(600_000).default(30_000).describe('longest wait for requests in flight at shutdown, ms'),
   'operator-token': z.string().optional().describe('secret that operators\' commands must carry'),
+  'peer-token': z.string().optional().describe('secret that nodes show each other on the inbound port'),
   'tls-ca': z.string().optional().describe('PEM file of the authority of all nodes\' and operators\' certificates'),
   'tls-cert': z.string().optional().describe('PEM file of this node\'s certificate'),
   'tls-key': z.string().optional().describe('PEM file of this node\'s private key'),
--- a/src/node/start.ts
+++ b/src/node/start.ts
@@ -1,9 +1,9 @@
 /**
  * Assembles one node from its settings: state, servers and tasks.
  */
-import type { Server as HttpServer } from 'node:http'
+import type { IncomingMessage, Server as HttpServer, ServerResponse } from 'node:http'
 import type { Server as PeerServer } from '@grpc/grpc-js'
-import { createLogger, SystemClock, SystemRandom } from '../core/index.js'
+import { createLogger, makeFailure, SystemClock, SystemRandom } from '../core/index.js'
 import type { LogFactory } from '../core/index.js'
 import { leaveHost } from '../membership/index.js'
 import { Metrics } from '../metrics/index.js'
@@ -12,7 +12,8 @@
 } from '../peer/index.js'
 import type { DrainAnswer, DrainRequest, PeerCredentials, PeerHandlers, Receiver } from '../peer/index.js'
 import { CountingObjectStore, HttpObjectStore } from '../platform/index.js'
-import { BudgetRetryPolicy, LocalTargets, serveCaller, serveInbound, UndiciExchanger, ZonePicker } from '../request/index.js'
+import { BudgetRetryPolicy, LocalTargets, matchesSecret, serveCaller, serveInbound, takeToken, TokenExchanger, UndiciExchanger, writeFailure, ZonePicker } from '../request/index.js'
+import type { CallerContext, Exchanger } from '../request/index.js'
 import { EventRing, filterEvents, HybridClock, Recorder } from '../timeline/index.js'
 import { startServer } from './http.js'
 import type { NodeSettings } from './settings.js'
@@ -37,7 +38,7 @@
   private readonly store: HttpObjectStore
   private readonly client: PeerClient
   private readonly targetExchanger = new UndiciExchanger(TARGET_CONNECTIONS)
-  private readonly peerExchanger: UndiciExchanger
+  private readonly peerExchanger: Exchanger
   private readonly local: LocalTargets
   private readonly stopped = new AbortController()
   private readonly https: HttpServer[] = []
@@ -61,7 +62,9 @@
     this.receiver = { replica: this.replica, clock: this.clock, onApplied: entry => { this.noteApplied(entry) } }
     this.store = new HttpObjectStore(settings.platform)
     this.client = new PeerClient(new MsgpackCodec(), dialer, credentials.client)
-    this.peerExchanger = new UndiciExchanger(PEER_CONNECTIONS, address => dialer.resolve(address))
+    const plain = new UndiciExchanger(PEER_CONNECTIONS, address => dialer.resolve(address))
+    const token = settings['peer-token']
+    this.peerExchanger = token === undefined ? plain : new TokenExchanger(plain, token)
     this.local = new LocalTargets(this.replica.own, () => this.replica.table.current, this.clock)
   }
 
@@ -74,7 +77,7 @@
     const callerContext = this.makeCallerContext()
     this.https.push(
       await startServer(settings.caller, async (message, response) => { await this.track(serveCaller(callerContext, message, response)) }),
-      await startServer(settings.inbound, async (message, response) => { await this.track(serveInbound(callerContext.inbound, message, response)) }),
+      await startServer(settings.inbound, async (message, response) => { await this.track(this.serveNode(callerContext, message, response)) }),
       await startServer(settings.local, async (message, response) => { await serveLocal(localContext, message, response) }),
       await startServer(settings.admin, async (message, response) => { await serveAdmin({ replica, metrics: this.metrics }, message, response) })
     )
@@ -106,6 +109,11 @@
     await Promise.all([this.targetExchanger.close(), this.peerExchanger.close(), this.store.close()])
   }
 
+  private async serveNode ({ inbound }: CallerContext, message: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (takeToken(message, this.settings['peer-token'])) await serveInbound(inbound, message, response)
+    else writeFailure(response, makeFailure('not-run', 403, 'bad_token', 'wrong or missing peer token'), '')
+  }
+
   private async track (work: Promise<void>): Promise<void> {
     this.inFlight += 1
     try {
@@ -148,12 +156,12 @@
 
   private acceptDrain ({ token }: DrainRequest): DrainAnswer {
     const expected = this.settings['operator-token']
-    if (expected !== undefined && token !== expected) return { accepted: false, message: 'wrong or missing operator token' }
+    if (expected !== undefined && !matchesSecret(token, expected)) return { accepted: false, message: 'wrong or missing operator token' }
     receiveRecords(this.receiver, [leaveHost(this.replica.own)])
     return { accepted: true, message: `${this.settings.host} gets no new work` }
   }
 
-  private makeCallerContext (): Parameters<typeof serveCaller>[0] {
+  private makeCallerContext (): CallerContext {
     const { settings, clock, random, metrics, replica } = this
     return {
       host: settings.host,
--- a/src/request/index.ts
+++ b/src/request/index.ts
@@ -3,11 +3,13 @@
  */
 export { HEADERS, MAX_HOPS } from './schema.js'
 export type { Call } from './schema.js'
+export { writeFailure } from './answer.js'
 export { LocalTargets } from './commands/admit.js'
 export { Exchanger, UndiciExchanger } from './exchange.js'
 export { Picker, ZonePicker } from './picker.js'
 export { BudgetRetryPolicy, RetryPolicy } from './retry.js'
 export { SlotGate } from './slots.js'
+export { matchesSecret, takeToken, TokenExchanger, TOKEN_HEADER } from './token.js'
 export { resolveRoute } from './queries/route.js'
 export { serveCaller } from './tasks/caller.js'
 export type { CallerContext } from './tasks/caller.js'
--- /dev/null
+++ b/src/request/token.ts
@@ -0,0 +1,38 @@
+/**
+ * The secret that nodes show each other on the inbound port, so that nobody else reaches targets past the routes.
+ */
+import { createHash, timingSafeEqual } from 'node:crypto'
+import type { IncomingMessage } from 'node:http'
+import type { Failure, Result } from '../core/index.js'
+import { Exchanger } from './exchange.js'
+import type { Answer, Outgoing } from './exchange.js'
+
+export const TOKEN_HEADER = 'x-comfreyspoke-peer-token'
+
+/** Compares in constant time, so that an answer's delay tells nothing about the secret. */
+export function matchesSecret (given: string | undefined, expected: string): boolean {
+  const digest = (text: string): Buffer => createHash('sha256').update(text).digest()
+  return timingSafeEqual(digest(given ?? ''), digest(expected))
+}
+
+/** Takes the header off, so that no target sees it. True when no token is set. */
+export function takeToken (message: IncomingMessage, expected: string | undefined): boolean {
+  const given = message.headers[TOKEN_HEADER]
+  delete message.headers[TOKEN_HEADER]
+  return expected === undefined || matchesSecret(typeof given === 'string' ? given : undefined, expected)
+}
+
+/** Adds the token to what goes to other nodes. */
+export class TokenExchanger extends Exchanger {
+  constructor (private readonly inner: Exchanger, private readonly token: string) {
+    super()
+  }
+
+  override async send (outgoing: Outgoing): Promise<Result<Answer, Failure>> {
+    return await this.inner.send({ ...outgoing, headers: { ...outgoing.headers, [TOKEN_HEADER]: this.token } })
+  }
+
+  override async close (): Promise<void> {
+    await this.inner.close()
+  }
+}
