Add removal to the object API and more faults to the platform stand-in

Cause: expired claim shards need a conditional removal, and the acceptance of edits needs a stand-in that loses a request before it takes effect as well as its answer after, lags with lists, ends watches and limits each kind of call. A status of 500 or above, also 503, is now `unknown` instead of `invalid` or `unreachable`: it does not say whether a write took effect. Ruled out: a lag that gives old objects with the newest revision, since the API promises that a watch from a list's revision misses nothing, and no reader could detect it.

--- a/src/platform/call.ts
+++ b/src/platform/call.ts
@@ -15,7 +15,7 @@
 const NOT_SENT_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
 
 export async function exchange (
-  connection: Connection, method: 'GET' | 'PUT', path: string, body?: unknown
+  connection: Connection, method: 'GET' | 'PUT' | 'DELETE', path: string, body?: unknown
 ): Promise<Result<Answer, StoreFault>> {
   try {
     const answer = await request(`${connection.origin}${path}`, {
@@ -36,10 +36,12 @@
   return { code: sent ? 'unknown' : 'unreachable', message: `platform: ${describeError(error)}` }
 }
 
-const FAULT_CODES: Record<number, StoreFault['code']> = { 409: 'conflict', 410: 'too-old', 413: 'too-large', 429: 'throttled', 503: 'unreachable' }
+/** Statuses that show that the platform refused the call. */
+const FAULT_CODES: Record<number, StoreFault['code']> = { 409: 'conflict', 410: 'too-old', 413: 'too-large', 429: 'throttled' }
 
+/** A status of 500 or above does not say whether a write took effect, so it counts as no answer. */
 export function convertStatus (answer: Answer): StoreFault {
   const body = answer.body as { message?: string, version?: number }
-  const fault: StoreFault = { code: FAULT_CODES[answer.status] ?? 'invalid', message: body?.message ?? `platform answered ${answer.status}` }
+  const fault: StoreFault = { code: FAULT_CODES[answer.status] ?? (answer.status >= 500 ? 'unknown' : 'invalid'), message: body?.message ?? `platform answered ${answer.status}` }
   return body?.version === undefined ? fault : { ...fault, version: body.version }
 }
--- a/src/platform/schema.ts
+++ b/src/platform/schema.ts
@@ -27,10 +27,20 @@
 
 export const watchEventSchema = z.object({
   revision: z.number().int(),
-  object: storedObjectSchema
+  /** After a removal: the object as it was. */
+  object: storedObjectSchema,
+  removed: z.boolean().default(false)
 })
 export type WatchEvent = z.infer<typeof watchEventSchema>
 
+/** A conditional removal: `expected` is the version to remove. */
+export const removalSchema = z.object({
+  kind: kindSchema,
+  name: z.string(),
+  expected: z.number().int().positive()
+})
+export type Removal = z.infer<typeof removalSchema>
+
 /** A conditional write: `expected` is the version to replace, 0 for an object that must not exist yet. */
 export const writeSchema = z.object({
   kind: kindSchema,
--- a/standins/platform/server.ts
+++ b/standins/platform/server.ts
@@ -8,44 +8,25 @@
 import { json } from 'node:stream/consumers'
 import { setTimeout as delay } from 'node:timers/promises'
 import { z } from 'zod'
+import type { Result } from '../../src/core/index.js'
 import { kindSchema } from '../../src/platform/index.js'
-import type { Kind } from '../../src/platform/index.js'
+import type { Kind, StoreFault } from '../../src/platform/index.js'
 import { MemoryObjects } from './store.js'
-
-export const switchesSchema = z.object({
-  down: z.boolean().default(false),
-  /** Added to each call, in ms. */
-  slowMs: z.number().default(0),
-  /** The next so many writes take effect and their connection is then cut. */
-  loseAnswers: z.number().int().default(0),
-  writesPerSecond: z.number().default(500),
-  readsPerSecond: z.number().default(2000)
-})
-export type Switches = z.infer<typeof switchesSchema>
+import { CallLimits, switchesSchema } from './switches.js'
+import type { CallKind, Switches } from './switches.js'
 
 const bodySchema = z.object({ expected: z.number().int(), value: z.unknown() })
 
-class Rate {
-  private second = 0
-  private used = 0
+const STATUSES: Partial<Record<StoreFault['code'], number>> = { conflict: 409, 'too-large': 413 }
 
-  take (limit: number): boolean {
-    const now = Math.floor(Date.now() / 1000)
-    if (now !== this.second) {
-      this.second = now
-      this.used = 0
-    }
-    this.used += 1
-    return this.used <= limit
-  }
-}
+interface ObjectCall { call: CallKind, kind: Kind, name: string, url: URL }
 
 export class PlatformServer {
   readonly objects = new MemoryObjects()
   readonly counts: Record<string, number> = {}
   switches: Switches = switchesSchema.parse({})
-  private readonly writes = new Rate()
-  private readonly reads = new Rate()
+  private readonly limits = new CallLimits()
+  private readonly watches = new Set<ServerResponse>()
   private readonly server: Server
 
   constructor () {
@@ -67,15 +48,17 @@
     await once(this.server, 'close')
   }
 
+  /** `endWatches` and `expireWatches` act once and are cleared. */
   setSwitches (change: Partial<Switches>): void {
-    this.switches = { ...this.switches, ...change }
+    this.switches = { ...this.switches, ...change, endWatches: false, expireWatches: false }
     if (this.switches.down) this.server.closeAllConnections()
+    if (change.expireWatches === true) this.objects.forgetEvents()
+    if (change.expireWatches === true || change.endWatches === true) this.watches.forEach(response => { response.end() })
   }
 
   private async handle (message: IncomingMessage, response: ServerResponse): Promise<void> {
     const url = new URL(message.url ?? '/', 'http://platform')
-    const [, first, second, third, name] = url.pathname.split('/')
-    if (first === 'control') {
+    if (url.pathname === '/control') {
       await this.handleControl(message, response)
       return
     }
@@ -83,18 +66,13 @@
       message.socket.destroy()
       return
     }
-    if (this.switches.slowMs > 0) await delay(this.switches.slowMs)
-    const kind = kindSchema.safeParse(third)
-    if (first !== 'v1' || !kind.success) return answer(response, 404, { message: 'no such path' })
-    const call = second === 'watch' ? 'watch' : message.method === 'PUT' ? 'write' : name === undefined ? 'list' : 'get'
-    this.counts[`${call} ${kind.data}`] = (this.counts[`${call} ${kind.data}`] ?? 0) + 1
-    const allowed = call === 'write' ? this.writes.take(this.switches.writesPerSecond) : this.reads.take(this.switches.readsPerSecond)
-    if (!allowed) return answer(response, 429, { message: 'rate limit' })
-    if (call === 'watch') return this.handleWatch(kind.data, Number(url.searchParams.get('from') ?? 0), response)
-    if (call === 'write') return await this.handleWrite(kind.data, decodeURIComponent(name ?? ''), message, response)
-    if (call === 'list') return answer(response, 200, this.objects.list(kind.data))
-    const object = this.objects.get(kind.data, decodeURIComponent(name ?? ''))
-    answer(response, object === undefined ? 404 : 200, object ?? { message: 'no such object' })
+    const call = readCall(url, message.method ?? 'GET')
+    if (call === undefined) return answer(response, 404, { message: 'no such path' })
+    const slowMs = this.switches.slowMs + (this.switches.slowMsByCall[call.call] ?? 0)
+    if (slowMs > 0) await delay(slowMs)
+    this.counts[`${call.call} ${call.kind}`] = (this.counts[`${call.call} ${call.kind}`] ?? 0) + 1
+    if (!this.limits.admit(call.call, this.switches)) return answer(response, 429, { message: 'rate limit' })
+    await this.handleCall(call, message, response)
   }
 
   private async handleControl (message: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -102,17 +80,47 @@
     answer(response, 200, { switches: this.switches, counts: this.counts })
   }
 
-  private async handleWrite (kind: Kind, name: string, message: IncomingMessage, response: ServerResponse): Promise<void> {
-    const body = bodySchema.safeParse(await json(message))
-    if (!body.success) return answer(response, 400, { message: body.error.message })
-    const written = this.objects.write({ kind, name, expected: body.data.expected, value: body.data.value })
+  private async handleCall ({ call, kind, name, url }: ObjectCall, message: IncomingMessage, response: ServerResponse): Promise<void> {
+    switch (call) {
+      case 'watch':
+        this.handleWatch(kind, Number(url.searchParams.get('from') ?? 0), response)
+        break
+      case 'list':
+        answer(response, 200, this.objects.list(kind, this.switches.lagLists))
+        break
+      case 'get': {
+        const object = this.objects.get(kind, name)
+        answer(response, object === undefined ? 404 : 200, object ?? { message: 'no such object' })
+        break
+      }
+      case 'write': {
+        const body = bodySchema.safeParse(await json(message))
+        if (!body.success) return answer(response, 400, { message: body.error.message })
+        this.handleChange(response, () => this.objects.write({ kind, name, expected: body.data.expected, value: body.data.value }))
+        break
+      }
+      case 'remove': {
+        const expected = Number(url.searchParams.get('expected') ?? 0)
+        this.handleChange(response, () => this.objects.remove({ kind, name, expected }))
+      }
+    }
+  }
+
+  private handleChange (response: ServerResponse, change: () => Result<number | undefined, StoreFault>): void {
+    if (this.switches.loseRequests > 0) {
+      this.switches.loseRequests -= 1
+      response.destroy()
+      return
+    }
+    const changed = change()
     if (this.switches.loseAnswers > 0) {
       this.switches.loseAnswers -= 1
-      message.socket.destroy()
-      return
+      response.destroy()
+    } else if (changed.ok) {
+      answer(response, 200, { version: changed.val })
+    } else {
+      answer(response, STATUSES[changed.val.code] ?? 400, changed.val)
     }
-    if (written.ok) answer(response, 200, { version: written.val })
-    else answer(response, 409, written.val)
   }
 
   private handleWatch (kind: Kind, from: number, response: ServerResponse): void {
@@ -124,10 +132,27 @@
     const stop = this.objects.listen(event => {
       if (event.object.kind === kind) response.write(`${JSON.stringify(event)}\n`)
     })
-    response.on('close', stop)
+    this.watches.add(response)
+    response.on('close', () => {
+      this.watches.delete(response)
+      stop()
+    })
   }
 }
 
+/** Paths: `/v1/objects/KIND`, `/v1/objects/KIND/NAME` and `/v1/watch/KIND`. */
+function readCall (url: URL, method: string): ObjectCall | undefined {
+  const [, version, area, kindText, name] = url.pathname.split('/')
+  const kind = kindSchema.safeParse(kindText)
+  if (version !== 'v1' || !kind.success) return undefined
+  const place = { kind: kind.data, name: decodeURIComponent(name ?? ''), url }
+  if (area === 'watch') return { call: 'watch', ...place }
+  if (area !== 'objects') return undefined
+  if (method === 'PUT') return { call: 'write', ...place }
+  if (method === 'DELETE') return { call: 'remove', ...place }
+  return { call: name === undefined ? 'list' : 'get', ...place }
+}
+
 function answer (response: ServerResponse, status: number, value: unknown): void {
   response.writeHead(status, { 'content-type': 'application/json' })
   response.end(JSON.stringify(value))
--- a/standins/platform/store.ts
+++ b/standins/platform/store.ts
@@ -1,9 +1,10 @@
 /**
- * The stand-in's objects, in memory: versions, conditional writes and watches from a revision.
+ * The stand-in's objects, in memory: versions, conditional writes and removals, and watches from a revision.
  */
 import { Err, Ok } from '../../src/core/index.js'
 import type { Result } from '../../src/core/index.js'
-import type { Kind, ObjectList, StoredObject, StoreFault, WatchEvent, Write } from '../../src/platform/index.js'
+import { MAX_VALUE_BYTES } from '../../src/platform/index.js'
+import type { Kind, ObjectList, Removal, StoredObject, StoreFault, WatchEvent, Write } from '../../src/platform/index.js'
 
 const KEPT_EVENTS = 10_000
 
@@ -17,20 +18,35 @@
     return this.objects.get(`${kind}/${name}`)
   }
 
-  list (kind: Kind): ObjectList {
-    return { revision: this.revision, objects: [...this.objects.values()].filter(object => object.kind === kind) }
+  /** A lag gives the list as it was so many revisions ago, as far as the events since then are kept. */
+  list (kind: Kind, lag = 0): ObjectList {
+    const objects = [...this.objects.values()].filter(object => object.kind === kind)
+    if (lag === 0) return { revision: this.revision, objects }
+    const revision = Math.max(this.revision - lag, (this.events[0]?.revision ?? this.revision + 1) - 1)
+    return { revision, objects: this.listPast(objects, kind, revision) }
   }
 
   write ({ kind, name, expected, value }: Write): Result<number, StoreFault> {
+    const size = Buffer.byteLength(JSON.stringify(value) ?? '')
+    if (size > MAX_VALUE_BYTES) return Err({ code: 'too-large', message: `value of ${size} bytes is above ${MAX_VALUE_BYTES}` })
     const held = this.get(kind, name)?.version ?? 0
-    if (held !== expected) return Err({ code: 'conflict', message: `${kind}/${name} is at version ${held}, not ${expected}`, version: held })
+    if (held !== expected) return Err(makeConflict(kind, name, held, expected))
     this.revision += 1
     const object: StoredObject = { kind, name, version: this.revision, value }
     this.objects.set(`${kind}/${name}`, object)
-    this.emit({ revision: this.revision, object })
+    this.emit({ revision: this.revision, object, removed: false })
     return Ok(this.revision)
   }
 
+  remove ({ kind, name, expected }: Removal): Result<undefined, StoreFault> {
+    const held = this.get(kind, name)
+    if (held?.version !== expected) return Err(makeConflict(kind, name, held?.version ?? 0, expected))
+    this.revision += 1
+    this.objects.delete(`${kind}/${name}`)
+    this.emit({ revision: this.revision, object: held, removed: true })
+    return Ok(undefined)
+  }
+
   /** Events after a revision, or nothing when they are no longer kept. */
   listEvents (kind: Kind, from: number): WatchEvent[] | undefined {
     const oldest = this.events[0]?.revision ?? this.revision + 1
@@ -48,9 +64,24 @@
     this.events = []
   }
 
+  /** Objects as of a revision: those unchanged since, and the last kept state before it of the others. */
+  private listPast (objects: readonly StoredObject[], kind: Kind, revision: number): StoredObject[] {
+    const past = new Map(objects.filter(object => object.version <= revision).map(object => [object.name, object]))
+    for (const event of this.events) {
+      if (event.object.kind !== kind || event.revision > revision) continue
+      if (event.removed) past.delete(event.object.name)
+      else past.set(event.object.name, event.object)
+    }
+    return [...past.values()]
+  }
+
   private emit (event: WatchEvent): void {
     this.events.push(event)
     if (this.events.length > KEPT_EVENTS * 2) this.events = this.events.slice(-KEPT_EVENTS)
     for (const listener of [...this.listeners]) listener(event)
   }
 }
+
+function makeConflict (kind: Kind, name: string, held: number, expected: number): StoreFault {
+  return { code: 'conflict', message: `${kind}/${name} is at version ${held}, not ${expected}`, version: held }
+}
--- /dev/null
+++ b/tests/platform.test.ts
@@ -0,0 +1,89 @@
+/**
+ * The HTTP adapter against the stand-in: each fault of the platform must reach the project under its own code,
+ * since "not carried out" and "no answer" lead to different verdicts.
+ */
+import { afterEach, beforeEach, describe, expect, test } from '@jest/globals'
+import { HttpObjectStore } from '../src/platform/index.js'
+import type { WatchEvent } from '../src/platform/index.js'
+import { PlatformServer } from '../standins/platform/server.js'
+
+let server: PlatformServer
+let store: HttpObjectStore
+
+beforeEach(async () => {
+  server = new PlatformServer()
+  store = new HttpObjectStore(await server.listen(0), 500)
+})
+
+afterEach(async () => {
+  await store.close()
+  await server.close()
+})
+
+async function writeValue (expected: number, value: unknown = 'a'): Promise<unknown> {
+  return (await store.commands.write({ kind: 'service', name: 'desk', expected, value })).val
+}
+
+describe('conditional changes', () => {
+  test('a removal takes effect at its version only, and versions go on rising', async () => {
+    const version = await writeValue(0) as number
+    expect((await store.commands.remove({ kind: 'service', name: 'desk', expected: version + 1 })).val).toMatchObject({ code: 'conflict', version })
+    expect((await store.commands.remove({ kind: 'service', name: 'desk', expected: version })).ok).toBe(true)
+    expect((await store.queries.get('service', 'desk')).val).toBeUndefined()
+    expect((await store.commands.remove({ kind: 'service', name: 'desk', expected: version })).val).toMatchObject({ code: 'conflict', version: 0 })
+    expect(await writeValue(0)).toBeGreaterThan(version)
+  })
+
+  test('an answer lost before the write took effect and one lost after it look the same', async () => {
+    server.setSwitches({ loseRequests: 1 })
+    expect(await writeValue(0)).toMatchObject({ code: 'unknown' })
+    expect(server.objects.get('service', 'desk')).toBeUndefined()
+    server.setSwitches({ loseAnswers: 1 })
+    expect(await writeValue(0)).toMatchObject({ code: 'unknown' })
+    expect(server.objects.get('service', 'desk')).toBeDefined()
+  })
+
+  test('a call slower than the time limit is unknown, one over its rate is throttled', async () => {
+    server.setSwitches({ slowMsByCall: { write: 1_000 } })
+    expect(await writeValue(0)).toMatchObject({ code: 'unknown' })
+    server.setSwitches({ slowMsByCall: {}, perSecondByCall: { write: 0 } })
+    expect(await writeValue(0)).toMatchObject({ code: 'throttled' })
+    expect((await store.queries.get('service', 'other')).ok).toBe(true)
+  })
+
+  test('a value above a megabyte is refused by the adapter and by the platform', async () => {
+    expect(await writeValue(0, 'x'.repeat(1_000_001))).toMatchObject({ code: 'too-large' })
+    const refused = server.objects.write({ kind: 'service', name: 'desk', expected: 0, value: 'x'.repeat(1_000_001) })
+    expect(refused.val).toMatchObject({ code: 'too-large' })
+  })
+})
+
+describe('lists and watches', () => {
+  test('a list that lags shows an earlier state with its revision, from where a watch misses nothing', async () => {
+    const first = await writeValue(0, 'old') as number
+    await writeValue(first, 'new')
+    server.setSwitches({ lagLists: 1 })
+    const listed = (await store.queries.list('service')).unwrap()
+    expect(listed.objects.map(object => object.value)).toEqual(['old'])
+    const stop = new AbortController()
+    for await (const event of store.queries.watch('service', listed.revision, stop.signal)) {
+      expect((event.val as WatchEvent).object.value).toBe('new')
+      stop.abort()
+    }
+  })
+
+  test('an expired watch ends, and one from before is too old', async () => {
+    await writeValue(0)
+    const stop = new AbortController()
+    const ends: unknown[] = []
+    const watching = (async () => {
+      for await (const event of store.queries.watch('service', 0, stop.signal)) {
+        ends.push(event.err ? event.val.code : 'event')
+        if (event.ok) server.setSwitches({ expireWatches: true })
+      }
+    })()
+    await watching
+    expect(ends).toEqual(['event', 'unreachable'])
+    for await (const event of store.queries.watch('service', 0, stop.signal)) expect(event.val).toMatchObject({ code: 'too-old' })
+  })
+})
