--- a/src/core/fault.ts
+++ b/src/core/fault.ts
@@ -10,7 +10,9 @@
   path: z.array(z.union([z.string(), z.number()])).default([]),
   expected: z.string().optional(),
   found: z.string().optional(),
-  version: z.number().optional()
+  version: z.number().optional(),
+  /** Of the edit that the fault is about. */
+  editId: z.string().optional()
 })
 export type Fault = z.infer<typeof faultSchema>
 
--- a/src/document/commands/apply.ts
+++ b/src/document/commands/apply.ts
@@ -1,45 +1,95 @@
 /**
- * Acceptance of an edit: complete check, then one conditional write on the service's object.
+ * Acceptance of a document as the new version of its service: records its references, writes it,
+ * then releases the references that it no longer makes and keeps it in the history.
  */
 import { v7 as makeUuid } from 'uuid'
-import { Err, Ok, makeFault } from '../../core/index.js'
-import type { Clock, Fault, Result } from '../../core/index.js'
+import { Err, SystemRandom } from '../../core/index.js'
+import type { Clock, Fault, Random, Result } from '../../core/index.js'
 import type { ObjectStore } from '../../platform/index.js'
-import type { Document, Edit } from '../schema.js'
-import { readEdit } from '../queries/read.js'
-import type { StoredEdit } from '../queries/read.js'
+import { waitBeforeRetry } from '../context.js'
+import type { EditContext } from '../context.js'
+import { findStateReferences, readState } from '../queries/read.js'
+import type { ServiceState } from '../queries/read.js'
+import { listReferences } from '../queries/references.js'
+import type { Document } from '../schema.js'
+import type { PastEdit } from '../stored.js'
+import { acceptEdit, makeConflict } from './accept.js'
+import type { Accepted, EditContent } from './accept.js'
+import { keepHistory } from './keep.js'
+import { makeContention, recordReference, releaseReference } from './refer.js'
 
-const KEPT_EDIT_IDS = 16
+/** An edit that meets only fences is tried again on their version, which has the same content. */
+const ATTEMPTS = 8
 
 export interface ApplyRequest {
   document: Document
   author: string
   /** The version to replace, 0 for a new service; absent takes the one that is there. */
   expected?: number
+  /** For the jitter between attempts. */
+  random?: Random
 }
 
-/** `acceptedAt` is the tool's wall clock in ms, as it stands in the object. */
-export interface Accepted { service: string, version: number, editId: string, acceptedAt: number }
-
 export async function applyDocument (store: ObjectStore, clock: Clock, request: ApplyRequest): Promise<Result<Accepted, Fault>> {
-  const service = request.document.service
-  const current = await readEdit(store, service)
-  if (current.err) return current
-  const expected = request.expected ?? current.val?.version ?? 0
-  const edit = makeEdit(clock, current.val, request)
-  const written = await store.commands.write({ kind: 'service', name: service, expected, value: edit })
-  if (written.ok) return Ok({ service, version: written.val, editId: edit.editId, acceptedAt: edit.acceptedAt })
-  return Err(makeFault(written.val.code, written.val.message, { ...(written.val.version === undefined ? {} : { version: written.val.version }) }))
+  const context: EditContext = { store, clock, random: request.random ?? new SystemRandom() }
+  const { document, author, expected } = request
+  const base = await readState(context, document.service)
+  if (base.err) return base
+  if (expected !== undefined && expected !== base.val.version) {
+    return Err(makeConflict({ service: document.service, version: expected }, base.val.version))
+  }
+  const content = { editId: makeUuid(), author, document, deleted: false }
+  return await applyOnBase(context, base.val, document, content)
+}
+
+async function applyOnBase (context: EditContext, first: ServiceState, document: Document, content: EditContent): Promise<Result<Accepted, Fault>> {
+  let base = first
+  for (let attempt = 0; attempt < ATTEMPTS; attempt += 1) {
+    const recorded = await recordReferences(context, base, document)
+    if (recorded !== undefined) return Err(recorded)
+    const accepted = await acceptEdit(context, base, content)
+    if (accepted.ok) {
+      await finishEdit(context, base, content, accepted.val)
+      return accepted
+    }
+    if (accepted.val.code !== 'conflict') return accepted
+    const now = await readState(context, base.service)
+    if (now.err || !isFenced(base, now.val)) return accepted
+    base = now.val
+    await waitBeforeRetry(context, attempt)
+  }
+  return Err(makeContention(document.service))
+}
+
+async function recordReferences (context: EditContext, referrer: ServiceState, document: Document): Promise<Fault | undefined> {
+  for (const service of listReferences(document)) {
+    const recorded = await recordReference(context, { service, referrer })
+    if (recorded.err) return recorded.val
+  }
+  return undefined
+}
+
+/** True when the object was only fenced since. A first write that is a tombstone is a fence, too. */
+export function isFenced (base: ServiceState, now: ServiceState): boolean {
+  if (now.version <= base.version || now.edit === undefined) return false
+  if (base.version === 0) return now.edit.deleted && now.edit.earlierEdits.length === 0
+  return now.edit.editId === base.edit?.editId
 }
 
-function makeEdit (clock: Clock, current: StoredEdit | undefined, request: ApplyRequest): Edit {
-  const earlier = current === undefined ? [] : [current.edit.editId, ...current.edit.earlierEditIds].slice(0, KEPT_EDIT_IDS)
-  return {
-    editId: makeUuid(),
-    earlierEditIds: earlier,
-    author: request.author,
-    acceptedAt: clock.now(),
-    document: request.document,
-    deleted: false
+/** What follows an accepted edit, by best effort: the edit stands whatever becomes of this. */
+export async function finishEdit (context: EditContext, base: ServiceState, content: EditContent, accepted: Accepted): Promise<void> {
+  const { editId, author, document, deleted } = content
+  const edit: PastEdit = { editId, author, document, deleted, version: accepted.version, acceptedAt: accepted.acceptedAt }
+  await keepHistory(context, base.service, [...listBase(base), edit])
+  const kept = document === undefined ? [] : listReferences(document as Document)
+  for (const service of findStateReferences(base) ?? []) {
+    if (!kept.includes(service)) await releaseReference(context, service, base.service)
   }
 }
+
+/** The edit before may have been kept by no one, when its tool ended too early. */
+function listBase ({ version, edit }: ServiceState): PastEdit[] {
+  if (edit === undefined) return []
+  const { editId, author, acceptedAt, document, deleted } = edit
+  return [{ editId, author, acceptedAt, document, deleted, version }]
+}
--- a/src/document/queries/check.ts
+++ b/src/document/queries/check.ts
@@ -1,36 +1,29 @@
 /**
  * The complete, deterministic check of a document. It needs nothing but the document.
  */
-import type { z } from 'zod'
-import { Err, Ok, makeFault } from '../../core/index.js'
+import { Err, Ok, formatCanonical, makeFault } from '../../core/index.js'
 import type { Fault, Result } from '../../core/index.js'
-import { documentSchema } from '../schema.js'
+import { documentSchema, MAX_DOCUMENT_BYTES } from '../schema.js'
 import type { Document, Route } from '../schema.js'
+import { convertIssue, formatFound } from './issues.js'
 
 export function checkDocument (value: unknown): Result<Document, Fault[]> {
   const parsed = documentSchema.safeParse(value)
-  if (!parsed.success) return Err(parsed.error.issues.map(issue => convertIssue(issue, value)))
-  const faults = [...checkRoutes(parsed.data), ...checkNeeds(parsed.data)]
-  return faults.length === 0 ? Ok(parsed.data) : Err(faults)
-}
-
-function convertIssue (issue: z.core.$ZodIssue, value: unknown): Fault {
-  const path = issue.path.filter(step => typeof step !== 'symbol')
-  const expected = 'expected' in issue ? String(issue.expected) : issue.message
-  return makeFault(issue.code, issue.message, { path, expected, found: formatFound(findValue(value, path)) })
-}
-
-function findValue (value: unknown, path: Fault['path']): unknown {
-  return path.reduce<unknown>((at, step) => (at as Record<string | number, unknown> | undefined)?.[step], value)
-}
-
-function formatFound (value: unknown): string {
-  return value === undefined ? 'nothing' : JSON.stringify(value).slice(0, 80)
+  if (!parsed.success) return Err(parsed.error.issues.flatMap(issue => convertIssue(issue, value)))
+  const document = parsed.data
+  const faults = [
+    ...checkRoutes(document),
+    ...checkNeeds(document),
+    ...checkRepeats(['callers'], document.callers ?? []),
+    ...checkSize(document)
+  ]
+  return faults.length === 0 ? Ok(document) : Err(faults)
 }
 
 function checkRoutes (document: Document): Fault[] {
   const seen = new Map<string, string>()
   return Object.entries(document.routes).flatMap(([name, route]) => [
+    ...checkRepeats(['routes', name, 'methods'], route.methods),
     ...checkMatches(name, route, seen),
     ...checkWeights(name, route)
   ])
@@ -38,11 +31,11 @@
 
 function checkMatches (name: string, route: Route, seen: Map<string, string>): Fault[] {
   const faults: Fault[] = []
-  for (const method of route.methods) {
+  for (const method of new Set(route.methods)) {
     const key = `${method} ${route.path}`
     const other = seen.get(key)
     if (other !== undefined) {
-      faults.push(makeFault('duplicate_match', `route matches the same requests as routes.${other}`, {
+      faults.push(makeFault('duplicate_match', `matches the same requests as routes.${other}`, {
         path: ['routes', name, 'path'], expected: 'a method and path that no other route has', found: key
       }))
     }
@@ -52,17 +45,32 @@
 }
 
 function checkWeights (name: string, route: Route): Fault[] {
-  const destinations = Object.values(route.to)
-  if (destinations.length === 0 || destinations.some(one => one.weight > 0)) return []
-  return [makeFault('no_weight', 'all destinations have weight 0', {
-    path: ['routes', name, 'to'], expected: 'at least one weight above 0', found: '0'
+  const weights = Object.values(route.to).map(destination => destination.weight)
+  if (weights.length === 0 || weights.some(weight => weight > 0)) return []
+  return [makeFault('no_weight', 'has no destination that gets requests', {
+    path: ['routes', name, 'to'], expected: 'at least one weight above 0', found: formatFound(weights)
   })]
 }
 
 function checkNeeds (document: Document): Fault[] {
+  const faults = checkRepeats(['needs'], document.needs)
   const index = document.needs.indexOf(document.service)
-  if (index < 0) return []
-  return [makeFault('needs_itself', 'a service cannot need itself', {
+  if (index < 0) return faults
+  return [...faults, makeFault('needs_itself', 'names the service itself', {
     path: ['needs', index], expected: 'the name of another service', found: document.service
   })]
 }
+
+function checkRepeats (path: Fault['path'], values: readonly string[]): Fault[] {
+  return values.flatMap((value, index) => values.indexOf(value) === index
+    ? []
+    : [makeFault('duplicate_item', 'stands twice', { path: [...path, index], expected: 'each item once', found: value })])
+}
+
+function checkSize (document: Document): Fault[] {
+  const size = Buffer.byteLength(formatCanonical(document))
+  if (size <= MAX_DOCUMENT_BYTES) return []
+  return [makeFault('too_large', 'the document is too large', {
+    expected: `at most ${MAX_DOCUMENT_BYTES} bytes of JSON with all defaults`, found: `${size} bytes`
+  })]
+}
--- a/src/document/queries/read.ts
+++ b/src/document/queries/read.ts
@@ -4,26 +4,73 @@
 import { Err, Ok, makeFault } from '../../core/index.js'
 import type { Fault, Result } from '../../core/index.js'
 import type { ObjectStore, StoredObject } from '../../platform/index.js'
-import { editSchema } from '../schema.js'
-import type { Edit } from '../schema.js'
+import { attemptRead, convertStoreFault } from '../context.js'
+import type { EditContext } from '../context.js'
+import { editSchema, historySchema, referrersSchema } from '../stored.js'
+import type { Edit, PastEdit, Referrers } from '../stored.js'
+import { checkDocument } from './check.js'
+import { listReferences } from './references.js'
 
 export interface StoredEdit { service: string, version: number, edit: Edit }
 
+/** An object of a service as it is: version 0 when there is none, no edit when it holds something else. */
+export interface ServiceState { service: string, version: number, value: unknown, edit: Edit | undefined }
+
+export interface ReferrersState { version: number, referrers: Referrers }
+
+export interface HistoryState { version: number, edits: PastEdit[] }
+
+export async function readState (context: EditContext, service: string): Promise<Result<ServiceState, Fault>> {
+  const found = await attemptRead(context, async () => await context.store.queries.get('service', service))
+  if (found.err) return found
+  const edit = editSchema.safeParse(found.val?.value)
+  return Ok({ service, version: found.val?.version ?? 0, value: found.val?.value, edit: edit.data })
+}
+
+/** Whether the service exists and may be referred to. */
+export function isPresent (state: ServiceState): boolean {
+  return state.edit !== undefined && !state.edit.deleted
+}
+
+/** Nothing when the object does not hold a valid document: nodes then keep an earlier version, whose references are not known here. */
+export function findStateReferences (state: ServiceState): string[] | undefined {
+  if (state.version === 0 || state.edit?.deleted === true) return []
+  const document = checkDocument(state.edit?.document)
+  return document.ok ? listReferences(document.val) : undefined
+}
+
+export async function readReferrers (context: EditContext, service: string): Promise<Result<ReferrersState, Fault>> {
+  const found = await attemptRead(context, async () => await context.store.queries.get('referrers', service))
+  if (found.err) return found
+  const parsed = referrersSchema.safeParse(found.val?.value ?? {})
+  if (!parsed.success) return Err(makeFault('invalid_object', `the referrers object of ${service} does not parse: ${parsed.error.message}`))
+  return Ok({ version: found.val?.version ?? 0, referrers: parsed.data })
+}
+
+/** A history that does not parse counts as empty: it is kept by best effort only. */
+export async function readHistory (context: EditContext, service: string): Promise<Result<HistoryState, Fault>> {
+  const found = await attemptRead(context, async () => await context.store.queries.get('history', service))
+  if (found.err) return found
+  return Ok({ version: found.val?.version ?? 0, edits: historySchema.safeParse(found.val?.value).data?.edits ?? [] })
+}
+
 export async function readEdit (store: ObjectStore, service: string): Promise<Result<StoredEdit | undefined, Fault>> {
   const found = await store.queries.get('service', service)
-  if (found.err) return Err(makeFault(found.val.code, found.val.message))
+  if (found.err) return Err(convertStoreFault(found.val))
   return found.val === undefined ? Ok(undefined) : parseStored(found.val)
 }
 
-export async function listEdits (store: ObjectStore): Promise<Result<StoredEdit[], Fault>> {
+export interface EditList { edits: StoredEdit[], invalid: Fault[] }
+
+/** Objects that do not hold an edit come as faults beside the others. */
+export async function listEdits (store: ObjectStore): Promise<Result<EditList, Fault>> {
   const found = await store.queries.list('service')
-  if (found.err) return Err(makeFault(found.val.code, found.val.message))
-  const edits: StoredEdit[] = []
-  for (const object of found.val.objects) {
-    const parsed = parseStored(object)
-    if (parsed.ok) edits.push(parsed.val)
-  }
-  return Ok(edits)
+  if (found.err) return Err(convertStoreFault(found.val))
+  const parsed = found.val.objects.map(parseStored)
+  return Ok({
+    edits: parsed.flatMap(one => one.ok ? [one.val] : []),
+    invalid: parsed.flatMap(one => one.err ? [one.val] : [])
+  })
 }
 
 export function parseStored (object: StoredObject): Result<StoredEdit, Fault> {
--- a/src/document/queries/references.ts
+++ b/src/document/queries/references.ts
@@ -6,7 +6,7 @@
 export function listReferences (document: Document): string[] {
   const names = new Set(document.needs)
   for (const route of Object.values(document.routes)) {
-    for (const name of Object.keys(route.to)) names.add(name)
+    for (const [name, destination] of Object.entries(route.to)) names.add(destination.service ?? name)
   }
   names.delete(document.service)
   return [...names].sort()
--- a/src/document/schema.ts
+++ b/src/document/schema.ts
@@ -6,14 +6,31 @@
 import { z } from 'zod'
 
 export const MAX_BODY_BYTES = 1024 ** 3
+/** Of the canonical text. The history object of a service, 512 KiB, has to hold the newest edit whole. */
+export const MAX_DOCUMENT_BYTES = 500_000
 const MAX_DEADLINE_MS = 600_000
+const MAX_LABELS = 16
+const MAX_NAMES = 1_000
 
 /** Names of services, routes and labels: lower case, digits and hyphens, at most 63 characters. */
 export const nameSchema = z.string().regex(/^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$/, 'must be lower-case letters, digits and hyphens')
 
+/**
+ * Whole segments of the path characters of RFC 3986. A slash at the end is refused, since
+ * `/photos` also covers what is below it; so are dot segments, which clients remove.
+ */
+export const pathSchema = z.string().max(512)
+  .regex(/^\/$|^(\/(?!\.{1,2}(\/|$))([A-Za-z0-9\-._~!$&'()*+,;=:@]|%[0-9A-Fa-f]{2})+)+$/,
+    'must be / or segments like /photos/new, without a slash at the end, dot segments, ? or #')
+
+const labelsSchema = z.record(nameSchema, z.string().max(63))
+  .refine(labels => Object.keys(labels).length <= MAX_LABELS, `must be at most ${MAX_LABELS} labels`)
+
+/** The service that serves is the destination's name unless `service` says another. */
 export const destinationSchema = z.strictObject({
+  service: nameSchema.optional(),
   weight: z.number().int().min(0).max(1000).default(100),
-  labels: z.record(nameSchema, z.string().max(63)).default({})
+  labels: labelsSchema.default({})
 })
 export type Destination = z.infer<typeof destinationSchema>
 
@@ -30,12 +47,12 @@
 
 export const routeSchema = z.strictObject({
   methods: z.array(z.enum(['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE'])).min(1),
-  path: z.string().startsWith('/').max(512),
+  path: pathSchema,
   kind: routeKindSchema,
   class: routeClassSchema.default('normal'),
   deadlineMs: z.number().int().min(1).max(MAX_DEADLINE_MS),
   maxBodyBytes: z.number().int().min(0).max(MAX_BODY_BYTES).default(1024 * 1024),
-  /** Services that serve the route, by name. Empty means the document's own service. */
+  /** Destinations by name. Empty means the document's own service. */
   to: z.record(nameSchema, destinationSchema).default({})
 })
 export type Route = z.infer<typeof routeSchema>
@@ -62,19 +79,8 @@
   /** `same-first`: own zone, then own region, then the rest. `any`: all zones alike. */
   zones: z.enum(['same-first', 'any']).default('same-first'),
   /** Names of callers that may call. Absent means any. */
-  callers: z.array(nameSchema).optional(),
+  callers: z.array(nameSchema).min(1).max(MAX_NAMES).optional(),
   /** Other services that this one needs, besides those its routes name. */
-  needs: z.array(nameSchema).default([])
+  needs: z.array(nameSchema).max(MAX_NAMES).default([])
 })
 export type Document = z.infer<typeof documentSchema>
-
-/** The value of a platform object of kind `service`. A deleted service keeps a value without a document. */
-export const editSchema = z.object({
-  editId: z.string(),
-  earlierEditIds: z.array(z.string()).default([]),
-  author: z.string().default('unknown'),
-  acceptedAt: z.number(),
-  document: z.unknown().optional(),
-  deleted: z.boolean().default(false)
-})
-export type Edit = z.infer<typeof editSchema>
--- a/src/request/queries/route.ts
+++ b/src/request/queries/route.ts
@@ -3,7 +3,7 @@
  */
 import { Err, Ok, makeFailure } from '../../core/index.js'
 import type { Failure, Random, Result } from '../../core/index.js'
-import type { Document, Route } from '../../document/index.js'
+import type { Destination, Document, Route } from '../../document/index.js'
 import type { Target } from '../../membership/index.js'
 import type { Snapshot } from '../../snapshot/index.js'
 import type { Call } from '../schema.js'
@@ -23,8 +23,9 @@
   if ((call.bodyBytes ?? 0) > route.maxBodyBytes) {
     return Err(makeFailure('not-run', 413, 'body_too_large', `body above ${route.maxBodyBytes} bytes`))
   }
-  const service = pickDestination(document, route, random)
-  const labels = Object.entries(route.to[service]?.labels ?? {})
+  const destination = pickDestination(route, random)
+  const service = destination?.service ?? document.service
+  const labels = Object.entries(destination?.labels ?? {})
   const all = snapshot.targets.get(service) ?? []
   const targets = labels.length === 0 ? all : all.filter(target => labels.every(([label, value]) => target.labels[label] === value))
   return Ok({ document, version: entry.version, name, route, service, targets })
@@ -45,13 +46,14 @@
   return path === prefix || path.startsWith(prefix.endsWith('/') ? prefix : `${prefix}/`)
 }
 
-function pickDestination (document: Document, route: Route, random: Random): string {
+/** Nothing when the route names no destination: its own service serves it. */
+function pickDestination (route: Route, random: Random): Destination | undefined {
   const destinations = Object.entries(route.to)
   const total = destinations.reduce((sum, [, one]) => sum + one.weight, 0)
   let left = random.next() * total
-  for (const [service, one] of destinations) {
+  for (const [name, one] of destinations) {
     left -= one.weight
-    if (left < 0) return service
+    if (left < 0) return { ...one, service: one.service ?? name }
   }
-  return document.service
+  return undefined
 }
--- a/src/tool/queries/list.ts
+++ b/src/tool/queries/list.ts
@@ -27,7 +27,7 @@
       reportFaults(args.json, [found.val])
       return
     }
-    const rows = found.val.map(makeRow)
+    const rows = found.val.edits.map(makeRow)
     printResult(args.json, rows, rows.map(formatRow).join('\n'))
   }
 })
--- a/src/tool/queries/status.ts
+++ b/src/tool/queries/status.ts
@@ -48,7 +48,7 @@
     if (edits.err) reportFaults(args.json, [edits.val])
     else if (status.err) reportFaults(args.json, [status.val])
     else {
-      const accepted = new Map(edits.val.map(({ service, version }) => [service, version]))
+      const accepted = new Map(edits.val.edits.map(({ service, version }) => [service, version]))
       printResult(args.json, { ...status.val, accepted: Object.fromEntries(accepted) }, formatStatus(status.val, accepted))
     }
   }
