--- a/src/duty/commands/claim.ts
+++ b/src/duty/commands/claim.ts
@@ -1,5 +1,5 @@
 /**
- * Conditional writes on a lease: claim, renew and release. A lost answer is resolved by reading back.
+ * Conditional writes on a lease: claim and release. A lost answer is resolved by reading back.
  */
 import { Err, Ok, makeFault } from '../../core/index.js'
 import type { Fault, Result } from '../../core/index.js'
@@ -9,15 +9,16 @@
 
 export interface LeaseGrant { duty: string, version: number, lease: Lease }
 
-export async function writeLease (store: ObjectStore, duty: string, expected: number, lease: Lease): Promise<Result<LeaseGrant, Fault>> {
+/** `expected` is the version that the claimant has read; another claimant's write makes it a conflict. */
+export async function claimLease (store: ObjectStore, duty: string, expected: number, lease: Lease): Promise<Result<LeaseGrant, Fault>> {
   const written = await store.commands.write({ kind: 'duty', name: duty, expected, value: lease })
   if (written.ok) return Ok({ duty, version: written.val, lease })
-  if (written.val.code !== 'conflict') return Err(makeFault(written.val.code, written.val.message))
-  return await resolveConflict(store, duty, lease)
+  if (written.val.code === 'conflict' || written.val.code === 'unknown') return await resolveClaim(store, duty, lease)
+  return Err(makeFault(written.val.code, written.val.message))
 }
 
-/** The conflict may be with an earlier write of this very lease whose answer was lost. */
-async function resolveConflict (store: ObjectStore, duty: string, lease: Lease): Promise<Result<LeaseGrant, Fault>> {
+/** The claim may have taken effect although its answer was lost. */
+async function resolveClaim (store: ObjectStore, duty: string, lease: Lease): Promise<Result<LeaseGrant, Fault>> {
   const held = await readLease(store, duty)
   if (held.err) return held
   if (held.val.lease?.holder === lease.holder && !held.val.lease.released) {
@@ -26,10 +27,7 @@
   return Err(makeFault('conflict', `${duty} is held by ${held.val.lease?.holder ?? 'nobody'}`))
 }
 
-export async function renewLease (store: ObjectStore, grant: LeaseGrant): Promise<Result<LeaseGrant, Fault>> {
-  return await writeLease(store, grant.duty, grant.version, { ...grant.lease, renewals: grant.lease.renewals + 1 })
-}
-
+/** Best effort: subscribers see the holder's streams end in any case. */
 export async function releaseLease (store: ObjectStore, grant: LeaseGrant): Promise<void> {
-  await writeLease(store, grant.duty, grant.version, { ...grant.lease, released: true })
+  await store.commands.write({ kind: 'duty', name: grant.duty, expected: grant.version, value: { ...grant.lease, released: true } })
 }
--- a/src/duty/schema.ts
+++ b/src/duty/schema.ts
@@ -1,21 +1,17 @@
 /**
  * Leases for the duties of relay (one in each zone) and head (one in each region). A lease thins
- * out traffic; no promise rests on it, so two holders at once only cost bytes.
+ * out traffic; no promise rests on it, so two holders at once only cost bytes. A lease has no
+ * time limit: whoever has seen its holder silent may claim it.
  */
 import { z } from 'zod'
 
 export const leaseSchema = z.object({
   holder: z.string(),
   peer: z.string(),
-  /** Raised at each renewal; an unchanged count over LEASE_MS means that the holder is gone. */
-  renewals: z.number().int(),
   released: z.boolean().default(false)
 })
 export type Lease = z.infer<typeof leaseSchema>
 
-export const RENEW_INTERVAL_MS = 500
-export const LEASE_MS = 1_500
-
 export function formatRelayDuty (zone: string): string {
   return `relay-${zone}`
 }
--- a/src/duty/tasks/source.ts
+++ b/src/duty/tasks/source.ts
@@ -21,6 +21,7 @@
     if (listed.err) return { reason: 'closed', detail: listed.val.message }
     this.takeObjects(listed.val.objects)
     this.receiver.replica.ready = true
+    this.markAttached()
     for await (const event of this.store.queries.watch('service', listed.val.revision, signal)) {
       if (event.err) return { reason: 'closed', detail: event.val.message }
       this.takeObjects([event.val.object])
--- a/src/node/start.ts
+++ b/src/node/start.ts
@@ -17,6 +17,7 @@
 import { startServer } from './http.js'
 import type { NodeSettings } from './settings.js'
 import { serveAdmin } from './tasks/admin.js'
+import { fetchState } from './tasks/fetch.js'
 import { Follower } from './tasks/follow.js'
 import { expireSilent, serveLocal } from './tasks/local.js'
 
@@ -33,6 +34,7 @@
   private readonly recorder: Recorder
   private readonly replica: Replica
   private readonly receiver: Receiver
+  private readonly registry: SubscriberRegistry
   private readonly store: HttpObjectStore
   private readonly client: PeerClient
   private readonly targetExchanger = new UndiciExchanger(TARGET_CONNECTIONS)
@@ -58,6 +60,7 @@
       incarnation: this.clock.now()
     })
     this.receiver = { replica: this.replica, clock: this.clock, onApplied: entry => { this.noteApplied(entry) } }
+    this.registry = new SubscriberRegistry({ fanOut: settings['fan-out'], perSecond: settings['admit-per-second'] }, this.clock)
     this.store = new HttpObjectStore(settings.platform)
     this.client = new PeerClient(new MsgpackCodec(), dialer)
     this.peerExchanger = new UndiciExchanger(PEER_CONNECTIONS, address => dialer.resolve(address))
@@ -78,7 +81,7 @@
       await startServer(settings.admin, async (message, response) => { await serveAdmin({ replica, metrics: this.metrics }, message, response) })
     )
     void expireSilent(localContext, this.stopped.signal)
-    this.following = this.makeFollower().run(this.stopped.signal)
+    this.following = this.followTree()
     this.createLog('node').info(`${settings.host} in ${settings.zone} serves callers on ${settings.caller}`)
   }
 
@@ -113,12 +116,18 @@
     }
   }
 
+  private async followTree (): Promise<void> {
+    await fetchState(this.receiver, this.client, this.settings.peers, this.createLog('peer'))
+    await this.makeFollower().run(this.stopped.signal)
+  }
+
   private makeFollower (): Follower {
-    const { receiver, client, clock, random, recorder, settings } = this
+    const { receiver, registry, client, clock, random, recorder, settings } = this
     const count = (call: string, kind: string): void => { this.metrics.count('platform_calls_total', { call, kind }) }
     return new Follower({
       receiver,
-      client,
+      registry,
+      open: address => client.openSubscription(address),
       clock,
       random,
       recorder,
@@ -131,10 +140,8 @@
   }
 
   private makePeerHandlers (): PeerHandlers {
-    const { replica, receiver, settings } = this
-    const limits = { fanOut: settings['fan-out'], perSecond: settings['admit-per-second'] }
-    const registry = new SubscriberRegistry(limits, this.clock)
-    const publisher = { receiver, registry, limits, log: this.createLog('peer') }
+    const { replica, receiver, registry } = this
+    const publisher = { receiver, registry, log: this.createLog('peer') }
     return {
       subscribe: async call => { await serveSubscriber(publisher, call) },
       fetch: () => makeFetchAnswer(replica),
--- a/src/node/tasks/follow.ts
+++ b/src/node/tasks/follow.ts
@@ -4,21 +4,30 @@
  */
 import { computeBackoff } from '../../core/index.js'
 import type { Clock, Logger, Random } from '../../core/index.js'
-import { formatHeadDuty, holdLease, LeaseObserver, PlatformUpstream, readLease, writeLease } from '../../duty/index.js'
-import type { HeldLease, LeaseGrant } from '../../duty/index.js'
-import { PeerUpstream } from '../../peer/index.js'
-import type { PeerClient, Receiver, Upstream, UpstreamEnd } from '../../peer/index.js'
+import { formatHeadDuty, formatRelayDuty, isClaimable, PlatformUpstream, readLease } from '../../duty/index.js'
+import type { HeldLease, Lease } from '../../duty/index.js'
+import { DetachedUpstream, PeerUpstream } from '../../peer/index.js'
+import type { OpenCall, Receiver, Replica, SubscriberRegistry, Upstream, UpstreamEnd } from '../../peer/index.js'
 import type { ObjectStore } from '../../platform/index.js'
 import type { Recorder } from '../../timeline/index.js'
-import { listCandidates, findDuty } from '../queries/candidates.js'
+import { Duties } from '../duties.js'
+import { PeerFailures } from '../failures.js'
+import { findDuty, hasHead, isCandidate, listAnyone, listCandidates } from '../queries/candidates.js'
+import type { Known } from '../queries/candidates.js'
+import { RootTicker } from './root.js'
 
 const BACKOFF = { baseMs: 100, maxMs: 2_000 }
-const TICK_MS = 500
+/** How often a node in a makeshift position looks for a better one. */
+const SEEK_INTERVAL_MS = 1_000
+/** Nodes that are not candidates ask the platform only after so long without an upstream. */
+const LONE_MS = 5_000
+const LONE_SPREAD_MS = 3_000
 
 export interface FollowContext {
   receiver: Receiver
+  registry: SubscriberRegistry
   store: ObjectStore
-  client: PeerClient
+  open: OpenCall
   clock: Clock
   random: Random
   recorder: Recorder
@@ -29,150 +38,268 @@
 }
 
 export class Follower {
-  private readonly observer: LeaseObserver
-  private readonly grants = new Map<string, Promise<void>>()
-  private redirected: string[] = []
-  private holders: string[] = []
-  private sourceUp = false
+  private readonly replica: Replica
+  private readonly originDuty: string
+  private readonly failures: PeerFailures
+  private readonly duties: Duties
+  private readonly root: RootTicker
+  private known: Known
   private move = new AbortController()
+  private lifetime = new AbortController().signal
+  private askPlatformAt: number
 
   constructor (private readonly context: FollowContext) {
-    this.observer = new LeaseObserver(context.clock)
+    const { receiver: { replica }, clock, dutyLog, bootstrap, platformRegion } = context
+    this.replica = replica
+    this.originDuty = formatHeadDuty(platformRegion)
+    this.failures = new PeerFailures(clock)
+    this.root = new RootTicker(replica, clock)
+    this.known = { above: [], candidates: [], holders: [], bootstrap }
+    this.askPlatformAt = this.computeAskTime()
+    this.duties = new Duties({
+      ...context,
+      replica,
+      log: dutyLog,
+      isRoot: duty => duty.startsWith('head-') && this.root.isActive,
+      onSource: (duty, up) => { this.noteSource(duty, up) },
+      onLost: (duty, successor) => { this.followSuccessor(duty, successor) }
+    })
   }
 
   async run (signal: AbortSignal): Promise<void> {
+    this.lifetime = signal
+    void this.root.run(signal)
     let failures = 0
     while (!signal.aborted) {
-      const attached = await this.followOnce(signal)
+      this.move = new AbortController()
+      const attached = await this.followOnce(AbortSignal.any([signal, this.move.signal]))
       failures = attached ? 0 : failures + 1
-      if (!signal.aborted) await this.context.clock.sleep(computeBackoff(failures, BACKOFF, this.context.random), signal)
+      await this.context.clock.sleep(computeBackoff(failures, BACKOFF, this.context.random), signal)
     }
-    await Promise.allSettled(this.grants.values())
+    await this.duties.awaitReleased()
+  }
+
+  private get isOrigin (): boolean {
+    return this.replica.duties.has(this.originDuty)
   }
 
   /** True when an upstream was followed for a while. */
   private async followOnce (signal: AbortSignal): Promise<boolean> {
-    const { replica } = this.context.receiver
-    const headsPlatform = replica.duties.has(formatHeadDuty(this.context.platformRegion))
-    if (headsPlatform) return await this.followUpstream(this.makePlatformUpstream(), signal, true)
-    for (const address of listCandidates(replica, { redirected: this.redirected, holders: this.holders, bootstrap: this.context.bootstrap })) {
-      if (signal.aborted) return false
-      if (await this.followUpstream(this.makePeerUpstream(address), signal, false)) return true
-    }
-    this.redirected = []
+    if (this.isOrigin) return await this.followPlatform(signal) || await this.followWithoutPlatform(signal)
+    const needsSource = hasHead(this.replica)
+    if (await this.followFirst(listCandidates(this.replica, this.known), signal, needsSource)) return true
+    if (signal.aborted) return true
     return await this.seekDuty(signal)
   }
 
-  private makePlatformUpstream (): Upstream {
-    const { receiver, store, dutyLog } = this.context
-    return new PlatformUpstream(receiver, store, dutyLog)
-  }
-
-  private makePeerUpstream (address: string): Upstream {
-    const { receiver, client, peerLog } = this.context
-    return new PeerUpstream(receiver, peer => client.openSubscription(peer), address, peerLog)
-  }
-
-  private async followUpstream (upstream: Upstream, signal: AbortSignal, isRoot: boolean): Promise<boolean> {
-    const { clock, peerLog, recorder } = this.context
-    const startedAt = clock.monotonic()
-    this.move = new AbortController()
-    const stop = AbortSignal.any([signal, this.move.signal])
-    const root = new AbortController()
-    if (isRoot) void this.tickRoot(upstream.name, AbortSignal.any([stop, root.signal]))
-    const end = await upstream.run(stop)
-    root.abort()
-    const attached = clock.monotonic() - startedAt > TICK_MS
-    if (attached && !signal.aborted) {
-      peerLog.info(`left upstream ${upstream.name}: ${end.reason}`)
-      recorder.record('upstream-lost', `${upstream.name}: ${end.reason}`)
+  /** Tries peers in order, and those that they redirect to, until one accepts. */
+  private async followFirst (peers: readonly string[], signal: AbortSignal, needsSource = false): Promise<boolean> {
+    const queue = [...peers]
+    const tried = new Set<string>()
+    while (queue.length > 0 && !signal.aborted) {
+      const address = queue.shift() as string
+      if (tried.has(address) || this.failures.has(address)) continue
+      tried.add(address)
+      const upstream = this.makePeerUpstream(address, needsSource)
+      const end = await this.followUpstream(upstream, signal)
+      if (upstream.attached) return true
+      if (end.reason === 'redirect') queue.unshift(...this.orderRandomly(end.peers))
     }
-    await this.heedEnd(end, signal)
-    return attached
+    return false
   }
 
-  private async heedEnd (end: UpstreamEnd, signal: AbortSignal): Promise<void> {
-    if (end.reason === 'redirect') this.redirected = end.peers
-    else if (end.reason === 'retry') await this.context.clock.sleep(this.context.random.next() * end.afterMs, signal)
+  private makePeerUpstream (address: string, needsSource: boolean): PeerUpstream {
+    const { receiver, open, peerLog } = this.context
+    return new PeerUpstream({ receiver, open, address, log: peerLog, needsSource })
   }
 
-  /** A node at the root of its tree counts the ticks that the nodes below see. */
-  private async tickRoot (upstream: string, signal: AbortSignal): Promise<void> {
-    const { receiver: { replica }, clock } = this.context
-    while (!signal.aborted) {
-      const { identity, place } = replica
-      replica.moveTo({
-        ...place, path: [identity.host], pathPeers: [identity.peer], tick: place.tick + 1, sourceUp: this.sourceUp, candidates: [], upstream
-      })
-      await clock.sleep(TICK_MS, signal)
+  /** Follows one upstream. `seek` looks for a better one meanwhile, to which the node moves once that has accepted it. */
+  private async followUpstream (upstream: Upstream, signal: AbortSignal, seek?: () => Promise<string[]>): Promise<UpstreamEnd> {
+    const stop = new AbortController()
+    const inner = AbortSignal.any([signal, stop.signal])
+    let seeking: Promise<void> = Promise.resolve()
+    const onAttached = upstream.onAttached
+    upstream.onAttached = () => {
+      onAttached()
+      this.noteAttached(upstream)
+      const needsSource = upstream instanceof DetachedUpstream ? this.isOrigin : hasHead(this.replica)
+      seeking = this.seekBetter(seek ?? (async () => await this.listSources()), needsSource, stop, signal)
+    }
+    const end = await upstream.run(inner)
+    const isMoved = stop.signal.aborted
+    stop.abort()
+    await seeking
+    if (!isMoved) this.noteEnd(upstream, end, signal)
+    return end
+  }
+
+  private noteAttached (upstream: Upstream): void {
+    const { peerLog, recorder } = this.context
+    this.failures.clear(upstream.name)
+    this.known = { ...this.known, holders: [] }
+    if (!(upstream instanceof PeerUpstream)) this.root.start(upstream.name, upstream instanceof PlatformUpstream)
+    else {
+      this.root.stop()
+      // Only an origin head without the platform follows a peer: the one that took its place.
+      if (this.isOrigin) void this.duties.release(this.originDuty)
     }
+    peerLog.info(`follows ${upstream.name}`)
+    recorder.record('upstream-changed', upstream.name)
   }
 
-  /** No upstream answers: finds the holder of the duty above, or claims it. */
+  /** Without an upstream a holder of a duty goes on as a root, so that its subtree stays together. */
+  private noteEnd (upstream: Upstream, end: UpstreamEnd, signal: AbortSignal): void {
+    const { peerLog, recorder } = this.context
+    const { replica } = this
+    if (upstream instanceof PeerUpstream && ['closed', 'silent', 'stalled'].includes(end.reason)) this.failures.note(upstream.name)
+    if (!upstream.attached) return
+    if (!signal.aborted) {
+      peerLog.info(`left ${upstream.name}: ${'detail' in end ? end.detail : end.reason}`)
+      recorder.record('upstream-lost', `${upstream.name}: ${end.reason}`)
+    }
+    const above = replica.place.pathPeers.filter(peer => peer !== replica.identity.peer).reverse()
+    if (above.length > 0) this.known = { ...this.known, above, candidates: replica.place.candidates }
+    this.askPlatformAt = this.computeAskTime()
+    if (replica.duties.size > 0 && replica.ready) this.root.start('detached', false)
+    else replica.moveTo({ ...replica.place, upstream: '' })
+  }
+
+  private async seekBetter (seek: () => Promise<string[]>, needsSource: boolean, stop: AbortController, signal: AbortSignal): Promise<void> {
+    const { clock, random } = this.context
+    while (!stop.signal.aborted && !signal.aborted) {
+      await clock.sleep(SEEK_INTERVAL_MS * (0.5 + random.next()), AbortSignal.any([stop.signal, signal]))
+      if (stop.signal.aborted || signal.aborted) return
+      for (const address of await seek()) {
+        if (stop.signal.aborted || signal.aborted) return
+        const upstream = this.makePeerUpstream(address, needsSource)
+        upstream.onAttached = () => { stop.abort() }
+        await this.followUpstream(upstream, signal)
+      }
+    }
+  }
+
+  /** No peer accepts: finds the holder of the duty above, or claims it. */
   private async seekDuty (signal: AbortSignal): Promise<boolean> {
-    const { receiver: { replica }, store, platformRegion } = this.context
-    const duty = findDuty(replica)
-    if (duty === undefined) return await this.seekOrigin(platformRegion, signal)
+    const { store, clock } = this.context
+    if (!isCandidate(this.replica, this.known) && clock.monotonic() < this.askPlatformAt) return false
+    const duty = findDuty(this.replica)
+    if (duty === undefined) return await this.followOrigin(signal)
     const held = await readLease(store, duty)
-    if (held.err) return await this.serveDetached(signal)
-    if (!this.observer.observe(duty, held.val, replica.place.renewals[duty])) {
-      this.noteHolder(held.val)
-      return false
-    }
+    if (held.err) return await this.followWithoutPlatform(signal)
+    if (await this.followHolder(held.val.lease, signal)) return true
+    if (this.duties.hasLost(duty) && held.val.lease?.released === false) return await this.followWithoutPlatform(signal)
     return await this.claimDuty(duty, held.val, signal)
   }
 
-  private noteHolder (held: HeldLease): void {
-    const peer = held.lease?.peer
-    this.holders = peer === undefined || peer === this.context.receiver.replica.identity.peer ? [] : [peer]
+  private async followHolder (lease: Lease | undefined, signal: AbortSignal, needsSource = false): Promise<boolean> {
+    const { identity } = this.replica
+    if (lease === undefined || lease.released || lease.peer === identity.peer) return false
+    return await this.followFirst([lease.peer], signal, needsSource)
   }
 
   private async claimDuty (duty: string, held: HeldLease, signal: AbortSignal): Promise<boolean> {
-    const { receiver: { replica }, store, dutyLog, recorder } = this.context
-    const lease = { holder: replica.identity.host, peer: replica.identity.peer, renewals: (held.lease?.renewals ?? 0) + 1, released: false }
-    const written = await writeLease(store, duty, held.version, lease)
-    if (written.err) return false
-    dutyLog.info(`claimed ${duty}`)
-    recorder.record('duty-claimed', duty)
-    replica.duties.add(duty)
-    this.holders = []
-    this.sourceUp = true
-    this.grants.set(duty, this.keepDuty(written.val, signal))
+    if (signal.aborted || !isClaimable(held.lease, this.replica.identity.host, peer => this.failures.has(peer))) return false
+    return await this.duties.claim(duty, held, this.lifetime)
+  }
+
+  /** The head of a region away from the platform: follows the origin head, else the platform itself. */
+  private async followOrigin (signal: AbortSignal): Promise<boolean> {
+    const held = await readLease(this.context.store, this.originDuty)
+    if (held.err) return await this.followWithoutPlatform(signal)
+    if (await this.followHolder(held.val.lease, signal, true)) return true
+    return await this.followPlatform(signal)
+  }
+
+  private async followPlatform (signal: AbortSignal): Promise<boolean> {
+    const { receiver, store, dutyLog } = this.context
+    const upstream = new PlatformUpstream(receiver, store, dutyLog)
+    await this.followUpstream(upstream, signal, async () => await this.listRoots())
+    return upstream.attached
+  }
+
+  private async followWithoutPlatform (signal: AbortSignal): Promise<boolean> {
+    const peers = this.isOrigin ? [] : listAnyone(this.replica, this.known)
+    if (await this.followFirst(peers, signal)) return true
+    const mayServe = this.replica.ready && isCandidate(this.replica, this.known)
+    if (!mayServe || signal.aborted) return false
+    const upstream = new DetachedUpstream()
+    const holders = this.context.registry.listHolders()
+    await this.followUpstream(upstream, signal, async () => await this.listReturns(holders))
     return true
   }
 
-  private async keepDuty (grant: LeaseGrant, signal: AbortSignal): Promise<void> {
-    const { receiver: { replica }, store, clock, dutyLog, recorder } = this.context
-    await holdLease({
-      store,
-      clock,
-      log: dutyLog,
-      onRenewed: ({ duty, lease }) => { replica.place = { ...replica.place, renewals: { ...replica.place.renewals, [duty]: lease.renewals } } },
-      onSource: up => { this.sourceUp = up }
-    }, grant, signal)
-    replica.duties.delete(grant.duty)
-    recorder.record('duty-lost', grant.duty)
+  /** A holder of a duty whose root has lost the platform: the root's successor, or this node takes the root's place. */
+  private async listSources (): Promise<string[]> {
+    const { replica } = this
+    if (replica.duties.size === 0) return []
+    if (replica.place.sourceUp) return await this.listHome()
+    const held = await readLease(this.context.store, this.originDuty)
+    if (held.err || replica.place.sourceUp) return []
+    const lease = held.val.lease
+    if (lease !== undefined && !lease.released && lease.peer !== replica.place.pathPeers[0]) return this.listOther(lease)
+    if (findDuty(replica) === this.originDuty) {
+      if (await this.duties.claim(this.originDuty, held.val, this.lifetime)) this.move.abort()
+    } else if (hasHead(replica)) this.move.abort()
+    return []
+  }
+
+  /** A relay that follows another region's head returns to the head of its own region, or becomes it. */
+  private async listHome (): Promise<string[]> {
+    const { replica } = this
+    const duty = findDuty(replica)
+    const parent = replica.place.pathPeers.at(-2)
+    const region = replica.listRecords().find(record => record.peer === parent)?.region
+    if (duty === undefined || region === undefined || region === replica.identity.region) return []
+    const held = await readLease(this.context.store, duty)
+    if (held.err || this.duties.hasLost(duty)) return []
+    if (await this.claimDuty(duty, held.val, this.lifetime)) this.move.abort()
+    return held.val.lease === undefined || this.failures.has(held.val.lease.peer) ? [] : this.listOther(held.val.lease)
+  }
+
+  /** A head that watches the platform for want of an origin head. */
+  private async listRoots (): Promise<string[]> {
+    if (this.isOrigin) return []
+    const held = await readLease(this.context.store, this.originDuty)
+    return held.ok && held.val.lease?.released === false ? this.listOther(held.val.lease) : []
+  }
+
+  /** A root without any source: peers that may have one. The platform's answer ends this position. */
+  private async listReturns (holders: readonly string[]): Promise<string[]> {
+    void this.checkPlatform()
+    return this.isOrigin ? [...holders] : listAnyone(this.replica, this.known)
+  }
+
+  private async checkPlatform (): Promise<void> {
+    const { move } = this
+    const held = await readLease(this.context.store, this.originDuty)
+    if (held.ok) move.abort()
+  }
+
+  private listOther (lease: Lease): string[] {
+    return lease.peer === this.replica.identity.peer ? [] : [lease.peer]
+  }
+
+  private noteSource (duty: string, up: boolean): void {
+    if (duty !== formatHeadDuty(this.replica.identity.region) || !this.root.isActive) return
+    const wasUp = this.root.sourceUp
+    this.root.sourceUp = up
+    // The watch may stand on a connection that went silent.
+    if (wasUp && !up) this.move.abort()
+  }
+
+  /** Another node has the duty: follow it. */
+  private followSuccessor (duty: string, successor: Lease): void {
+    const { identity } = this.replica
+    this.known = { ...this.known, holders: [successor.peer] }
+    if (duty === formatRelayDuty(identity.zone)) void this.duties.release(formatHeadDuty(identity.region))
     this.move.abort()
   }
 
-  /** The head of a region away from the platform: follows the origin head, else the platform itself. */
-  private async seekOrigin (platformRegion: string, signal: AbortSignal): Promise<boolean> {
-    const held = await readLease(this.context.store, formatHeadDuty(platformRegion))
-    if (held.err) return await this.serveDetached(signal)
-    this.noteHolder(held.val)
-    const address = this.holders[0]
-    if (address !== undefined && await this.followUpstream(this.makePeerUpstream(address), signal, false)) return true
-    return await this.followUpstream(this.makePlatformUpstream(), signal, true)
-  }
-
-  /** Neither an upstream nor the platform answers: a holder of a duty goes on as the root of what it can reach. */
-  private async serveDetached (signal: AbortSignal): Promise<boolean> {
-    const { receiver: { replica }, clock } = this.context
-    if (replica.duties.size > 0 && replica.ready) {
-      const { identity, place } = replica
-      replica.moveTo({ ...place, path: [identity.host], pathPeers: [identity.peer], sourceUp: false, candidates: [], upstream: '' })
-    }
-    await clock.sleep(TICK_MS, signal)
-    return false
+  private computeAskTime (): number {
+    return this.context.clock.monotonic() + LONE_MS + this.context.random.next() * LONE_SPREAD_MS
+  }
+
+  private orderRandomly (peers: readonly string[]): string[] {
+    return peers.map(peer => ({ peer, rank: this.context.random.next() })).sort((left, right) => left.rank - right.rank).map(one => one.peer)
   }
 }
--- a/src/peer/client.ts
+++ b/src/peer/client.ts
@@ -1,5 +1,6 @@
 /**
- * Calls to other nodes over gRPC. One channel for each address, kept until it is closed.
+ * Calls to other nodes over gRPC. A subscription has a channel of its own, so that a new one never
+ * goes over a connection that went silent; the short calls share one channel for each address.
  */
 import { Client, credentials as grpcCredentials } from '@grpc/grpc-js'
 import type { ChannelCredentials, MethodDefinition } from '@grpc/grpc-js'
@@ -13,6 +14,7 @@
 import type { OperatorCommandMethods, OperatorQueryMethods, PeerMethods, UpstreamCall } from './services.js'
 
 const CALL_TIMEOUT_MS = 1_500
+const CLIENT_KEEPALIVE_MS = 10_000
 
 export class PeerClient {
   private readonly clients = new Map<string, Client>()
@@ -30,7 +32,10 @@
 
   openSubscription (address: string): UpstreamCall {
     const method = this.peer.subscribe
-    return this.getClient(address).makeBidiStreamRequest(method.path, method.requestSerialize, method.responseDeserialize)
+    const client = this.createClient(address)
+    const call = client.makeBidiStreamRequest(method.path, method.requestSerialize, method.responseDeserialize)
+    call.on('status', () => { client.close() })
+    return call
   }
 
   async fetchState (address: string, node: string): Promise<Result<FetchAnswer, Fault>> {
@@ -57,13 +62,27 @@
   private getClient (address: string): Client {
     const held = this.clients.get(address)
     if (held !== undefined) return held
-    const client = new Client(this.dialer.resolve(address), this.credentials, {
+    const client = this.createClient(address)
+    this.clients.set(address, client)
+    return client
+  }
+
+  private createClient (address: string): Client {
+    return new Client(this.dialer.resolve(address), this.credentials, {
       ...CHANNEL_OPTIONS,
+      // The server's pings find a dead subscriber and its beats keep the client informed, so the client rarely pings.
+      'grpc.keepalive_time_ms': CLIENT_KEEPALIVE_MS,
+      // Without this, channels to one address would share a connection.
+      'grpc.use_local_subchannel_pool': 1,
       'grpc.initial_reconnect_backoff_ms': 100,
       'grpc.max_reconnect_backoff_ms': 1_000
     })
-    this.clients.set(address, client)
-    return client
+  }
+
+  /** A call that failed may have been sent on a connection that went silent. */
+  private dropClient (address: string): void {
+    this.clients.get(address)?.close()
+    this.clients.delete(address)
   }
 
   private async callOnce<Q, A> (address: string, method: MethodDefinition<Q, A>, request: Q): Promise<Result<A, Fault>> {
@@ -71,7 +90,10 @@
     return await new Promise(resolve => {
       const settle = (error: unknown, answer?: A): void => {
         if (answer !== undefined && error === null) resolve(Ok(answer))
-        else resolve(Err(makeFault('unreachable', `${address}: ${describeError(error)}`)))
+        else {
+          this.dropClient(address)
+          resolve(Err(makeFault('unreachable', `${address}: ${describeError(error)}`)))
+        }
       }
       this.getClient(address).makeUnaryRequest(method.path, method.requestSerialize, method.responseDeserialize, request, { deadline }, settle)
     })
--- a/src/peer/commands/admit.ts
+++ b/src/peer/commands/admit.ts
@@ -7,11 +7,15 @@
 
 const RETRY_UNROOTED_MS = 200
 const RETRY_BUSY_MS = 500
+const CANDIDATES = 2
 
 export interface AdmissionLimits { fanOut: number, perSecond: number }
 
+/** One stream of one subscriber. A node that subscribes again gets a new session, which ends the one before. */
+export interface Session { hello: Hello, end: () => void }
+
 export class SubscriberRegistry {
-  private readonly peers = new Map<string, string>()
+  private readonly sessions = new Map<string, Session>()
   private tokens: number
   private refilledAt: number
 
@@ -21,32 +25,49 @@
   }
 
   get size (): number {
-    return this.peers.size
+    return this.sessions.size
   }
 
-  listPeers (): string[] {
-    return [...this.peers.values()]
+  /** The subscribers with the lowest ids; they may claim the publisher's duty. */
+  listCandidates (): string[] {
+    return [...this.sessions.keys()].sort().slice(0, CANDIDATES).flatMap(node => this.sessions.get(node)?.hello.peer ?? [])
   }
 
-  /** The two subscribers with the lowest ids; they may claim the publisher's duty. */
-  listCandidates (): string[] {
-    return [...this.peers].sort(([left], [right]) => left < right ? -1 : 1).slice(0, 2).map(([, peer]) => peer)
+  /** Peers of the subscribers that hold a duty themselves. */
+  listHolders (): string[] {
+    return [...this.sessions.values()].filter(one => one.hello.duties.length > 0).map(one => one.hello.peer)
+  }
+
+  isCurrent (session: Session): boolean {
+    return this.sessions.get(session.hello.node) === session
   }
 
   /** Gives nothing when the subscriber was admitted, else the answer that turns it away. */
-  admit (replica: Replica, hello: Hello): Down | undefined {
+  admit (replica: Replica, session: Session): Down | undefined {
+    const { hello } = session
     if (!replica.isRooted || replica.place.path.includes(hello.node)) return { type: 'retry', afterMs: RETRY_UNROOTED_MS }
-    const hasDuty = hello.duties.length > 0
-    if (!hasDuty && !this.peers.has(hello.node) && this.peers.size >= this.limits.fanOut) {
-      return { type: 'redirect', peers: this.listPeers() }
-    }
+    if (this.isFull(hello)) return { type: 'redirect', peers: this.listNear(hello.zone) }
     if (!this.takeToken()) return { type: 'retry', afterMs: RETRY_BUSY_MS }
-    this.peers.set(hello.node, hello.peer)
+    this.sessions.get(hello.node)?.end()
+    this.sessions.set(hello.node, session)
     return undefined
   }
 
-  release (node: string): void {
-    this.peers.delete(node)
+  /** False when the node has a newer session, which stays. */
+  release (session: Session): boolean {
+    return this.isCurrent(session) && this.sessions.delete(session.hello.node)
+  }
+
+  /** Holders of a duty are always taken: there are few of them, and whole zones depend on them. */
+  private isFull (hello: Hello): boolean {
+    return hello.duties.length === 0 && !this.sessions.has(hello.node) && this.sessions.size >= this.limits.fanOut
+  }
+
+  /** Subscribers of the same zone, so that a redirection does not lead across zones; all when there are none. */
+  private listNear (zone: string): string[] {
+    const all = [...this.sessions.values()].map(one => one.hello)
+    const near = all.filter(one => one.zone === zone)
+    return (near.length > 0 ? near : all).map(one => one.peer)
   }
 
   private takeToken (): boolean {
--- a/src/peer/messages.ts
+++ b/src/peer/messages.ts
@@ -42,7 +42,16 @@
 export const upSchema = z.discriminatedUnion('type', [helloSchema, ackSchema, membersSchema, resendSchema])
 export type Up = z.infer<typeof upSchema>
 
-const acceptSchema = z.object({ type: z.literal('accept'), node: z.string(), path: z.array(z.string()), pathPeers: z.array(z.string()) })
+const acceptSchema = z.object({
+  type: z.literal('accept'),
+  node: z.string(),
+  region: z.string(),
+  sourceUp: z.boolean(),
+  path: z.array(z.string()),
+  pathPeers: z.array(z.string())
+})
+export type Accept = z.infer<typeof acceptSchema>
+
 const redirectSchema = z.object({ type: z.literal('redirect'), peers: z.array(z.string()) })
 const retrySchema = z.object({ type: z.literal('retry'), afterMs: z.number().int() })
 
@@ -61,19 +70,19 @@
 
 const syncedSchema = z.object({ type: z.literal('synced') })
 
+/** Where the publisher stands. `candidates` are the peers that may claim its duty when it goes silent. */
+const positionSchema = z.object({ path: z.array(z.string()), pathPeers: z.array(z.string()), candidates: z.array(z.string()), stamp: stampSchema })
+export type Position = z.infer<typeof positionSchema>
+
 /**
- * `tick` counts beats of the head at the root. `renewals` has the renewal count of each lease
- * above. `candidates` are the peers that may claim the publisher's duty when it goes silent.
+ * `tick` counts beats of the node at the root. The position is sent when it changed and every
+ * few seconds, since it is the larger part and rarely changes.
  */
 const beatSchema = z.object({
   type: z.literal('beat'),
   tick: z.number().int(),
   sourceUp: z.boolean(),
-  path: z.array(z.string()),
-  pathPeers: z.array(z.string()),
-  renewals: z.record(z.string(), z.number().int()),
-  candidates: z.array(z.string()),
-  stamp: stampSchema
+  position: positionSchema.optional()
 })
 export type Beat = z.infer<typeof beatSchema>
 
--- a/src/peer/replica.ts
+++ b/src/peer/replica.ts
@@ -18,18 +18,20 @@
 
 export interface Refusal { service: string, version: number, reason: string }
 
-/** Where the node stands in the tree. An empty path means that no head or relay is above it. */
+/**
+ * Where the node stands in the tree. An empty path means that no head or relay is above it; an empty
+ * `upstream` that it has lost its upstream and looks for another one.
+ */
 export interface Place {
   path: readonly string[]
   pathPeers: readonly string[]
   tick: number
   sourceUp: boolean
-  renewals: Readonly<Record<string, number>>
   candidates: readonly string[]
   upstream: string
 }
 
-const UNROOTED: Place = { path: [], pathPeers: [], tick: 0, sourceUp: false, renewals: {}, candidates: [], upstream: '' }
+const UNROOTED: Place = { path: [], pathPeers: [], tick: 0, sourceUp: false, candidates: [], upstream: '' }
 
 export class Replica {
   readonly table = new SnapshotTable()
@@ -49,8 +51,9 @@
     this.own = new OwnHost(identity)
   }
 
+  /** Whether other nodes may follow this one: it has a whole state and a way to get newer versions. */
   get isRooted (): boolean {
-    return this.place.path.length > 0
+    return this.ready && this.place.path.length > 0 && this.place.upstream !== ''
   }
 
   findVersion (service: string, version: number): Entry | undefined {
@@ -62,7 +65,6 @@
     this.recent.set(entry.service, [entry, ...(this.recent.get(entry.service) ?? [])].slice(0, KEPT_VERSIONS))
   }
 
-  /** Commands only: see commands/move.ts. */
   moveTo (place: Place): void {
     this.place = place
     this.moves.emit(place)
--- a/src/peer/tasks/downstream.ts
+++ b/src/peer/tasks/downstream.ts
@@ -1,53 +1,40 @@
 /**
  * The task of one subscriber: admits it, brings it up to date, then sends each change until the stream ends.
  */
-import { merge, periodic } from 'most'
-import { Channel, drainStream } from '../../core/index.js'
+import { Channel, drainStream, pushEvery } from '../../core/index.js'
 import type { Logger } from '../../core/index.js'
 import { makeVector } from '../../snapshot/index.js'
 import type { Vector } from '../../snapshot/index.js'
-import type { AdmissionLimits, SubscriberRegistry } from '../commands/admit.js'
+import type { Session, SubscriberRegistry } from '../commands/admit.js'
 import { receiveRecords } from '../commands/receive.js'
 import type { Receiver } from '../commands/receive.js'
-import type { Beat, Down, Hello, Up } from '../messages.js'
+import type { Beat, Hello, Up } from '../messages.js'
 import { listUpdates } from '../queries/pending.js'
 import type { Change, Replica } from '../replica.js'
 import type { DownstreamCall } from '../services.js'
 
 export const BEAT_INTERVAL_MS = 500
+/** Beats after which the position is sent again although it did not change. */
+const POSITION_BEATS = 20
 
 export interface Publisher {
   receiver: Receiver
   registry: SubscriberRegistry
-  limits: AdmissionLimits
   log: Logger
 }
 
 type Item = { kind: 'message', message: Up } | { kind: 'change', change: Change } | { kind: 'beat' }
 
 export async function serveSubscriber (publisher: Publisher, call: DownstreamCall): Promise<void> {
-  const { receiver: { replica }, registry, log } = publisher
+  const { receiver, registry } = publisher
   const ended = new AbortController()
   const inbox = openInbox(call, ended)
   const hello = await readHello(inbox)
-  const refusal = hello === undefined ? undefined : registry.admit(replica, hello)
-  if (hello === undefined || refusal !== undefined) {
-    if (refusal !== undefined) call.write(refusal)
-    call.end()
-    return
-  }
-  log.debug(`${hello.node} subscribed`)
-  try {
-    subscribeChanges(replica, inbox, ended.signal)
-    const held = sendState(replica, call, hello)
-    for await (const item of inbox) handleItem(publisher, call, hello, held, item)
-  } finally {
-    ended.abort()
-    registry.release(hello.node)
-    dropSubscriber(replica, hello.node)
-    call.end()
-    log.debug(`${hello.node} unsubscribed`)
-  }
+  const session = hello === undefined ? undefined : { hello, end: () => { endSession(receiver.replica, hello.node, ended, inbox) } }
+  const refusal = session === undefined ? undefined : registry.admit(receiver.replica, session)
+  if (refusal !== undefined) call.write(refusal)
+  if (session !== undefined && refusal === undefined) await new SubscriberTask(publisher, call, session).run(inbox, ended)
+  call.end()
 }
 
 function openInbox (call: DownstreamCall, ended: AbortController): Channel<Item> {
@@ -68,68 +55,103 @@
   return first.value.message.type === 'hello' ? first.value.message : undefined
 }
 
-function subscribeChanges (replica: Replica, inbox: Channel<Item>, signal: AbortSignal): void {
-  const changes = replica.changes.stream.map(change => ({ kind: 'change', change }) as const)
-  const beats = periodic(BEAT_INTERVAL_MS).constant({ kind: 'beat' } as const)
-  drainStream<Item>(merge<Item>(changes, beats), inbox, signal)
+/** The node has a newer session; what the old one reported must not count beside it. */
+function endSession (replica: Replica, node: string, ended: AbortController, inbox: Channel<Item>): void {
+  dropCounts(replica, node)
+  ended.abort()
+  inbox.close()
 }
 
-function sendState (replica: Replica, call: DownstreamCall, hello: Hello): Vector {
-  const { path, pathPeers } = replica.place
-  call.write({ type: 'accept', node: replica.identity.host, path: [...path], pathPeers: [...pathPeers] })
-  for (const update of listUpdates(replica, replica.table.staged.keys(), hello.vector)) call.write(update)
-  const records = replica.listRecords()
-  if (records.length > 0) call.write({ type: 'members', records })
-  call.write({ type: 'synced' })
-  return { ...hello.vector, ...makeVector(replica.table.staged) }
+function dropCounts (replica: Replica, node: string): void {
+  const services = replica.acks.remove(node)
+  if (services.length > 0) replica.changes.emit({ services, hosts: [], source: node })
 }
 
-function handleItem (publisher: Publisher, call: DownstreamCall, hello: Hello, held: Vector, item: Item): void {
-  const { replica } = publisher.receiver
-  if (item.kind === 'message') handleMessage(publisher, call, hello, item.message)
-  else if (item.kind === 'beat') call.write(makeBeat(replica, publisher.registry))
-  else if (item.change.source !== hello.node) sendChange(replica, call, held, item.change)
-}
+class SubscriberTask {
+  private readonly replica: Replica
+  private readonly node: string
+  private held: Vector
+  private sentPosition = ''
+  private beats = 0
 
-function sendChange (replica: Replica, call: DownstreamCall, held: Vector, change: Change): void {
-  for (const update of listUpdates(replica, change.services, held)) {
-    call.write(update)
-    held[update.service] = update.version
+  constructor (private readonly publisher: Publisher, private readonly call: DownstreamCall, private readonly session: Session) {
+    this.replica = publisher.receiver.replica
+    this.node = session.hello.node
+    this.held = session.hello.vector
   }
-  const records = replica.listRecords(change.hosts)
-  if (records.length > 0) call.write({ type: 'members', records })
-}
 
-function makeBeat (replica: Replica, registry: SubscriberRegistry): Beat {
-  const { tick, sourceUp, path, pathPeers, renewals } = replica.place
-  return {
-    type: 'beat',
-    tick,
-    sourceUp,
-    path: [...path],
-    pathPeers: [...pathPeers],
-    renewals,
-    candidates: registry.listCandidates(),
-    stamp: { wall: Date.now(), counter: 0 }
+  async run (inbox: Channel<Item>, ended: AbortController): Promise<void> {
+    const { receiver: { clock }, registry, log } = this.publisher
+    log.debug(`${this.node} subscribed`)
+    try {
+      drainStream<Item>(this.replica.changes.stream.map(change => ({ kind: 'change', change }) as const), inbox, ended.signal)
+      void pushEvery<Item>(clock, BEAT_INTERVAL_MS, inbox, { kind: 'beat' }, ended.signal)
+      this.sendState()
+      for await (const item of inbox) {
+        if (registry.isCurrent(this.session)) this.handleItem(item)
+      }
+    } finally {
+      ended.abort()
+      if (registry.release(this.session)) dropCounts(this.replica, this.node)
+      log.debug(`${this.node} unsubscribed`)
+    }
   }
-}
 
-function handleMessage ({ receiver }: Publisher, call: DownstreamCall, hello: Hello, message: Up): void {
-  const { replica } = receiver
-  switch (message.type) {
-    case 'members':
-      receiveRecords(receiver, message.records, hello.node)
-      return
-    case 'ack':
-      replica.acks.record(hello.node, message)
-      replica.changes.emit({ services: Object.keys(message.counts), hosts: [], source: hello.node })
-      return
-    case 'resend':
-      for (const update of listUpdates(replica, [message.service], {})) call.write(update satisfies Down)
+  private sendState (): void {
+    const { identity, place, table } = this.replica
+    this.call.write({
+      type: 'accept',
+      node: identity.host,
+      region: identity.region,
+      sourceUp: place.sourceUp,
+      path: [...place.path],
+      pathPeers: [...place.pathPeers]
+    })
+    for (const update of listUpdates(this.replica, table.staged.keys(), this.held)) this.call.write(update)
+    const records = this.replica.listRecords()
+    if (records.length > 0) this.call.write({ type: 'members', records })
+    this.call.write({ type: 'synced' })
+    this.held = { ...this.held, ...makeVector(table.staged) }
   }
-}
 
-function dropSubscriber (replica: Replica, node: string): void {
-  const services = replica.acks.remove(node)
-  if (services.length > 0) replica.changes.emit({ services, hosts: [], source: node })
+  private handleItem (item: Item): void {
+    if (item.kind === 'message') this.handleMessage(item.message)
+    else if (item.kind === 'beat') this.call.write(this.makeBeat())
+    else if (item.change.source !== this.node) this.sendChange(item.change)
+  }
+
+  private sendChange (change: Change): void {
+    for (const update of listUpdates(this.replica, change.services, this.held)) {
+      this.call.write(update)
+      this.held[update.service] = update.version
+    }
+    const records = this.replica.listRecords(change.hosts)
+    if (records.length > 0) this.call.write({ type: 'members', records })
+  }
+
+  private makeBeat (): Beat {
+    const { tick, sourceUp, path, pathPeers } = this.replica.place
+    const candidates = this.publisher.registry.listCandidates()
+    const position = JSON.stringify([path, candidates])
+    const isDue = position !== this.sentPosition || this.beats % POSITION_BEATS === 0
+    this.beats += 1
+    this.sentPosition = position
+    if (!isDue) return { type: 'beat', tick, sourceUp }
+    const stamp = { wall: this.publisher.receiver.clock.now(), counter: 0 }
+    return { type: 'beat', tick, sourceUp, position: { path: [...path], pathPeers: [...pathPeers], candidates, stamp } }
+  }
+
+  private handleMessage (message: Up): void {
+    switch (message.type) {
+      case 'members':
+        receiveRecords(this.publisher.receiver, message.records, this.node)
+        return
+      case 'ack':
+        this.replica.acks.record(this.node, message)
+        this.replica.changes.emit({ services: Object.keys(message.counts), hosts: [], source: this.node })
+        return
+      case 'resend':
+        for (const update of listUpdates(this.replica, [message.service], {})) this.call.write(update)
+    }
+  }
 }
--- a/src/peer/tasks/upstream.ts
+++ b/src/peer/tasks/upstream.ts
@@ -2,37 +2,52 @@
  * The task of one upstream peer: resumes from what the node holds, takes each change, and
  * reports its subtree's records and acknowledgements upward, until the stream ends or falls silent.
  */
-import { merge, periodic } from 'most'
-import { Channel, drainStream } from '../../core/index.js'
+import { Channel, drainStream, pushEvery } from '../../core/index.js'
 import type { Logger } from '../../core/index.js'
 import { makeVector } from '../../snapshot/index.js'
 import { receiveEntries, receiveRecords } from '../commands/receive.js'
 import type { Receiver } from '../commands/receive.js'
-import type { Beat, Down, Update } from '../messages.js'
+import type { Accept, Beat, Down, Position, Update } from '../messages.js'
 import { readUpdate } from '../queries/difference.js'
-import type { Change, Replica } from '../replica.js'
+import { SilenceWatch } from '../queries/silence.js'
+import type { Change } from '../replica.js'
 import type { UpstreamCall } from '../services.js'
 import { Upstream } from '../upstream.js'
 import type { UpstreamEnd } from '../upstream.js'
 
-export const SILENCE_MS = 1_500
 const CHECK_INTERVAL_MS = 250
-const ACK_DEBOUNCE_MS = 50
+const ACK_DELAY_MS = 50
+/** Between regions acknowledgements wait longer, so that those of a whole region travel in one message. */
+const REGION_ACK_DELAY_MS = 500
 
 type Item = { kind: 'message', message: Down } | { kind: 'change', change: Change } | { kind: 'check' } | { kind: 'ack' }
 
 export type OpenCall = (address: string) => UpstreamCall
 
+export interface PeerUpstreamOptions {
+  receiver: Receiver
+  open: OpenCall
+  address: string
+  log: Logger
+  /** Refuse a publisher whose own root does not reach the platform. */
+  needsSource?: boolean
+}
+
 export class PeerUpstream extends Upstream {
-  private publisher = ''
-  private heardAt: number
+  private readonly receiver: Receiver
+  private readonly address: string
+  private readonly silence: SilenceWatch
+  private readonly inbox = new Channel<Item>()
+  private readonly ended = new AbortController()
   private readonly unacked = new Set<string>()
+  private publisher = ''
+  private ackDelayMs = ACK_DELAY_MS
 
-  constructor (
-    private readonly receiver: Receiver, private readonly open: OpenCall, private readonly address: string, private readonly log: Logger
-  ) {
+  constructor (private readonly options: PeerUpstreamOptions) {
     super()
-    this.heardAt = receiver.clock.monotonic()
+    this.receiver = options.receiver
+    this.address = options.address
+    this.silence = new SilenceWatch(options.receiver.clock)
   }
 
   override get name (): string {
@@ -40,35 +55,30 @@
   }
 
   override async run (signal: AbortSignal): Promise<UpstreamEnd> {
-    const ended = new AbortController()
-    const call = this.open(this.address)
-    const inbox = this.openInbox(call, AbortSignal.any([signal, ended.signal]))
+    if (signal.aborted) return { reason: 'moved', detail: this.address }
+    const call = this.options.open(this.address)
+    this.openInbox(call, AbortSignal.any([signal, this.ended.signal]))
     try {
       this.sendHello(call)
-      for await (const item of inbox) {
+      for await (const item of this.inbox) {
         const end = this.handleItem(call, item)
         if (end !== undefined) return end
       }
-      return { reason: 'closed', detail: `${this.address} closed the stream` }
+      return { reason: signal.aborted ? 'moved' : 'closed', detail: `${this.address} closed the stream` }
     } finally {
-      ended.abort()
+      this.ended.abort()
       call.cancel()
     }
   }
 
-  private openInbox (call: UpstreamCall & { cancel: () => void }, signal: AbortSignal): Channel<Item> {
-    const inbox = new Channel<Item>()
+  private openInbox (call: UpstreamCall, signal: AbortSignal): void {
+    const { inbox } = this
+    const { clock, replica } = this.receiver
     call.on('data', (message: Down) => { inbox.push({ kind: 'message', message }) })
     for (const event of ['end', 'error', 'close']) call.on(event, () => { inbox.close() })
     signal.addEventListener('abort', () => { inbox.close() }, { once: true })
-    const changes = this.receiver.replica.changes.stream
-    const items = merge<Item>(
-      changes.map(change => ({ kind: 'change', change }) as const),
-      changes.filter(change => change.services.length > 0).debounce(ACK_DEBOUNCE_MS).constant({ kind: 'ack' } as const),
-      periodic(CHECK_INTERVAL_MS).constant({ kind: 'check' } as const)
-    )
-    drainStream<Item>(items, inbox, signal)
-    return inbox
+    drainStream<Item>(replica.changes.stream.map(change => ({ kind: 'change', change }) as const), inbox, signal)
+    void pushEvery<Item>(clock, CHECK_INTERVAL_MS, inbox, { kind: 'check' }, signal)
   }
 
   private sendHello (call: UpstreamCall): void {
@@ -87,7 +97,7 @@
   private handleItem (call: UpstreamCall, item: Item): UpstreamEnd | undefined {
     switch (item.kind) {
       case 'message':
-        this.heardAt = this.receiver.clock.monotonic()
+        this.silence.noteMessage()
         return this.handleMessage(call, item.message)
       case 'change':
         this.forwardChange(call, item.change)
@@ -96,29 +106,20 @@
         this.sendAck(call)
         return undefined
       case 'check':
-        return this.checkSilence()
+        return this.silence.check(this.address, this.attached)
     }
   }
 
-  private checkSilence (): UpstreamEnd | undefined {
-    const silentMs = this.receiver.clock.monotonic() - this.heardAt
-    return silentMs > SILENCE_MS ? { reason: 'silent', detail: `${this.address} sent nothing for ${Math.round(silentMs)} ms` } : undefined
-  }
-
   private handleMessage (call: UpstreamCall, message: Down): UpstreamEnd | undefined {
-    const { replica } = this.receiver
     switch (message.type) {
       case 'redirect':
         return { reason: 'redirect', peers: message.peers }
       case 'retry':
         return { reason: 'retry', afterMs: message.afterMs }
       case 'accept':
-        this.publisher = message.node
-        this.moveUnder(replica, { path: message.path, pathPeers: message.pathPeers })
-        return this.checkLoop(message.path)
+        return this.takeAccept(message)
       case 'beat':
-        this.moveUnder(replica, message)
-        return this.checkLoop(message.path)
+        return this.takeBeat(message)
       case 'update':
         this.takeUpdate(call, message)
         return undefined
@@ -131,32 +132,48 @@
     }
   }
 
+  private takeAccept (accept: Accept): UpstreamEnd | undefined {
+    if (this.options.needsSource === true && !accept.sourceUp) return { reason: 'no-source', detail: `${this.address} has no source` }
+    const { place, identity } = this.receiver.replica
+    const loop = this.checkLoop(accept.path)
+    if (loop !== undefined) return loop
+    this.publisher = accept.node
+    if (accept.region !== identity.region) this.ackDelayMs = REGION_ACK_DELAY_MS
+    this.markAttached()
+    this.moveUnder({ tick: place.tick, sourceUp: accept.sourceUp }, { ...accept, candidates: [] })
+    return undefined
+  }
+
+  private takeBeat (beat: Beat): UpstreamEnd | undefined {
+    this.silence.noteTick(beat.tick, beat.sourceUp)
+    this.moveUnder(beat, beat.position)
+    return beat.position === undefined ? undefined : this.checkLoop(beat.position.path)
+  }
+
   private checkLoop (path: readonly string[]): UpstreamEnd | undefined {
     const { host } = this.receiver.replica.identity
     return path.includes(host) ? { reason: 'loop', detail: `${this.address} is below this node` } : undefined
   }
 
-  private moveUnder (replica: Replica, from: Pick<Beat, 'path' | 'pathPeers'> & Partial<Omit<Beat, 'type'>>): void {
+  private moveUnder ({ tick, sourceUp }: Pick<Beat, 'tick' | 'sourceUp'>, position?: Omit<Position, 'stamp'>): void {
+    const { replica } = this.receiver
     const { identity, place } = replica
-    replica.moveTo({
-      path: [...from.path, identity.host],
-      pathPeers: [...from.pathPeers, identity.peer],
-      tick: from.tick ?? place.tick,
-      sourceUp: from.sourceUp ?? place.sourceUp,
-      renewals: { ...place.renewals, ...from.renewals },
-      candidates: from.candidates ?? [],
-      upstream: this.address
-    })
+    const above = position === undefined
+      ? place
+      : { path: [...position.path, identity.host], pathPeers: [...position.pathPeers, identity.peer], candidates: position.candidates }
+    const { path, pathPeers, candidates } = above
+    replica.moveTo({ path, pathPeers, candidates, tick, sourceUp, upstream: this.address })
   }
 
   private takeUpdate (call: UpstreamCall, update: Update): void {
     const { replica } = this.receiver
+    if (update.version <= (replica.table.staged.get(update.service)?.version ?? 0)) return
     const read = readUpdate(update, replica.findVersion(update.service, update.base ?? 0))
     if (read.ok) {
       receiveEntries(this.receiver, [read.val], this.publisher)
       return
     }
-    this.log.warn(`${read.val.message}; asking for the full text`)
+    this.options.log.warn(`${read.val.message}; asking for the full text`)
     if (update.text === undefined) call.write({ type: 'resend', service: update.service })
   }
 
@@ -164,20 +181,31 @@
     const { replica } = this.receiver
     replica.ready = true
     call.write({ type: 'members', records: replica.listRecords() })
-    for (const service of replica.acks.listServices()) this.unacked.add(service)
-    this.sendAck(call)
+    this.noteUnacked(replica.acks.listServices())
   }
 
   private forwardChange (call: UpstreamCall, change: Change): void {
-    for (const service of change.services) this.unacked.add(service)
+    if (!this.attached) return
+    this.noteUnacked(change.services)
     if (change.source === this.publisher || change.hosts.length === 0) return
     call.write({ type: 'members', records: this.receiver.replica.listRecords(change.hosts) })
   }
 
+  /** The first change starts the delay, so that a steady stream of changes cannot postpone the acknowledgement. */
+  private noteUnacked (services: Iterable<string>): void {
+    const isWaiting = this.unacked.size > 0
+    for (const service of services) this.unacked.add(service)
+    if (!isWaiting && this.unacked.size > 0) void this.awaitAckTime()
+  }
+
+  private async awaitAckTime (): Promise<void> {
+    await this.receiver.clock.sleep(this.ackDelayMs, this.ended.signal)
+    this.inbox.push({ kind: 'ack' })
+  }
+
   private sendAck (call: UpstreamCall): void {
-    const { replica } = this.receiver
-    if (this.unacked.size === 0) return
-    call.write({ type: 'ack', counts: replica.acks.sumCounts(this.unacked), lagging: replica.acks.listLagging() })
+    const { acks } = this.receiver.replica
+    call.write({ type: 'ack', counts: acks.sumCounts(this.unacked), lagging: acks.listLagging() })
     this.unacked.clear()
   }
 }
