--- a/src/duty/tasks/hold.ts
+++ b/src/duty/tasks/hold.ts
@@ -43,8 +43,10 @@
     verifiedAt = now
     const held = await readLease(store, grant.duty)
     if (signal.aborted) break
-    if (held.ok) answeredAt = clock.monotonic()
-    options.onSource(clock.monotonic() - answeredAt < SOURCE_LIMIT_MS)
+    if (held.ok) {
+      answeredAt = clock.monotonic()
+      options.onSource(true)
+    } else if (clock.monotonic() - answeredAt > SOURCE_LIMIT_MS) options.onSource(false)
     const lost = held.ok ? findSuccessor(grant, held.val) : undefined
     if (lost === undefined) continue
     log.info(`lost ${grant.duty} to ${lost.holder}`)
--- a/src/node/queries/candidates.ts
+++ b/src/node/queries/candidates.ts
@@ -10,6 +10,8 @@
   above: readonly string[]
   /** The peers that may claim the duty of the last upstream. */
   candidates: readonly string[]
+  /** Holders of duties that followed this node when it lost its source; one of them may have one now. */
+  below: readonly string[]
   /** Holders of the duty above, as the platform says. */
   holders: readonly string[]
   bootstrap: readonly string[]
--- a/src/node/tasks/follow.ts
+++ b/src/node/tasks/follow.ts
@@ -6,7 +6,7 @@
 import type { Clock, Logger, Random } from '../../core/index.js'
 import { formatHeadDuty, formatRelayDuty, isClaimable, PlatformUpstream, readLease } from '../../duty/index.js'
 import type { HeldLease, Lease } from '../../duty/index.js'
-import { DetachedUpstream, PeerUpstream } from '../../peer/index.js'
+import { DetachedUpstream, PeerUpstream, RETRY_UNROOTED_MS } from '../../peer/index.js'
 import type { OpenCall, Receiver, Replica, SubscriberRegistry, Upstream, UpstreamEnd } from '../../peer/index.js'
 import type { ObjectStore } from '../../platform/index.js'
 import type { Recorder } from '../../timeline/index.js'
@@ -17,6 +17,8 @@
 import { RootTicker } from './root.js'
 
 const BACKOFF = { baseMs: 100, maxMs: 2_000 }
+/** For peers that are about to find an upstream themselves; only the subscribers of one lost node wait for them. */
+const UNROOTED_ATTEMPTS = 2
 /** How often a node in a makeshift position looks for a better one. */
 const SEEK_INTERVAL_MS = 1_000
 /** Nodes that are not candidates ask the platform only after so long without an upstream. */
@@ -47,6 +49,7 @@
   private move = new AbortController()
   private lifetime = new AbortController().signal
   private askPlatformAt: number
+  private sawUnrooted = false
 
   constructor (private readonly context: FollowContext) {
     const { receiver: { replica }, clock, dutyLog, bootstrap, platformRegion } = context
@@ -54,7 +57,7 @@
     this.originDuty = formatHeadDuty(platformRegion)
     this.failures = new PeerFailures(clock)
     this.root = new RootTicker(replica, clock)
-    this.known = { above: [], candidates: [], holders: [], bootstrap }
+    this.known = { above: [], candidates: [], below: [], holders: [], bootstrap }
     this.askPlatformAt = this.computeAskTime()
     this.duties = new Duties({
       ...context,
@@ -72,8 +75,9 @@
     let failures = 0
     while (!signal.aborted) {
       this.move = new AbortController()
+      this.sawUnrooted = false
       const attached = await this.followOnce(AbortSignal.any([signal, this.move.signal]))
-      failures = attached ? 0 : failures + 1
+      failures = attached ? 0 : Math.min(failures + 1, this.sawUnrooted ? UNROOTED_ATTEMPTS : Infinity)
       await this.context.clock.sleep(computeBackoff(failures, BACKOFF, this.context.random), signal)
     }
     await this.duties.awaitReleased()
@@ -103,6 +107,7 @@
       const upstream = this.makePeerUpstream(address, needsSource)
       const end = await this.followUpstream(upstream, signal)
       if (upstream.attached) return true
+      if (end.reason === 'retry' && end.afterMs <= RETRY_UNROOTED_MS) this.sawUnrooted = true
       if (end.reason === 'redirect') queue.unshift(...this.orderRandomly(end.peers))
     }
     return false
@@ -136,7 +141,7 @@
   private noteAttached (upstream: Upstream): void {
     const { peerLog, recorder } = this.context
     this.failures.clear(upstream.name)
-    this.known = { ...this.known, holders: [] }
+    this.known = { ...this.known, holders: [], ...upstream instanceof DetachedUpstream ? {} : { below: [] } }
     if (!(upstream instanceof PeerUpstream)) this.root.start(upstream.name, upstream instanceof PlatformUpstream)
     else {
       this.root.stop()
@@ -212,6 +217,7 @@
 
   private async followPlatform (signal: AbortSignal): Promise<boolean> {
     const { receiver, store, dutyLog } = this.context
+    if (signal.aborted) return true
     const upstream = new PlatformUpstream(receiver, store, dutyLog)
     await this.followUpstream(upstream, signal, async () => await this.listRoots())
     return upstream.attached
@@ -222,9 +228,8 @@
     if (await this.followFirst(peers, signal)) return true
     const mayServe = this.replica.ready && isCandidate(this.replica, this.known)
     if (!mayServe || signal.aborted) return false
-    const upstream = new DetachedUpstream()
-    const holders = this.context.registry.listHolders()
-    await this.followUpstream(upstream, signal, async () => await this.listReturns(holders))
+    this.known = { ...this.known, below: [...new Set([...this.known.below, ...this.context.registry.listHolders()])] }
+    await this.followUpstream(new DetachedUpstream(), signal, async () => await this.listReturns())
     return true
   }
 
@@ -264,9 +269,9 @@
   }
 
   /** A root without any source: peers that may have one. The platform's answer ends this position. */
-  private async listReturns (holders: readonly string[]): Promise<string[]> {
+  private async listReturns (): Promise<string[]> {
     void this.checkPlatform()
-    return this.isOrigin ? [...holders] : listAnyone(this.replica, this.known)
+    return this.isOrigin ? [...this.known.below] : listAnyone(this.replica, this.known)
   }
 
   private async checkPlatform (): Promise<void> {
--- a/src/peer/commands/admit.ts
+++ b/src/peer/commands/admit.ts
@@ -5,7 +5,8 @@
 import type { Down, Hello } from '../messages.js'
 import type { Replica } from '../replica.js'
 
-const RETRY_UNROOTED_MS = 200
+/** The publisher has no upstream itself, or the subscriber is above it. */
+export const RETRY_UNROOTED_MS = 200
 const RETRY_BUSY_MS = 500
 const CANDIDATES = 2
 
@@ -28,9 +29,10 @@
     return this.sessions.size
   }
 
-  /** The subscribers with the lowest ids; they may claim the publisher's duty. */
-  listCandidates (): string[] {
-    return [...this.sessions.keys()].sort().slice(0, CANDIDATES).flatMap(node => this.sessions.get(node)?.hello.peer ?? [])
+  /** The subscribers of a zone with the lowest ids; they may claim the duty of relay when the publisher goes silent. */
+  listCandidates (zone: string): string[] {
+    const near = [...this.sessions.values()].map(one => one.hello).filter(hello => hello.zone === zone)
+    return near.sort((left, right) => left.node < right.node ? -1 : 1).slice(0, CANDIDATES).map(hello => hello.peer)
   }
 
   /** Peers of the subscribers that hold a duty themselves. */
--- a/src/peer/messages.ts
+++ b/src/peer/messages.ts
@@ -48,7 +48,8 @@
   region: z.string(),
   sourceUp: z.boolean(),
   path: z.array(z.string()),
-  pathPeers: z.array(z.string())
+  pathPeers: z.array(z.string()),
+  candidates: z.array(z.string())
 })
 export type Accept = z.infer<typeof acceptSchema>
 
--- a/src/peer/tasks/downstream.ts
+++ b/src/peer/tasks/downstream.ts
@@ -105,7 +105,8 @@
       region: identity.region,
       sourceUp: place.sourceUp,
       path: [...place.path],
-      pathPeers: [...place.pathPeers]
+      pathPeers: [...place.pathPeers],
+      candidates: this.listCandidates()
     })
     for (const update of listUpdates(this.replica, table.staged.keys(), this.held)) this.call.write(update)
     const records = this.replica.listRecords()
@@ -131,7 +132,7 @@
 
   private makeBeat (): Beat {
     const { tick, sourceUp, path, pathPeers } = this.replica.place
-    const candidates = this.publisher.registry.listCandidates()
+    const candidates = this.listCandidates()
     const position = JSON.stringify([path, candidates])
     const isDue = position !== this.sentPosition || this.beats % POSITION_BEATS === 0
     this.beats += 1
@@ -141,6 +142,10 @@
     return { type: 'beat', tick, sourceUp, position: { path: [...path], pathPeers: [...pathPeers], candidates, stamp } }
   }
 
+  private listCandidates (): string[] {
+    return this.publisher.registry.listCandidates(this.session.hello.zone)
+  }
+
   private handleMessage (message: Up): void {
     switch (message.type) {
       case 'members':
--- a/src/peer/tasks/upstream.ts
+++ b/src/peer/tasks/upstream.ts
@@ -140,7 +140,7 @@
     this.publisher = accept.node
     if (accept.region !== identity.region) this.ackDelayMs = REGION_ACK_DELAY_MS
     this.markAttached()
-    this.moveUnder({ tick: place.tick, sourceUp: accept.sourceUp }, { ...accept, candidates: [] })
+    this.moveUnder({ tick: place.tick, sourceUp: accept.sourceUp }, accept)
     return undefined
   }
 
