Encode frequent messages by reference to samples of them

Most messages between nodes are beats, acknowledgements and small differences, whose field names were most of their bytes. The dictionary of deflate now ends with the encoded samples of these messages, and messages of any size are deflated when that is shorter. Integer keys and positional arrays were ruled out: documents and counts have keys of their own beside the field names, so either needs escapes or a second description of each message.

Encoded size, before and after: beat 28 and 8 B, with position 127 and 63 B, acknowledgement of one service 46 and 22 B, one changed field 107 and 84 B (of which 16 hash, 8 time, about 45 the difference itself).

--- a/src/peer/codec.ts
+++ b/src/peer/codec.ts
@@ -13,24 +13,42 @@
 
 const PLAIN = 0
 const DEFLATED = 1
-/** Below this size deflate costs more time than the bytes are worth. */
-const DEFLATE_FROM_BYTES = 128
 /** A peer cannot make this process hold more than this by a small message. */
 const MAX_MESSAGE_BYTES = 64 * 1024 * 1024
 
-/** Field names and values that occur in most messages; both ends must have the same text. */
-const DICTIONARY = Buffer.from([
+/** Field names and values that occur in documents and records; both ends must have the same text. */
+const WORDS = [
   'idempotent', 'once', 'plain', 'critical', 'normal', 'bulk', 'maxBodyBytes', 'deadlineMs', 'methods', 'GET', 'POST',
   'labels', 'weight', 'connections', 'slots', 'queue', 'attempts', 'budgetPercent', 'minPerSecond', 'same-first',
   'incarnation', 'sequence', 'inbound', 'region', 'targets', 'announcement', 'address', '127.0.', 'starting', 'leaving',
   'serving', 'ready', 'lost', 'members', 'records', 'acceptedAt', 'version', 'service', 'update', 'patch', 'hash', 'type'
-].join(' '))
+]
+
+/**
+ * Messages as they are encoded, without their values. Deflate replaces what a message shares with
+ * them by short references, so field names cost little. The most frequent come last, where
+ * references are shortest.
+ */
+const SAMPLES: unknown[] = [
+  { type: 'retry', afterMs: 200 },
+  { type: 'accept', node: '', region: '', sourceUp: true, path: [], pathPeers: [], candidates: [] },
+  { type: 'members', records: [] },
+  { type: 'update', service: '', version: 1, acceptedAt: 0, hash: '', text: '' },
+  { type: 'ack', counts: {}, lagging: [] },
+  { type: 'update', service: '', version: 1, acceptedAt: 1.7e12, hash: '', base: 1, patch: {} },
+  { type: 'beat', tick: 1, sourceUp: true, position: { path: [], pathPeers: [], candidates: [], stamp: { wall: 1.7e12, counter: 0 } } },
+  { type: 'beat', tick: 1000, sourceUp: true }
+]
+
+const IS_PLAIN = Buffer.from([PLAIN])
+const IS_DEFLATED = Buffer.from([DEFLATED])
+const DICTIONARY = Buffer.concat([Buffer.from(WORDS.join(' ')), ...SAMPLES.map(sample => encode(sample))])
 
 export class MsgpackCodec extends Codec {
   override encode (message: unknown): Buffer {
     const plain = encode(message, { ignoreUndefined: true })
-    if (plain.byteLength < DEFLATE_FROM_BYTES) return Buffer.concat([Buffer.from([PLAIN]), plain])
-    return Buffer.concat([Buffer.from([DEFLATED]), deflateRawSync(plain, { dictionary: DICTIONARY, level: constants.Z_BEST_SPEED })])
+    const deflated = deflateRawSync(plain, { dictionary: DICTIONARY, level: constants.Z_BEST_SPEED })
+    return deflated.byteLength < plain.byteLength ? Buffer.concat([IS_DEFLATED, deflated]) : Buffer.concat([IS_PLAIN, plain])
   }
 
   override decode<T> (bytes: Buffer, schema: z.ZodType<T>): T {
