--- a/standins/bench/plot.ts
+++ b/standins/bench/plot.ts
@@ -23,7 +23,7 @@
   return rows.map(row => ({ version, row }))
 }
 
-async function renderPlot (title: string, points: Point[]): Promise<string> {
+async function formatPlot (title: string, points: Point[]): Promise<string> {
   const spec: TopLevelSpec = {
     title,
     width: 480,
@@ -44,5 +44,5 @@
 const loaded = (await Promise.all(sources.map(loadRows))).flat()
 for (const { file, title, read } of PLOTS) {
   const points = loaded.map(({ version, row }) => ({ version, nodes: row.nodes, value: read(row) }))
-  await writeFile(join(folder, file), await renderPlot(title, points))
+  await writeFile(join(folder, file), await formatPlot(title, points))
 }
