Compare tables of host records by digests, answer overlays, drain in order

Cause: each connect sent all host records both ways, each change went out at once, a host marked lost or outranked by a record of an earlier process had no way to answer, shutdown polled every 20 ms, and a second SIGTERM killed the node in the middle of its drain.

Records are compared by zone and bucket digests that the table keeps as it changes; differing buckets travel once. A leaving node goes on forwarding its callers' requests to other hosts, since requests in flight on its target may make calls of their own. Control messages and bytes are counted in gRPC interceptors and the codec.

Ruled out: one debounce of a stream of most, which waits for as long as changes keep coming.

Checked by: npm run -s lint, npm run -s typecheck, npx jest (existing tests).

--- a/src/membership/commands/announce.ts
+++ b/src/membership/commands/announce.ts
@@ -11,9 +11,10 @@
   return own.hear(announcement, at) ? own.makeRecord() : undefined
 }
 
-/** Drops targets that have not announced themselves for ANNOUNCE_TIMEOUT_MS; gives their names. */
-export function expireTargets (own: OwnHost, at: number): string[] {
-  const silent = own.listHeard().filter(one => at - one.at > ANNOUNCE_TIMEOUT_MS)
+/** Drops targets that have not announced themselves for ANNOUNCE_TIMEOUT_MS; gives their last announcements. */
+export function expireTargets (own: OwnHost, at: number): Announcement[] {
+  const silent = own.listHeard().filter(one => at - one.at >= ANNOUNCE_TIMEOUT_MS)
+  const last = silent.flatMap(one => own.find(one.target) ?? [])
   for (const one of silent) own.forget(one.target)
-  return silent.map(one => one.target)
+  return last
 }
--- a/src/membership/commands/leave.ts
+++ b/src/membership/commands/leave.ts
@@ -4,7 +4,7 @@
 import type { OwnHost } from '../own.js'
 import type { HostRecord } from '../schema.js'
 
-export function leaveHost (own: OwnHost): HostRecord {
-  own.markLeaving()
-  return own.makeRecord()
+/** Gives the record to spread, or nothing when the host was leaving already. */
+export function leaveHost (own: OwnHost): HostRecord | undefined {
+  return own.markLeaving() ? own.makeRecord() : undefined
 }
--- a/src/membership/commands/merge.ts
+++ b/src/membership/commands/merge.ts
@@ -6,14 +6,14 @@
 import type { HostRecord } from '../schema.js'
 import type { MemberTable } from '../table.js'
 
-/** Gives the records that were taken. */
-export function mergeRecords (table: MemberTable, records: readonly HostRecord[]): HostRecord[] {
-  const taken: HostRecord[] = []
+/** Gives the records that were taken. `at` is local monotonic time. */
+export function mergeRecords (table: MemberTable, records: readonly HostRecord[], at: number): HostRecord[] {
+  const newest = new Map<string, HostRecord>()
   for (const record of records) {
-    const held = table.get(record.host)
-    if (held !== undefined && compareRecords(record, held) <= 0) continue
-    table.set(record)
-    taken.push(record)
+    const held = newest.get(record.host) ?? table.findNewest(record.host)
+    if (held === undefined || compareRecords(record, held) > 0) newest.set(record.host, record)
   }
+  const taken = [...newest.values()]
+  table.setAll(taken, at)
   return taken
 }
--- a/src/membership/index.ts
+++ b/src/membership/index.ts
@@ -2,11 +2,16 @@
  * Which hosts and targets exist, as their own nodes say it.
  */
 export { announcementSchema, hostRecordSchema, targetStateSchema } from './schema.js'
-export type { Announcement, HostRecord, Target, TargetState } from './schema.js'
+export type { Announcement, HostRecord, Stamp, Target, TargetState } from './schema.js'
 export { MemberTable } from './table.js'
 export { OwnHost } from './own.js'
 export type { HostIdentity } from './own.js'
 export { announceTarget, ANNOUNCE_TIMEOUT_MS, expireTargets } from './commands/announce.js'
 export { leaveHost } from './commands/leave.js'
+export { FORGET_AFTER_MS, forgetRemoved, LOST_AFTER_MS, makeGone, makeLost, REMOVE_AFTER_MS } from './commands/lose.js'
 export { mergeRecords } from './commands/merge.js'
-export { compareRecords } from './queries/order.js'
+export { answerRecord } from './commands/answer.js'
+export { listDifferingBuckets } from './queries/buckets.js'
+export { computeExpiryWait } from './queries/expiry.js'
+export { compareRecords, formatStamp } from './queries/order.js'
+export { selectUsable } from './queries/usable.js'
--- a/src/membership/own.ts
+++ b/src/membership/own.ts
@@ -1,7 +1,7 @@
 /**
- * The record of a node's own host. Only this class raises its sequence.
+ * The record of a node's own host. Only this class raises its incarnation and sequence.
  */
-import type { Announcement, HostRecord } from './schema.js'
+import type { Announcement, HostRecord, Stamp } from './schema.js'
 
 export type HostIdentity = Pick<HostRecord, 'host' | 'zone' | 'region' | 'inbound' | 'peer' | 'admin' | 'incarnation'>
 
@@ -9,10 +9,13 @@
 
 export class OwnHost {
   private readonly heard = new Map<string, Heard>()
+  private incarnation: number
   private sequence = 0
   private leaving = false
 
-  constructor (private readonly identity: HostIdentity) {}
+  constructor (private readonly identity: HostIdentity) {
+    this.incarnation = identity.incarnation
+  }
 
   get isLeaving (): boolean {
     return this.leaving
@@ -22,6 +25,11 @@
     return this.identity.host
   }
 
+  /** The stamp of the newest record of this process. */
+  get stamp (): Stamp {
+    return { incarnation: this.incarnation, sequence: this.sequence, lost: false }
+  }
+
   find (target: string): Announcement | undefined {
     return this.heard.get(target)?.announcement
   }
@@ -43,9 +51,17 @@
     return this.heard.delete(target)
   }
 
-  /** Commands only: see commands/leave.ts. */
-  markLeaving (): void {
+  /** Commands only: see commands/leave.ts. False when it was leaving already. */
+  markLeaving (): boolean {
+    if (this.leaving) return false
     this.leaving = true
+    return true
+  }
+
+  /** Commands only: see commands/answer.ts. */
+  moveAbove (incarnation: number): void {
+    this.incarnation = incarnation + 1
+    this.sequence = 0
   }
 
   /** A record that outranks all earlier ones of this process. */
@@ -53,6 +69,7 @@
     this.sequence += 1
     return {
       ...this.identity,
+      incarnation: this.incarnation,
       sequence: this.sequence,
       state: this.leaving ? 'leaving' : 'serving',
       targets: [...this.heard.values()].map(one => one.announcement),
--- a/src/membership/schema.ts
+++ b/src/membership/schema.ts
@@ -33,10 +33,15 @@
   state: z.enum(['serving', 'leaving']),
   targets: z.array(announcementSchema),
   /** Set by the node that saw the host go silent; any later record of the owner clears it. */
-  lost: z.boolean().default(false)
+  lost: z.boolean().default(false),
+  /** Set by the relay of the host's zone when the host had been lost for REMOVE_AFTER_MS. */
+  gone: z.literal(true).optional()
 })
 export type HostRecord = z.infer<typeof hostRecordSchema>
 
+/** What orders the records of one host. */
+export type Stamp = Pick<HostRecord, 'incarnation' | 'sequence' | 'lost' | 'gone'>
+
 /** A target as routing sees it. */
 export interface Target {
   readonly id: string
--- a/src/membership/table.ts
+++ b/src/membership/table.ts
@@ -1,22 +1,45 @@
 /**
- * The host records that a node holds, with an index of targets by service. The lists in the
- * index are replaced, never changed, so a reader keeps a consistent list.
+ * The host records that a node holds, with an index of targets by service and digests for
+ * comparing tables. The lists in the index are replaced, never changed, so a reader keeps a
+ * consistent list.
  */
+import { MemberDigests } from './digest.js'
 import { deriveTargets } from './queries/targets.js'
 import type { HostRecord, Target } from './schema.js'
 
+interface Removed { record: HostRecord, at: number }
+
 export class MemberTable {
+  readonly digests = new MemberDigests()
   private readonly records = new Map<string, HostRecord>()
+  /** Kept for a while, so that a node that was cut off cannot bring a removed record back. */
+  private readonly removed = new Map<string, Removed>()
+  private readonly lostSince = new Map<string, number>()
+  private readonly byService = new Map<string, Map<string, readonly Target[]>>()
   private index: ReadonlyMap<string, readonly Target[]> = new Map()
 
   get (host: string): HostRecord | undefined {
     return this.records.get(host)
   }
 
+  /** Also a record that was removed and marked `gone`. */
+  findNewest (host: string): HostRecord | undefined {
+    return this.records.get(host) ?? this.removed.get(host)?.record
+  }
+
   list (): IterableIterator<HostRecord> {
     return this.records.values()
   }
 
+  listRemoved (): Removed[] {
+    return [...this.removed.values()]
+  }
+
+  /** Hosts that are marked lost, with the local monotonic time at which this node learned of it. */
+  listLost (): Array<{ host: string, at: number }> {
+    return [...this.lostSince].map(([host, at]) => ({ host, at }))
+  }
+
   get size (): number {
     return this.records.size
   }
@@ -25,27 +48,57 @@
     return this.index
   }
 
-  /** Commands only: see commands/merge.ts. */
-  set (record: HostRecord): void {
-    const before = this.records.get(record.host)
-    this.records.set(record.host, record)
-    this.reindex(record.host, [...(before?.targets ?? []), ...record.targets].map(one => one.service))
+  /** Commands only: see commands/merge.ts. `at` is local monotonic time. */
+  setAll (records: readonly HostRecord[], at: number): void {
+    const changed = new Set<string>()
+    for (const record of records) this.setRecord(record, at, changed)
+    this.reindex(changed)
+  }
+
+  /** Commands only: see commands/remove.ts. */
+  forget (host: string): void {
+    this.removed.delete(host)
+  }
+
+  private setRecord (record: HostRecord, at: number, changed: Set<string>): void {
+    const { host } = record
+    this.dropTargets(host, changed)
+    if (record.gone === true) {
+      this.records.delete(host)
+      this.digests.remove(host)
+      this.lostSince.delete(host)
+      this.removed.set(host, { record, at })
+      return
+    }
+    this.removed.delete(host)
+    this.records.set(host, record)
+    this.digests.replace(record)
+    if (!record.lost) this.lostSince.delete(host)
+    else if (!this.lostSince.has(host)) this.lostSince.set(host, at)
+    this.setTargets(record, changed)
+  }
+
+  private dropTargets (host: string, changed: Set<string>): void {
+    for (const { service } of this.records.get(host)?.targets ?? []) {
+      this.byService.get(service)?.delete(host)
+      changed.add(service)
+    }
   }
 
-  /** Commands only: see commands/expire.ts. */
-  delete (host: string): void {
-    const before = this.records.get(host)
-    this.records.delete(host)
-    this.reindex(host, (before?.targets ?? []).map(one => one.service))
+  private setTargets (record: HostRecord, changed: Set<string>): void {
+    for (const target of deriveTargets(record)) {
+      const hosts = this.byService.get(target.service) ?? new Map<string, readonly Target[]>()
+      hosts.set(record.host, [...(hosts.get(record.host) ?? []), target])
+      this.byService.set(target.service, hosts)
+      changed.add(target.service)
+    }
   }
 
-  private reindex (host: string, services: string[]): void {
+  private reindex (services: ReadonlySet<string>): void {
+    if (services.size === 0) return
     const next = new Map(this.index)
-    const own = this.records.get(host)
-    const derived = own === undefined ? [] : deriveTargets(own)
-    for (const service of new Set(services)) {
-      const others = (next.get(service) ?? []).filter(one => one.host !== host)
-      const list = [...others, ...derived.filter(one => one.service === service)]
+    for (const service of services) {
+      const list = [...(this.byService.get(service)?.values() ?? [])].flat()
       if (list.length === 0) next.delete(service)
       else next.set(service, Object.freeze(list))
     }
--- a/src/node/command.ts
+++ b/src/node/command.ts
@@ -7,7 +7,8 @@
 import { formatVariable, nodeSettingsSchema, readSettings } from './settings.js'
 import { Node } from './start.js'
 
-const BAD_SETTING_EXIT = 2
+/** Exit codes of the node program; 0 means that every request in flight ended. */
+const EXIT = { failed: 1, badSetting: 2, cut: 3 } as const
 
 function defineFlags (): ArgsDef {
   const flags: ArgsDef = {}
@@ -32,11 +33,12 @@
   const settings = readSettings(flags, process.env)
   if (settings.err) {
     process.stderr.write(`comfreyspoke-node: ${settings.val.message}\n`)
-    process.exit(BAD_SETTING_EXIT)
+    process.exit(EXIT.badSetting)
   }
   const node = new Node(settings.val, dialer)
   for (const signal of ['SIGTERM', 'SIGINT'] as const) {
-    process.once(signal, () => { node.stop().then(() => { process.exit(0) }, () => { process.exit(1) }) })
+    // Stays installed: without a listener a second signal would end the process in the middle of its drain.
+    process.on(signal, () => { node.stop().then(result => { process.exit(result === 'cut' ? EXIT.cut : 0) }, () => { process.exit(EXIT.failed) }) })
   }
   await node.start()
 }
--- /dev/null
+++ b/src/node/port.ts
@@ -0,0 +1,60 @@
+/**
+ * One HTTP port whose requests in flight are counted and which can be closed without cutting one.
+ */
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { Handle } from './http.js'
+import { startServer } from './http.js'
+import { InFlight } from './inflight.js'
+
+export class HttpPort {
+  readonly inFlight = new InFlight()
+  private readonly open = new Set<ServerResponse>()
+  private server: Server | undefined
+  private isClosing = false
+
+  constructor (private readonly handle: Handle) {}
+
+  async listen (address: string): Promise<void> {
+    this.server = await startServer(address, async (message, response) => {
+      const served = this.serve(message, response)
+      this.inFlight.track(served)
+      await served
+    })
+  }
+
+  /** From now on each answer, also to a request in flight, asks the client to close its connection. */
+  announceClose (): void {
+    this.isClosing = true
+    for (const response of this.open) this.markLast(response)
+  }
+
+  /** Refuses new connections and ends those without a request; requests in flight go on. */
+  refuseNew (): void {
+    this.server?.close()
+    this.server?.closeIdleConnections()
+  }
+
+  /** Cuts what is still open. */
+  shut (): void {
+    this.server?.close()
+    this.server?.closeAllConnections()
+  }
+
+  /** Ends when the handler has ended and the answer has left, or its connection is gone. */
+  private async serve (message: IncomingMessage, response: ServerResponse): Promise<void> {
+    const closed = new Promise(resolve => { response.once('close', resolve) })
+    this.open.add(response)
+    if (this.isClosing) this.markLast(response)
+    try {
+      await this.handle(message, response)
+      await closed
+    } finally {
+      this.open.delete(response)
+    }
+  }
+
+  /** Node then writes `connection: close` and ends the connection after the answer. */
+  private markLast (response: ServerResponse): void {
+    if (!response.headersSent) response.shouldKeepAlive = false
+  }
+}
--- a/src/node/start.ts
+++ b/src/node/start.ts
@@ -8,21 +8,29 @@
 import { leaveHost } from '../membership/index.js'
 import { Metrics } from '../metrics/index.js'
 import {
-  Dialer, makeFetchAnswer, makeStatus, MsgpackCodec, PeerClient, receiveRecords, Replica, serveSubscriber, startPeerServer, SubscriberRegistry
+  Attachments, ControlMeter, Dialer, makeFetchAnswer, makeStatus, MsgpackCodec, PeerClient, receiveRecords, Replica, serveSubscriber, startPeerServer,
+  SubscriberRegistry
 } from '../peer/index.js'
 import type { DrainAnswer, DrainRequest, PeerHandlers, Receiver } from '../peer/index.js'
 import { CountingObjectStore, HttpObjectStore } from '../platform/index.js'
 import { BudgetRetryPolicy, LocalTargets, serveCaller, serveInbound, UndiciExchanger, ZonePicker } from '../request/index.js'
 import { EventRing, HybridClock, Recorder } from '../timeline/index.js'
 import { startServer } from './http.js'
+import { HttpPort } from './port.js'
 import type { NodeSettings } from './settings.js'
+import { drainPorts, SPREAD_MS } from './shutdown.js'
 import { serveAdmin } from './tasks/admin.js'
 import { Follower } from './tasks/follow.js'
 import { expireSilent, serveLocal } from './tasks/local.js'
+import { answerChallenges, pruneMembers } from './tasks/members.js'
 
 const TARGET_CONNECTIONS = 130
 const PEER_CONNECTIONS = 256
-const DRAIN_CHECK_MS = 20
+/** Releasing a duty takes two calls to the platform; one that does not answer must not hold up the exit. */
+const RELEASE_LIMIT_MS = 2_000
+
+/** `cut` when the drain timeout passed with requests in flight. */
+export type StopResult = 'whole' | 'cut'
 
 export class Node {
   readonly metrics = new Metrics()
@@ -39,11 +47,14 @@
   private readonly peerExchanger: UndiciExchanger
   private readonly local: LocalTargets
   private readonly stopped = new AbortController()
+  private readonly callerPort: HttpPort
+  private readonly inboundPort: HttpPort
+  private readonly meter: ControlMeter
   private readonly https: HttpServer[] = []
   private peerServer: PeerServer | undefined
   private following: Promise<void> = Promise.resolve()
-  private inFlight = 0
-  private stopping: Promise<void> | undefined
+  private leftAt: number | undefined
+  private stopping: Promise<StopResult> | undefined
 
   constructor (private readonly settings: NodeSettings, dialer: Dialer = new Dialer()) {
     this.createLog = prefix => createLogger(prefix, settings['log-level'])
@@ -59,44 +70,71 @@
     })
     this.receiver = { replica: this.replica, clock: this.clock, onApplied: entry => { this.noteApplied(entry) } }
     this.store = new HttpObjectStore(settings.platform)
-    this.client = new PeerClient(new MsgpackCodec(), dialer)
+    this.meter = new ControlMeter(new MsgpackCodec(), settings, ({ bytes, ...labels }) => {
+      this.metrics.count('control_messages_total', labels)
+      this.metrics.count('control_bytes_total', labels, bytes)
+    })
+    this.client = new PeerClient(this.meter.codec, dialer, undefined, [this.meter.clientInterceptor])
     this.peerExchanger = new UndiciExchanger(PEER_CONNECTIONS, address => dialer.resolve(address))
     this.local = new LocalTargets(this.replica.own, () => this.replica.table.current, this.clock)
+    const callerContext = this.makeCallerContext()
+    this.callerPort = new HttpPort(async (message, response) => { await serveCaller(callerContext, message, response) })
+    this.inboundPort = new HttpPort(async (message, response) => { await serveInbound(callerContext.inbound, message, response) })
   }
 
   async start (): Promise<void> {
-    const { settings, replica } = this
-    this.recorder.record('node-started', `zone ${settings.zone}`)
-    receiveRecords(this.receiver, [replica.own.makeRecord()])
-    this.peerServer = await startPeerServer(settings.peer, new MsgpackCodec(), this.makePeerHandlers())
-    const localContext = { receiver: this.receiver, clock: this.clock, recorder: this.recorder, log: this.createLog('member') }
-    const callerContext = this.makeCallerContext()
+    const { settings, replica, receiver, clock, recorder, meter, stopped: { signal } } = this
+    recorder.record('node-started', `zone ${settings.zone}`)
+    receiveRecords(receiver, [replica.own.makeRecord()])
+    this.peerServer = await startPeerServer(settings.peer, meter.codec, this.makePeerHandlers(), undefined, [meter.serverInterceptor])
+    const memberContext = { receiver, clock, recorder, log: this.createLog('member') }
+    const adminContext = { replica, metrics: this.metrics, countInFlight: () => this.callerPort.inFlight.size + this.inboundPort.inFlight.size }
+    await this.callerPort.listen(settings.caller)
+    await this.inboundPort.listen(settings.inbound)
     this.https.push(
-      await startServer(settings.caller, async (message, response) => { await this.track(serveCaller(callerContext, message, response)) }),
-      await startServer(settings.inbound, async (message, response) => { await this.track(serveInbound(callerContext.inbound, message, response)) }),
-      await startServer(settings.local, async (message, response) => { await serveLocal(localContext, message, response) }),
-      await startServer(settings.admin, async (message, response) => { await serveAdmin({ replica, metrics: this.metrics }, message, response) })
+      await startServer(settings.local, async (message, response) => { await serveLocal(memberContext, message, response) }),
+      await startServer(settings.admin, async (message, response) => { await serveAdmin(adminContext, message, response) })
     )
-    void expireSilent(localContext, this.stopped.signal)
-    this.following = this.makeFollower().run(this.stopped.signal)
+    void expireSilent(memberContext, signal)
+    void answerChallenges(memberContext, signal)
+    void pruneMembers(memberContext, signal)
+    this.following = this.makeFollower().run(signal)
     this.createLog('node').info(`${settings.host} in ${settings.zone} serves callers on ${settings.caller}`)
   }
 
   /** Announces leaving, lets requests in flight end, releases duties. Safe to call again. */
-  async stop (): Promise<void> {
+  async stop (): Promise<StopResult> {
     this.stopping ??= this.shutDown()
-    await this.stopping
+    return await this.stopping
   }
 
-  private async shutDown (): Promise<void> {
+  private async shutDown (): Promise<StopResult> {
+    const { clock, settings, callerPort: caller, inboundPort: inbound } = this
     this.recorder.record('node-stopping', 'draining')
-    receiveRecords(this.receiver, [leaveHost(this.replica.own)])
-    const endsAt = this.clock.monotonic() + this.settings['drain-timeout']
-    while (this.inFlight > 0 && this.clock.monotonic() < endsAt) await this.clock.sleep(DRAIN_CHECK_MS)
+    const sinceLeftMs = clock.monotonic() - this.leave()
+    const whole = await drainPorts({ caller, inbound, clock }, Math.max(0, SPREAD_MS - sinceLeftMs), settings['drain-timeout'])
+    if (!whole) this.createLog('node').warn(`drain timeout passed; cut ${caller.inFlight.size + inbound.inFlight.size} requests in flight`)
+    await this.close()
+    return whole ? 'whole' : 'cut'
+  }
+
+  /** Spreads that this host is leaving, once. Gives the monotonic time at which it began to. */
+  private leave (): number {
+    const record = leaveHost(this.replica.own)
+    if (record !== undefined) receiveRecords(this.receiver, [record])
+    this.leftAt ??= this.clock.monotonic()
+    return this.leftAt
+  }
+
+  /** Subscribers are served until the duties are released, so that one of them can claim at once. */
+  private async close (): Promise<void> {
     this.stopped.abort()
-    await this.following
+    const released = new AbortController()
+    await Promise.race([this.following, this.clock.sleep(RELEASE_LIMIT_MS, released.signal)])
+    released.abort()
     this.peerServer?.forceShutdown()
     this.client.close()
+    for (const port of [this.callerPort, this.inboundPort]) port.shut()
     for (const server of this.https) {
       server.close()
       server.closeAllConnections()
@@ -104,15 +142,6 @@
     await Promise.all([this.targetExchanger.close(), this.peerExchanger.close(), this.store.close()])
   }
 
-  private async track (work: Promise<void>): Promise<void> {
-    this.inFlight += 1
-    try {
-      await work
-    } finally {
-      this.inFlight -= 1
-    }
-  }
-
   private makeFollower (): Follower {
     const { receiver, client, clock, random, recorder, settings } = this
     const count = (call: string, kind: string): void => { this.metrics.count('platform_calls_total', { call, kind }) }
@@ -134,7 +163,7 @@
     const { replica, receiver, settings } = this
     const limits = { fanOut: settings['fan-out'], perSecond: settings['admit-per-second'] }
     const registry = new SubscriberRegistry(limits, this.clock)
-    const publisher = { receiver, registry, limits, log: this.createLog('peer') }
+    const publisher = { receiver, registry, limits, attachments: new Attachments(), log: this.createLog('peer'), signal: this.stopped.signal }
     return {
       subscribe: async call => { await serveSubscriber(publisher, call) },
       fetch: () => makeFetchAnswer(replica),
@@ -147,7 +176,7 @@
   private acceptDrain ({ token }: DrainRequest): DrainAnswer {
     const expected = this.settings['operator-token']
     if (expected !== undefined && token !== expected) return { accepted: false, message: 'wrong or missing operator token' }
-    receiveRecords(this.receiver, [leaveHost(this.replica.own)])
+    this.leave()
     return { accepted: true, message: `${this.settings.host} gets no new work` }
   }
 
@@ -164,7 +193,6 @@
       retry: new BudgetRetryPolicy(clock, random),
       getSnapshot: () => replica.table.current,
       isReady: () => replica.ready,
-      isLeaving: () => replica.own.isLeaving,
       onFailure: (call, failure) => {
         this.recorder.record('call-failed', `${failure.verdict} ${failure.code}: ${failure.message}`, { service: call.service, request: call.request })
       }
--- a/src/node/tasks/admin.ts
+++ b/src/node/tasks/admin.ts
@@ -6,16 +6,22 @@
 import type { Replica } from '../../peer/index.js'
 import { writeJson } from '../http.js'
 
-export interface AdminContext { replica: Replica, metrics: Metrics }
+/** `countInFlight` gives the requests that this node serves as first and last node. */
+export interface AdminContext { replica: Replica, metrics: Metrics, countInFlight: () => number }
 
-export async function serveAdmin ({ replica, metrics }: AdminContext, message: IncomingMessage, response: ServerResponse): Promise<void> {
+export async function serveAdmin (context: AdminContext, message: IncomingMessage, response: ServerResponse): Promise<void> {
+  const { replica, metrics } = context
   switch (message.url) {
     case '/healthz':
       writeJson(response, 200, { status: 'ok' })
       return
     case '/readyz':
       writeJson(response, replica.ready && !replica.own.isLeaving ? 200 : 503, {
-        ready: replica.ready, leaving: replica.own.isLeaving, upstream: replica.place.upstream, duties: [...replica.duties]
+        ready: replica.ready,
+        leaving: replica.own.isLeaving,
+        inFlight: context.countInFlight(),
+        upstream: replica.place.upstream,
+        duties: [...replica.duties]
       })
       return
     case '/metrics':
--- a/src/node/tasks/local.ts
+++ b/src/node/tasks/local.ts
@@ -4,7 +4,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { json } from 'node:stream/consumers'
 import type { Clock, Logger } from '../../core/index.js'
-import { ANNOUNCE_TIMEOUT_MS, announcementSchema, announceTarget, expireTargets } from '../../membership/index.js'
+import { announcementSchema, announceTarget, computeExpiryWait, expireTargets } from '../../membership/index.js'
 import { receiveRecords } from '../../peer/index.js'
 import type { Receiver } from '../../peer/index.js'
 import type { Recorder } from '../../timeline/index.js'
@@ -33,17 +33,22 @@
   writeJson(response, 200, { leaving: own.isLeaving })
 }
 
+/** Sleeping so much longer than asked means that this process was paused, and its targets' announcements wait unread. */
+const PAUSE_MS = 1_000
+
 /** Drops targets of this host whose heartbeats stopped. */
 export async function expireSilent ({ receiver, clock, recorder, log }: LocalContext, signal: AbortSignal): Promise<void> {
   const { own } = receiver.replica
   while (!signal.aborted) {
-    await clock.sleep(ANNOUNCE_TIMEOUT_MS / 6, signal)
-    const lost = expireTargets(own, clock.monotonic())
-    if (lost.length === 0) continue
+    const wakesAt = clock.monotonic() + computeExpiryWait(own, clock.monotonic())
+    await clock.sleep(wakesAt - clock.monotonic(), signal)
+    if (clock.monotonic() - wakesAt > PAUSE_MS) await clock.sleep(PAUSE_MS, signal)
+    const silent = expireTargets(own, clock.monotonic())
+    if (silent.length === 0) continue
     receiveRecords(receiver, [own.makeRecord()])
-    for (const target of lost) {
+    for (const { target, state, service } of silent) {
       log.warn(`target ${target} stopped announcing itself`)
-      recorder.record('target-lost', target, { host: own.host })
+      recorder.record(state === 'leaving' ? 'target-gone' : 'target-lost', target, { service, host: own.host })
     }
   }
 }
--- a/src/peer/client.ts
+++ b/src/peer/client.ts
@@ -2,7 +2,7 @@
  * Calls to other nodes over gRPC. One channel for each address, kept until it is closed.
  */
 import { Client, credentials as grpcCredentials } from '@grpc/grpc-js'
-import type { ChannelCredentials, MethodDefinition } from '@grpc/grpc-js'
+import type { ChannelCredentials, Interceptor, MethodDefinition } from '@grpc/grpc-js'
 import { Err, Ok, describeError, makeFault } from '../core/index.js'
 import type { Fault, Result } from '../core/index.js'
 import type { Codec } from './codec.js'
@@ -21,7 +21,10 @@
   private readonly commands: OperatorCommandMethods
 
   constructor (
-    codec: Codec, private readonly dialer: Dialer, private readonly credentials: ChannelCredentials = grpcCredentials.createInsecure()
+    codec: Codec,
+    private readonly dialer: Dialer,
+    private readonly credentials: ChannelCredentials = grpcCredentials.createInsecure(),
+    private readonly interceptors: Interceptor[] = []
   ) {
     this.peer = definePeerMethods(codec)
     this.queries = defineOperatorQueries(codec)
@@ -59,6 +62,7 @@
     if (held !== undefined) return held
     const client = new Client(this.dialer.resolve(address), this.credentials, {
       ...CHANNEL_OPTIONS,
+      interceptors: this.interceptors,
       'grpc.initial_reconnect_backoff_ms': 100,
       'grpc.max_reconnect_backoff_ms': 1_000
     })
--- a/src/peer/commands/receive.ts
+++ b/src/peer/commands/receive.ts
@@ -2,7 +2,7 @@
  * Takes versions and records into the replica and puts the result in force.
  */
 import type { Clock } from '../../core/index.js'
-import { mergeRecords } from '../../membership/index.js'
+import { compareRecords, mergeRecords } from '../../membership/index.js'
 import type { HostRecord } from '../../membership/index.js'
 import { promoteClosed, replaceTargets, stageEntry } from '../../snapshot/index.js'
 import type { Entry } from '../../snapshot/index.js'
@@ -35,11 +35,18 @@
   applied.forEach(onApplied)
 }
 
+/** Without a source the records were made by this node. Of its own host a node takes no other record. */
 export function receiveRecords (receiver: Receiver, records: readonly HostRecord[], source?: string): HostRecord[] {
-  const { replica } = receiver
-  const taken = mergeRecords(replica.members, records)
+  const { replica, clock } = receiver
+  const accepted = source === undefined ? records : refuseOwn(replica, records)
+  const taken = mergeRecords(replica.members, accepted, clock.monotonic())
   if (taken.length === 0) return taken
   replaceTargets(replica.table, replica.members.targets)
   replica.changes.emit({ services: [], hosts: taken.map(record => record.host), ...(source === undefined ? {} : { source }) })
   return taken
 }
+
+function refuseOwn ({ own, challenges }: Replica, records: readonly HostRecord[]): HostRecord[] {
+  for (const record of records) if (record.host === own.host && compareRecords(record, own.stamp) > 0) challenges.emit(record)
+  return records.filter(record => record.host !== own.host)
+}
--- a/src/peer/messages.ts
+++ b/src/peer/messages.ts
@@ -5,6 +5,7 @@
 import { z } from 'zod'
 import { hostRecordSchema } from '../membership/index.js'
 import { timelineEventSchema } from '../timeline/index.js'
+import { bucketsSchema, digestsSchema, membersSchema } from './members.js'
 
 /** Hybrid logical time of the sender, so that events of two nodes can be ordered. */
 export const stampSchema = z.object({ wall: z.number(), counter: z.number().int() })
@@ -19,7 +20,8 @@
   region: z.string(),
   peer: z.string(),
   duties: z.array(z.string()),
-  vector: vectorSchema
+  vector: vectorSchema,
+  members: digestsSchema
 })
 export type Hello = z.infer<typeof helloSchema>
 
@@ -34,9 +36,6 @@
 })
 export type Ack = z.infer<typeof ackSchema>
 
-const membersSchema = z.object({ type: z.literal('members'), records: z.array(hostRecordSchema) })
-export type Members = z.infer<typeof membersSchema>
-
 const resendSchema = z.object({ type: z.literal('resend'), service: z.string() })
 
 export const upSchema = z.discriminatedUnion('type', [helloSchema, ackSchema, membersSchema, resendSchema])
@@ -78,7 +77,7 @@
 export type Beat = z.infer<typeof beatSchema>
 
 export const downSchema = z.discriminatedUnion('type', [
-  acceptSchema, redirectSchema, retrySchema, updateSchema, membersSchema, syncedSchema, beatSchema
+  acceptSchema, redirectSchema, retrySchema, updateSchema, membersSchema, bucketsSchema, syncedSchema, beatSchema
 ])
 export type Down = z.infer<typeof downSchema>
 
--- a/src/peer/replica.ts
+++ b/src/peer/replica.ts
@@ -38,6 +38,8 @@
   readonly acks = new AckTable()
   readonly changes = new Emitter<Change>()
   readonly moves = new Emitter<Place>()
+  /** Records of the own host that others hold and that outrank the own one. */
+  readonly challenges = new Emitter<HostRecord>()
   readonly duties = new Set<string>()
   readonly refusals = new Map<string, Refusal>()
   held: Lagging[] = []
@@ -70,6 +72,6 @@
 
   listRecords (hosts?: Iterable<string>): HostRecord[] {
     if (hosts === undefined) return [...this.members.list()]
-    return [...hosts].flatMap(host => this.members.get(host) ?? [])
+    return [...hosts].flatMap(host => this.members.findNewest(host) ?? [])
   }
 }
--- a/src/peer/server.ts
+++ b/src/peer/server.ts
@@ -2,7 +2,7 @@
  * The gRPC server of a node: peers' streams and reads, operators' queries and commands.
  */
 import { Server, ServerCredentials, status } from '@grpc/grpc-js'
-import type { sendUnaryData, ServerCredentials as Credentials, ServerUnaryCall } from '@grpc/grpc-js'
+import type { sendUnaryData, ServerCredentials as Credentials, ServerInterceptor, ServerUnaryCall } from '@grpc/grpc-js'
 import { describeError } from '../core/index.js'
 import type { Codec } from './codec.js'
 import type { DrainAnswer, DrainRequest, FetchAnswer, FetchRequest, StatusAnswer, StatusRequest, TimelineAnswer, TimelineRequest } from './messages.js'
@@ -39,9 +39,13 @@
 }
 
 export async function startPeerServer (
-  address: string, codec: Codec, handlers: PeerHandlers, credentials: Credentials = ServerCredentials.createInsecure()
+  address: string,
+  codec: Codec,
+  handlers: PeerHandlers,
+  credentials: Credentials = ServerCredentials.createInsecure(),
+  interceptors: ServerInterceptor[] = []
 ): Promise<Server> {
-  const server = new Server(CHANNEL_OPTIONS)
+  const server = new Server({ ...CHANNEL_OPTIONS, interceptors })
   server.addService({ ...definePeerMethods(codec) }, {
     subscribe: (call: DownstreamCall) => { handlers.subscribe(call).catch(() => { call.end() }) },
     fetch: answerUnary(handlers.fetch)
--- a/src/peer/services.ts
+++ b/src/peer/services.ts
@@ -16,9 +16,6 @@
 export type DownstreamCall = ServerDuplexStream<Up, Down>
 export type UpstreamCall = ClientDuplexStream<Up, Down>
 
-/** Told of each message's size as it is encoded, for the counts of control bytes. */
-export type CountBytes = (kind: string, bytes: number) => void
-
 function defineMethod<Q, A> (
   codec: Codec, path: string, streams: boolean, request: z.ZodType<Q>, answer: z.ZodType<A>
 ): MethodDefinition<Q, A> {
--- a/src/peer/tasks/downstream.ts
+++ b/src/peer/tasks/downstream.ts
@@ -9,10 +9,14 @@
 import type { AdmissionLimits, SubscriberRegistry } from '../commands/admit.js'
 import { receiveRecords } from '../commands/receive.js'
 import type { Receiver } from '../commands/receive.js'
+import type { Attachments } from '../attachments.js'
 import type { Beat, Down, Hello, Up } from '../messages.js'
+import { PendingHosts } from '../pending.js'
+import { listFirstMembers, listNewer } from '../queries/members.js'
 import { listUpdates } from '../queries/pending.js'
 import type { Change, Replica } from '../replica.js'
 import type { DownstreamCall } from '../services.js'
+import { awaitReturn } from './absence.js'
 
 export const BEAT_INTERVAL_MS = 500
 
@@ -20,13 +24,19 @@
   receiver: Receiver
   registry: SubscriberRegistry
   limits: AdmissionLimits
+  attachments: Attachments
   log: Logger
+  /** Aborted when this node stops. */
+  signal: AbortSignal
 }
 
-type Item = { kind: 'message', message: Up } | { kind: 'change', change: Change } | { kind: 'beat' }
+type Item = { kind: 'message', message: Up } | { kind: 'change', change: Change } | { kind: 'beat' } | { kind: 'members' }
+
+/** What the task of one subscriber keeps: the versions it was sent, and the hosts whose records it is still to be sent. */
+interface Stream { call: DownstreamCall, hello: Hello, held: Vector, pending: PendingHosts }
 
 export async function serveSubscriber (publisher: Publisher, call: DownstreamCall): Promise<void> {
-  const { receiver: { replica }, registry, log } = publisher
+  const { receiver: { replica, clock }, registry, attachments, log } = publisher
   const ended = new AbortController()
   const inbox = openInbox(call, ended)
   const hello = await readHello(inbox)
@@ -37,16 +47,20 @@
     return
   }
   log.debug(`${hello.node} subscribed`)
+  attachments.begin(hello.node)
   try {
     subscribeChanges(replica, inbox, ended.signal)
-    const held = sendState(replica, call, hello)
-    for await (const item of inbox) handleItem(publisher, call, hello, held, item)
+    const pending = new PendingHosts(clock, ended.signal, () => { inbox.push({ kind: 'members' }) })
+    const stream = { call, hello, held: sendState(replica, call, hello), pending }
+    for await (const item of inbox) handleItem(publisher, stream, item)
   } finally {
     ended.abort()
     registry.release(hello.node)
+    attachments.end(hello.node)
     dropSubscriber(replica, hello.node)
     call.end()
     log.debug(`${hello.node} unsubscribed`)
+    void awaitReturn({ ...publisher, isBack: host => attachments.has(host) }, hello.node)
   }
 }
 
@@ -78,26 +92,34 @@
   const { path, pathPeers } = replica.place
   call.write({ type: 'accept', node: replica.identity.host, path: [...path], pathPeers: [...pathPeers] })
   for (const update of listUpdates(replica, replica.table.staged.keys(), hello.vector)) call.write(update)
-  const records = replica.listRecords()
-  if (records.length > 0) call.write({ type: 'members', records })
+  for (const message of listFirstMembers(replica, hello.members)) call.write(message)
   call.write({ type: 'synced' })
   return { ...hello.vector, ...makeVector(replica.table.staged) }
 }
 
-function handleItem (publisher: Publisher, call: DownstreamCall, hello: Hello, held: Vector, item: Item): void {
+function handleItem (publisher: Publisher, stream: Stream, item: Item): void {
   const { replica } = publisher.receiver
-  if (item.kind === 'message') handleMessage(publisher, call, hello, item.message)
-  else if (item.kind === 'beat') call.write(makeBeat(replica, publisher.registry))
-  else if (item.change.source !== hello.node) sendChange(replica, call, held, item.change)
+  switch (item.kind) {
+    case 'message':
+      handleMessage(publisher, stream, item.message)
+      return
+    case 'beat':
+      stream.call.write(makeBeat(replica, publisher.registry))
+      return
+    case 'change':
+      if (item.change.source !== stream.hello.node) sendChange(replica, stream, item.change)
+      return
+    case 'members':
+      stream.call.write({ type: 'members', records: replica.listRecords(stream.pending.takeAll()) })
+  }
 }
 
-function sendChange (replica: Replica, call: DownstreamCall, held: Vector, change: Change): void {
+function sendChange (replica: Replica, { call, held, pending }: Stream, change: Change): void {
   for (const update of listUpdates(replica, change.services, held)) {
     call.write(update)
     held[update.service] = update.version
   }
-  const records = replica.listRecords(change.hosts)
-  if (records.length > 0) call.write({ type: 'members', records })
+  pending.push(change.hosts)
 }
 
 function makeBeat (replica: Replica, registry: SubscriberRegistry): Beat {
@@ -114,11 +136,12 @@
   }
 }
 
-function handleMessage ({ receiver }: Publisher, call: DownstreamCall, hello: Hello, message: Up): void {
+function handleMessage ({ receiver }: Publisher, { call, hello }: Stream, message: Up): void {
   const { replica } = receiver
   switch (message.type) {
     case 'members':
       receiveRecords(receiver, message.records, hello.node)
+      if (message.complete !== undefined) for (const newer of listNewer(replica, message)) call.write(newer)
       return
     case 'ack':
       replica.acks.record(hello.node, message)
--- a/src/peer/tasks/upstream.ts
+++ b/src/peer/tasks/upstream.ts
@@ -9,7 +9,9 @@
 import { receiveEntries, receiveRecords } from '../commands/receive.js'
 import type { Receiver } from '../commands/receive.js'
 import type { Beat, Down, Update } from '../messages.js'
+import { PendingHosts } from '../pending.js'
 import { readUpdate } from '../queries/difference.js'
+import { makeComplete, makeDigests } from '../queries/members.js'
 import type { Change, Replica } from '../replica.js'
 import type { UpstreamCall } from '../services.js'
 import { Upstream } from '../upstream.js'
@@ -19,7 +21,10 @@
 const CHECK_INTERVAL_MS = 250
 const ACK_DEBOUNCE_MS = 50
 
-type Item = { kind: 'message', message: Down } | { kind: 'change', change: Change } | { kind: 'check' } | { kind: 'ack' }
+type Item = { kind: 'message', message: Down } | { kind: 'change', change: Change } | { kind: 'check' } | { kind: 'ack' } | { kind: 'members' }
+
+/** `pending` has the hosts whose records the publisher is still to be sent. */
+interface Stream { call: UpstreamCall, pending: PendingHosts }
 
 export type OpenCall = (address: string) => UpstreamCall
 
@@ -43,10 +48,11 @@
     const ended = new AbortController()
     const call = this.open(this.address)
     const inbox = this.openInbox(call, AbortSignal.any([signal, ended.signal]))
+    const pending = new PendingHosts(this.receiver.clock, ended.signal, () => { inbox.push({ kind: 'members' }) })
     try {
       this.sendHello(call)
       for await (const item of inbox) {
-        const end = this.handleItem(call, item)
+        const end = this.handleItem({ call, pending }, item)
         if (end !== undefined) return end
       }
       return { reason: 'closed', detail: `${this.address} closed the stream` }
@@ -72,7 +78,7 @@
   }
 
   private sendHello (call: UpstreamCall): void {
-    const { identity, duties, table } = this.receiver.replica
+    const { replica, replica: { identity, duties, table } } = this.receiver
     call.write({
       type: 'hello',
       node: identity.host,
@@ -80,17 +86,21 @@
       region: identity.region,
       peer: identity.peer,
       duties: [...duties],
-      vector: makeVector(table.staged)
+      vector: makeVector(table.staged),
+      members: makeDigests(replica)
     })
   }
 
-  private handleItem (call: UpstreamCall, item: Item): UpstreamEnd | undefined {
+  private handleItem ({ call, pending }: Stream, item: Item): UpstreamEnd | undefined {
     switch (item.kind) {
       case 'message':
         this.heardAt = this.receiver.clock.monotonic()
         return this.handleMessage(call, item.message)
       case 'change':
-        this.forwardChange(call, item.change)
+        this.forwardChange(pending, item.change)
+        return undefined
+      case 'members':
+        call.write({ type: 'members', records: this.receiver.replica.listRecords(pending.takeAll()) })
         return undefined
       case 'ack':
         this.sendAck(call)
@@ -125,6 +135,9 @@
       case 'members':
         receiveRecords(this.receiver, message.records, this.publisher)
         return undefined
+      case 'buckets':
+        call.write(makeComplete(replica, message))
+        return undefined
       case 'synced':
         this.finishSync(call)
         return undefined
@@ -163,15 +176,14 @@
   private finishSync (call: UpstreamCall): void {
     const { replica } = this.receiver
     replica.ready = true
-    call.write({ type: 'members', records: replica.listRecords() })
+    call.write({ type: 'members', records: replica.listRecords([replica.identity.host]) })
     for (const service of replica.acks.listServices()) this.unacked.add(service)
     this.sendAck(call)
   }
 
-  private forwardChange (call: UpstreamCall, change: Change): void {
+  private forwardChange (pending: PendingHosts, change: Change): void {
     for (const service of change.services) this.unacked.add(service)
-    if (change.source === this.publisher || change.hosts.length === 0) return
-    call.write({ type: 'members', records: this.receiver.replica.listRecords(change.hosts) })
+    if (change.source !== this.publisher) pending.push(change.hosts)
   }
 
   private sendAck (call: UpstreamCall): void {
--- a/src/request/picker.ts
+++ b/src/request/picker.ts
@@ -2,6 +2,7 @@
  * The choice of a target for one attempt.
  */
 import type { Random } from '../core/index.js'
+import { selectUsable } from '../membership/index.js'
 import type { Target } from '../membership/index.js'
 
 export interface PickRequest {
@@ -27,9 +28,7 @@
   }
 
   override pick ({ targets, tried, zones }: PickRequest): Target | undefined {
-    const usable = targets.filter(target => target.state !== 'leaving' && !tried.has(target.id))
-    const present = usable.filter(target => !target.lost)
-    const pool = present.length > 0 ? present : usable
+    const pool = selectUsable(targets.filter(target => !tried.has(target.id)))
     const tiers = zones === 'any' ? [pool] : this.splitTiers(pool)
     for (const tier of tiers) {
       const found = this.pickTwo(tier)
--- a/src/request/tasks/caller.ts
+++ b/src/request/tasks/caller.ts
@@ -32,7 +32,6 @@
   retry: RetryPolicy
   getSnapshot: () => Snapshot
   isReady: () => boolean
-  isLeaving: () => boolean
   onFailure: (call: Call, failure: Failure) => void
 }
 
@@ -64,12 +63,10 @@
 function refuseCall (context: CallerContext, response: ServerResponse, failure: Failure, call?: Call): void {
   context.metrics.count('calls_total', { service: call?.service ?? 'unknown', verdict: failure.verdict })
   if (call !== undefined) context.onFailure(call, failure)
-  if (context.isLeaving()) response.setHeader('connection', 'close')
   writeFailure(response, failure, call?.request ?? '')
 }
 
 async function runCall (context: CallerContext, call: Call, message: IncomingMessage, left: AbortSignal): Promise<Result<Won, Failure>> {
-  if (context.isLeaving()) return Err(makeFailure('not-run', 503, 'leaving', 'this node is leaving', RETRY_AFTER_MS))
   if (!context.isReady()) return Err(makeFailure('not-run', 503, 'not_ready', 'this node has no configuration yet', RETRY_AFTER_MS))
   const resolved = resolveRoute(context.getSnapshot(), call, context.random)
   if (resolved.err) return resolved
