Prove that a leaving, silent or draining target gets no new work

The proof drives five nodes' tables, admission and pickers in two zones with fc.commands against an oracle: announcements, silence, drains, restarts with clocks set back or equal, kills, overlays, removal, replays of any earlier record, cuts and comparisons of tables.

Two records with one stamp and different content then looked equal to digests and order, and a drained target was picked.

--- a/src/membership/own.ts
+++ b/src/membership/own.ts
@@ -1,7 +1,7 @@
 /**
  * The record of a node's own host. Only this class raises its incarnation and sequence.
  */
-import type { Announcement, HostRecord, Stamp } from './schema.js'
+import type { Announcement, HostRecord } from './schema.js'
 
 export type HostIdentity = Pick<HostRecord, 'host' | 'zone' | 'region' | 'inbound' | 'peer' | 'admin' | 'incarnation'>
 
@@ -11,6 +11,7 @@
   private readonly heard = new Map<string, Heard>()
   private incarnation: number
   private sequence = 0
+  private made: HostRecord | undefined
   private leaving = false
 
   constructor (private readonly identity: HostIdentity) {
@@ -25,9 +26,9 @@
     return this.identity.host
   }
 
-  /** The stamp of the newest record of this process. */
-  get stamp (): Stamp {
-    return { incarnation: this.incarnation, sequence: this.sequence, lost: false }
+  /** The last record that this process made. */
+  get newest (): HostRecord | undefined {
+    return this.made
   }
 
   find (target: string): Announcement | undefined {
@@ -67,7 +68,7 @@
   /** A record that outranks all earlier ones of this process. */
   makeRecord (): HostRecord {
     this.sequence += 1
-    return {
+    this.made = {
       ...this.identity,
       incarnation: this.incarnation,
       sequence: this.sequence,
@@ -75,5 +76,6 @@
       targets: [...this.heard.values()].map(one => one.announcement),
       lost: false
     }
+    return this.made
   }
 }
--- a/src/membership/queries/order.ts
+++ b/src/membership/queries/order.ts
@@ -2,9 +2,23 @@
  * Order of two records of one host. `lost` and `gone` are overlays: each outranks the record it
  * was put on, and any later record of the owner outranks both.
  */
-import type { Stamp } from '../schema.js'
+import { formatCanonical } from '../../core/index.js'
+import type { HostRecord, Stamp } from '../schema.js'
 
-export function compareRecords (left: Stamp, right: Stamp): number {
+/**
+ * Zero only for records with the same content. Two processes of one host may have made different
+ * records with one stamp, after a restart with the clock set back; the content then decides, so
+ * that all nodes keep the same one and the owner meets the other.
+ */
+export function compareRecords (left: HostRecord, right: HostRecord): number {
+  const order = compareStamps(left, right)
+  if (order !== 0 || left === right) return order
+  const [leftText, rightText] = [formatCanonical(left), formatCanonical(right)]
+  if (leftText === rightText) return 0
+  return leftText < rightText ? -1 : 1
+}
+
+export function compareStamps (left: Stamp, right: Stamp): number {
   if (left.incarnation !== right.incarnation) return left.incarnation - right.incarnation
   if (left.sequence !== right.sequence) return left.sequence - right.sequence
   return getOverlayRank(left) - getOverlayRank(right)
--- a/src/membership/schema.ts
+++ b/src/membership/schema.ts
@@ -40,7 +40,7 @@
 export type HostRecord = z.infer<typeof hostRecordSchema>
 
 /** What orders the records of one host. */
-export type Stamp = Pick<HostRecord, 'incarnation' | 'sequence' | 'lost' | 'gone'>
+export type Stamp = Pick<HostRecord, 'incarnation' | 'sequence' | 'lost'> & { gone?: true | undefined }
 
 /** A target as routing sees it. */
 export interface Target {
--- a/src/peer/commands/receive.ts
+++ b/src/peer/commands/receive.ts
@@ -47,6 +47,7 @@
 }
 
 function refuseOwn ({ own, challenges }: Replica, records: readonly HostRecord[]): HostRecord[] {
-  for (const record of records) if (record.host === own.host && compareRecords(record, own.stamp) > 0) challenges.emit(record)
+  const { newest } = own
+  for (const record of records) if (record.host === own.host && newest !== undefined && compareRecords(record, newest) > 0) challenges.emit(record)
   return records.filter(record => record.host !== own.host)
 }
--- /dev/null
+++ b/tests/proofs/no-new-work.test.ts
@@ -0,0 +1,257 @@
+/**
+ * P7: a target that leaves, falls silent or is on a draining host gets no new work: at once from
+ * its own node, and from every node that can be reached once their tables are compared. Guards
+ * against records taken out of order, overlays of other zones, answers that never come, and
+ * removed records that come back.
+ */
+import { describe, expect, test } from '@jest/globals'
+import fc from 'fast-check'
+import type { HostRecord, TargetState } from '../../src/membership/index.js'
+import { ANNOUNCE_TIMEOUT_MS, compareRecords, formatStamp, leaveHost, makeGone, makeLost, REMOVE_AFTER_MS } from '../../src/membership/index.js'
+import { receiveRecords } from '../../src/peer/index.js'
+import { makeClock } from '../fixtures/clock.js'
+import type { ManualClock } from '../fixtures/clock.js'
+import { exchangeRecords, makeMember, SERVICE, settleTasks } from '../fixtures/member.js'
+import type { Member } from '../fixtures/member.js'
+import { readProofParameters } from '../fixtures/proof.js'
+
+const ZONES = ['a', 'a', 'a', 'b', 'b']
+const STEP_MS = 500
+const START_INCARNATION = 1_000
+
+/** What is true of a host, whatever any node believes. */
+interface Truth { dead: boolean, draining: boolean, state: TargetState | undefined, silent: boolean, heardAt: number }
+
+class World {
+  readonly clock: ManualClock = makeClock()
+  readonly members: Member[] = ZONES.map((zone, index) => makeMember({ host: `h${index}`, zone, incarnation: START_INCARNATION, clock: this.clock }))
+  readonly truths: Truth[] = ZONES.map(() => ({ dead: false, draining: false, state: undefined, silent: false, heardAt: 0 }))
+  /** All records that ever existed; the network may deliver each again, to anyone, at any time. */
+  readonly sent = new Map<string, HostRecord>()
+  /** Overlays that a node of the host's own zone made. */
+  readonly overlays = new Set<string>()
+  cut = false
+
+  getMember (index: number): Member {
+    const member = this.members[index]
+    if (member === undefined) throw new Error(`no member ${index}`)
+    return member
+  }
+
+  getTruth (index: number): Truth {
+    const truth = this.truths[index]
+    if (truth === undefined) throw new Error(`no host ${index}`)
+    return truth
+  }
+
+  isUsable (index: number): boolean {
+    const truth = this.getTruth(index)
+    const heard = this.clock.monotonic() - truth.heardAt < ANNOUNCE_TIMEOUT_MS
+    return !truth.dead && !truth.draining && heard && (truth.state === 'ready' || truth.state === 'starting')
+  }
+
+  isReachable (left: number, right: number): boolean {
+    const alive = !this.getTruth(left).dead && !this.getTruth(right).dead
+    return alive && !(this.cut && ZONES[left] !== ZONES[right])
+  }
+
+  announce (index: number, state: TargetState): void {
+    const truth = this.getTruth(index)
+    if (truth.dead) return
+    Object.assign(truth, { state, silent: false, heardAt: this.clock.monotonic() })
+    this.getMember(index).announce(state)
+  }
+
+  async advance (ms: number): Promise<void> {
+    for (let passed = 0; passed < ms; passed += STEP_MS) {
+      this.clock.advance(STEP_MS)
+      this.truths.forEach(({ state, silent }, index) => { if (state !== undefined && !silent) this.announce(index, state) })
+      await settleTasks()
+      this.keepRecords()
+    }
+  }
+
+  keepRecords (): void {
+    for (const { replica } of this.members) for (const record of replica.members.list()) this.sent.set(`${record.host} ${formatStamp(record)}`, record)
+  }
+
+  restart (index: number, incarnation: number): void {
+    const { host, zone } = this.getMember(index)
+    this.getMember(index).stop()
+    this.members[index] = makeMember({ host, zone, incarnation, clock: this.clock })
+    Object.assign(this.getTruth(index), { dead: false, draining: false, state: undefined })
+  }
+
+  /** Each node compares tables with each other that it reaches, until answers to overlays have spread too. */
+  async reconcile (): Promise<void> {
+    for (let round = 0; round < 3; round += 1) {
+      await this.advance(2 * STEP_MS)
+      for (const [left, right] of this.listPairs()) exchangeRecords(this.getMember(left), this.getMember(right))
+      await settleTasks()
+    }
+    for (const [left, right] of this.listPairs()) exchangeRecords(this.getMember(left), this.getMember(right))
+  }
+
+  listPairs (): Array<[number, number]> {
+    const pairs = ZONES.flatMap((_left, left) => ZONES.map((_right, right): [number, number] => [left, right]))
+    return pairs.filter(([left, right]) => left !== right && this.isReachable(left, right))
+  }
+
+  async checkOwnNodes (): Promise<void> {
+    for (const [index, truth] of this.truths.entries()) {
+      if (truth.dead) continue
+      const { host, replica: { members, own } } = this.getMember(index)
+      expect([index, await this.getMember(index).isAdmitted()]).toEqual([index, this.isUsable(index)])
+      expect(members.get(host)).toBe(own.newest)
+    }
+  }
+
+  /** Each node picks exactly the usable targets that it reaches, and holds their owners' newest records. */
+  checkOthers (): void {
+    for (const [viewer, index] of this.listPairs()) {
+      const { replica } = this.getMember(viewer)
+      const host = `h${index}`
+      const place = { viewer, host, ...this.getTruth(index) }
+      expect({ ...place, picked: this.getMember(viewer).listPicks().includes(host) }).toEqual({ ...place, picked: this.isUsable(index) })
+      expect(replica.members.get(host)).toEqual(this.getMember(index).replica.own.newest)
+    }
+  }
+
+  /** What a node holds of a host never goes back to an older record, also after the host was removed. */
+  checkOrder (): void {
+    for (const member of this.members) {
+      for (const [host, highest] of member.highest) {
+        const held = member.replica.members.findNewest(host)
+        expect(held === undefined ? -1 : compareRecords(held, highest)).toBeGreaterThanOrEqual(0)
+      }
+      member.noteHighest()
+    }
+  }
+
+  /** Only nodes of its own zone mark or remove a host. */
+  checkOverlays (): void {
+    for (const { replica } of this.members) {
+      for (const record of replica.members.list()) {
+        if (record.lost) expect(this.overlays).toContain(`${record.host} ${formatStamp(record)}`)
+      }
+      for (const { record } of replica.members.listRemoved()) expect(this.overlays).toContain(`${record.host} ${formatStamp(record)}`)
+    }
+  }
+
+  stop (): void {
+    for (const member of this.members) member.stop()
+  }
+}
+
+type Model = Record<string, never>
+
+function defineStep (name: string, run: (world: World) => Promise<void> | void): fc.AsyncCommand<Model, World> {
+  return {
+    check: () => true,
+    run: async (_model, world) => {
+      await run(world)
+      await settleTasks()
+      world.keepRecords()
+      await world.checkOwnNodes()
+      world.checkOverlays()
+      world.checkOrder()
+    },
+    toString: () => name
+  }
+}
+
+function markLost (world: World, by: number, index: number): void {
+  const { receiver, replica, zone } = world.getMember(by)
+  const lost = makeLost(replica.members, zone, `h${index}`, replica.members.get(`h${index}`))
+  if (lost === undefined || by === index) return
+  if (ZONES[index] === zone) world.overlays.add(`${lost.host} ${formatStamp(lost)}`)
+  receiveRecords(receiver, [lost])
+}
+
+function prune (world: World, by: number): void {
+  const { receiver, replica, zone, host } = world.getMember(by)
+  const gone = makeGone(replica.members, zone, world.clock.monotonic() + REMOVE_AFTER_MS).filter(record => record.host !== host)
+  for (const record of gone) if (record.zone === zone) world.overlays.add(`${record.host} ${formatStamp(record)}`)
+  receiveRecords(receiver, gone)
+}
+
+function replay (world: World, to: number, number: number): void {
+  const records = [...world.sent.values()]
+  const record = records[number % Math.max(1, records.length)]
+  if (record !== undefined && !world.getTruth(to).dead) receiveRecords(world.getMember(to).receiver, [record], 'network')
+}
+
+const host = fc.nat(ZONES.length - 1)
+const commands = [
+  fc.tuple(host, fc.constantFrom<TargetState>('starting', 'ready', 'leaving')).map(([index, state]) =>
+    defineStep(`announce h${index} ${state}`, world => { world.announce(index, state) })),
+  host.map(index => defineStep(`silence h${index}`, world => { world.getTruth(index).silent = true })),
+  host.map(index => defineStep(`drain h${index}`, world => {
+    if (world.getTruth(index).dead) return
+    world.getTruth(index).draining = true
+    const record = leaveHost(world.getMember(index).replica.own)
+    if (record !== undefined) receiveRecords(world.getMember(index).receiver, [record])
+  })),
+  fc.tuple(host, fc.integer({ min: -5, max: 5 })).map(([index, step]) =>
+    defineStep(`restart h${index} ${step}`, world => { world.restart(index, START_INCARNATION + step) })),
+  host.map(index => defineStep(`kill h${index}`, world => {
+    world.getMember(index).stop()
+    Object.assign(world.getTruth(index), { dead: true, state: undefined })
+  })),
+  fc.tuple(host, host).map(([by, index]) => defineStep(`h${by} loses h${index}`, world => { markLost(world, by, index) })),
+  host.map(by => defineStep(`h${by} prunes`, world => { prune(world, by) })),
+  fc.tuple(host, fc.nat(1_000)).map(([to, number]) => defineStep(`replay ${number} to h${to}`, world => { replay(world, to, number) })),
+  fc.boolean().map(cut => defineStep(cut ? 'cut' : 'heal', world => { world.cut = cut })),
+  fc.nat(8).map(steps => defineStep(`wait ${steps}`, async world => { await world.advance(steps * STEP_MS) })),
+  fc.constant(defineStep('reconcile', async world => {
+    await world.reconcile()
+    world.checkOthers()
+  }))
+]
+
+describe('no new work', () => {
+  test('holds over any order of records, overlays, restarts and cuts', async () => {
+    await fc.assert(fc.asyncProperty(fc.commands(commands, { maxCommands: 60, size: 'max' }), async steps => {
+      const world = new World()
+      try {
+        await fc.asyncModelRun(() => ({ model: {}, real: world }), steps)
+        await world.reconcile()
+        world.checkOthers()
+      } finally {
+        world.stop()
+      }
+    }), readProofParameters())
+  })
+
+  test('a process that restarts in the same millisecond outranks the records of the one before', async () => {
+    const clock = makeClock()
+    const before = makeMember({ host: 'h0', zone: 'a', incarnation: 1, clock })
+    const viewer = makeMember({ host: 'h1', zone: 'a', incarnation: 1, clock })
+    before.announce('ready')
+    exchangeRecords(before, viewer)
+    before.stop()
+    const after = makeMember({ host: 'h0', zone: 'a', incarnation: 1, clock })
+    after.announce('leaving')
+    exchangeRecords(viewer, after)
+    expect(after.replica.members.get('h0')).toBe(after.replica.own.newest)
+    await settleTasks()
+    exchangeRecords(viewer, after)
+    expect(viewer.listPicks()).toEqual([])
+    for (const member of [viewer, after]) member.stop()
+  })
+
+  test('a starting target gets work only while no ready one exists, and a lost one only while no other does', () => {
+    const clock = makeClock()
+    const [viewer, other] = ['a', 'a'].map((zone, index) => makeMember({ host: `h${index}`, zone, incarnation: 1, clock })) as [Member, Member]
+    viewer.announce('starting')
+    other.announce('ready')
+    exchangeRecords(viewer, other)
+    const targets = viewer.replica.table.current.targets.get(SERVICE) ?? []
+    const pick = (tried: string[]): string | undefined => viewer.picker.pick({ targets, tried: new Set(tried), zones: 'any' })?.host
+    expect([pick([]), pick(['h1/t'])]).toEqual(['h1', 'h0'])
+    const lost = makeLost(viewer.replica.members, 'a', 'h1', viewer.replica.members.get('h1'))
+    receiveRecords(viewer.receiver, lost === undefined ? [] : [lost])
+    expect(viewer.listPicks()).toEqual(['h0', 'h1'])
+    for (const member of [viewer, other]) member.stop()
+  })
+})
