--- a/src/metrics/registry.ts
+++ b/src/metrics/registry.ts
@@ -8,7 +8,7 @@
 export type Labels = Readonly<Record<string, string>>
 
 const HIGHEST_VALUE = 3_600_000_000
-const REPORTED_PERCENTILES = [50, 90, 99, 99.9] as const
+const REPORTED_QUANTILES = [0.5, 0.9, 0.99, 0.999] as const
 
 export class Metrics {
   private readonly counters = new Map<string, number>()
@@ -47,7 +47,7 @@
 }
 
 function formatHistogram (name: string, histogram: Histogram): string[] {
-  const lines = REPORTED_PERCENTILES.map(percentile =>
-    `comfreyspoke_${name}{quantile="${percentile / 100}"} ${histogram.getValueAtPercentile(percentile)}`)
+  const lines = REPORTED_QUANTILES.map(quantile =>
+    `comfreyspoke_${name}{quantile="${quantile}"} ${histogram.getValueAtPercentile(quantile * 100)}`)
   return [...lines, `comfreyspoke_${name}_max ${histogram.maxValue}`, `comfreyspoke_${name}_count ${histogram.totalCount}`]
 }
--- a/src/node/start.ts
+++ b/src/node/start.ts
@@ -70,7 +70,8 @@
     })
     this.receiver = { replica: this.replica, clock: this.clock, onApplied: entry => { this.noteApplied(entry) } }
     this.store = new HttpObjectStore(settings.platform)
-    this.meter = new ControlMeter(new MsgpackCodec(), settings, ({ bytes, ...labels }) => {
+    this.meter = new ControlMeter(new MsgpackCodec(), settings, ({ kind, link, direction, bytes }) => {
+      const labels = { kind, link, direction }
       this.metrics.count('control_messages_total', labels)
       this.metrics.count('control_bytes_total', labels, bytes)
     })
--- a/standins/layout/processes.ts
+++ b/standins/layout/processes.ts
@@ -55,9 +55,10 @@
     return line
   }
 
-  startNode (host: HostLayout): void {
-    const flags = listNodeFlags(this.placement, host, this.platformUrl)
-    this.spawn(`node ${host.host}`, 'standins/node/main.js', [JSON.stringify(this.placement), String(host.index), ...flags, `--log-level=${this.logLevel}`])
+  /** `more` has further flags for this node alone. */
+  startNode (host: HostLayout, more: readonly string[] = []): void {
+    const flags = [...listNodeFlags(this.placement, host, this.platformUrl), `--log-level=${this.logLevel}`, ...more]
+    this.spawn(`node ${host.host}`, 'standins/node/main.js', [JSON.stringify(this.placement), String(host.index), ...flags])
   }
 
   startTarget (host: HostLayout): void {
--- a/standins/target/server.ts
+++ b/standins/target/server.ts
@@ -1,11 +1,13 @@
 /**
  * A target: answers each request with what it was asked, after a service time, and announces
- * itself to the node of its host. Counts the runs of each idempotency key, to find doubled ones.
+ * itself to the node of its host. `/photos/echo` streams the body back as it comes. Counts the
+ * runs of each idempotency key, to find doubled ones.
  */
 import { once } from 'node:events'
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { buffer } from 'node:stream/consumers'
+import { pipeline } from 'node:stream/promises'
 import { setTimeout as delay } from 'node:timers/promises'
 import { request } from 'undici'
 import type { Announcement } from '../../src/membership/index.js'
@@ -71,6 +73,12 @@
       response.end(JSON.stringify(Object.fromEntries(this.runs)))
       return
     }
+    if (message.url?.startsWith('/photos/echo') === true) {
+      response.writeHead(200, { 'x-target': this.options.target })
+      response.flushHeaders()
+      await pipeline(message, response)
+      return
+    }
     const body = await buffer(message)
     const key = message.headers['idempotency-key']
     if (typeof key === 'string') this.runs.set(key, (this.runs.get(key) ?? 0) + 1)
