--- a/src/membership/own.ts
+++ b/src/membership/own.ts
@@ -1,5 +1,5 @@
 /**
- * The record of a node's own host. Only this class raises its sequence.
+ * The record of a node's own host. Only this class raises its incarnation and sequence.
  */
 import type { Announcement, HostRecord } from './schema.js'
 
@@ -9,10 +9,14 @@
 
 export class OwnHost {
   private readonly heard = new Map<string, Heard>()
+  private incarnation: number
   private sequence = 0
+  private made: HostRecord | undefined
   private leaving = false
 
-  constructor (private readonly identity: HostIdentity) {}
+  constructor (private readonly identity: HostIdentity) {
+    this.incarnation = identity.incarnation
+  }
 
   get isLeaving (): boolean {
     return this.leaving
@@ -22,6 +26,11 @@
     return this.identity.host
   }
 
+  /** The last record that this process made. */
+  get newest (): HostRecord | undefined {
+    return this.made
+  }
+
   find (target: string): Announcement | undefined {
     return this.heard.get(target)?.announcement
   }
@@ -43,20 +52,30 @@
     return this.heard.delete(target)
   }
 
-  /** Commands only: see commands/leave.ts. */
-  markLeaving (): void {
+  /** Commands only: see commands/leave.ts. False when it was leaving already. */
+  markLeaving (): boolean {
+    if (this.leaving) return false
     this.leaving = true
+    return true
+  }
+
+  /** Commands only: see commands/answer.ts. */
+  moveAbove (incarnation: number): void {
+    this.incarnation = incarnation + 1
+    this.sequence = 0
   }
 
   /** A record that outranks all earlier ones of this process. */
   makeRecord (): HostRecord {
     this.sequence += 1
-    return {
+    this.made = {
       ...this.identity,
+      incarnation: this.incarnation,
       sequence: this.sequence,
       state: this.leaving ? 'leaving' : 'serving',
       targets: [...this.heard.values()].map(one => one.announcement),
       lost: false
     }
+    return this.made
   }
 }
--- a/src/peer/client.ts
+++ b/src/peer/client.ts
@@ -3,7 +3,7 @@
  * goes over a connection that went silent; the short calls share one channel for each address.
  */
 import { Client, credentials as grpcCredentials } from '@grpc/grpc-js'
-import type { ChannelCredentials, MethodDefinition } from '@grpc/grpc-js'
+import type { ChannelCredentials, Interceptor, MethodDefinition } from '@grpc/grpc-js'
 import { Err, Ok, describeError, makeFault } from '../core/index.js'
 import type { Fault, Result } from '../core/index.js'
 import type { EventFilter } from '../timeline/index.js'
@@ -24,7 +24,10 @@
   private readonly commands: OperatorCommandMethods
 
   constructor (
-    codec: Codec, private readonly dialer: Dialer, private readonly credentials: ChannelCredentials = grpcCredentials.createInsecure()
+    codec: Codec,
+    private readonly dialer: Dialer,
+    private readonly credentials: ChannelCredentials = grpcCredentials.createInsecure(),
+    private readonly interceptors: Interceptor[] = []
   ) {
     this.peer = definePeerMethods(codec)
     this.queries = defineOperatorQueries(codec)
@@ -75,6 +78,7 @@
       'grpc.keepalive_time_ms': CLIENT_KEEPALIVE_MS,
       // Without this, channels to one address would share a connection.
       'grpc.use_local_subchannel_pool': 1,
+      interceptors: this.interceptors,
       'grpc.initial_reconnect_backoff_ms': 100,
       'grpc.max_reconnect_backoff_ms': 1_000
     })
--- a/src/peer/commands/admit.ts
+++ b/src/peer/commands/admit.ts
@@ -40,6 +40,10 @@
     return [...this.sessions.values()].filter(one => one.hello.duties.length > 0).map(one => one.hello.peer)
   }
 
+  has (node: string): boolean {
+    return this.sessions.has(node)
+  }
+
   isCurrent (session: Session): boolean {
     return this.sessions.get(session.hello.node) === session
   }
--- a/src/peer/tasks/downstream.ts
+++ b/src/peer/tasks/downstream.ts
@@ -9,9 +9,12 @@
 import { receiveRecords } from '../commands/receive.js'
 import type { Receiver } from '../commands/receive.js'
 import type { Beat, Hello, Up } from '../messages.js'
+import { PendingHosts } from '../pending.js'
+import { listFirstMembers, listNewer } from '../queries/members.js'
 import { listUpdates } from '../queries/pending.js'
 import type { Change, Replica } from '../replica.js'
 import type { DownstreamCall } from '../services.js'
+import { awaitReturn } from './absence.js'
 
 export const BEAT_INTERVAL_MS = 500
 /** Beats after which the position is sent again although it did not change. */
@@ -21,9 +24,11 @@
   receiver: Receiver
   registry: SubscriberRegistry
   log: Logger
+  /** Aborted when this node stops. */
+  signal: AbortSignal
 }
 
-type Item = { kind: 'message', message: Up } | { kind: 'change', change: Change } | { kind: 'beat' }
+type Item = { kind: 'message', message: Up } | { kind: 'change', change: Change } | { kind: 'beat' } | { kind: 'members' }
 
 export async function serveSubscriber (publisher: Publisher, call: DownstreamCall): Promise<void> {
   const { receiver, registry } = publisher
@@ -81,19 +86,21 @@
   }
 
   async run (inbox: Channel<Item>, ended: AbortController): Promise<void> {
-    const { receiver: { clock }, registry, log } = this.publisher
+    const { publisher, publisher: { receiver: { clock }, registry, log } } = this
+    const pending = new PendingHosts(clock, ended.signal, () => { inbox.push({ kind: 'members' }) })
     log.debug(`${this.node} subscribed`)
     try {
       drainStream<Item>(this.replica.changes.stream.map(change => ({ kind: 'change', change }) as const), inbox, ended.signal)
       void pushEvery<Item>(clock, BEAT_INTERVAL_MS, inbox, { kind: 'beat' }, ended.signal)
       this.sendState()
       for await (const item of inbox) {
-        if (registry.isCurrent(this.session)) this.handleItem(item)
+        if (registry.isCurrent(this.session)) this.handleItem(item, pending)
       }
     } finally {
       ended.abort()
       if (registry.release(this.session)) dropCounts(this.replica, this.node)
       log.debug(`${this.node} unsubscribed`)
+      void awaitReturn({ ...publisher, isBack: host => registry.has(host) }, this.node)
     }
   }
 
@@ -109,25 +116,33 @@
       candidates: this.listCandidates()
     })
     for (const update of listUpdates(this.replica, table.staged.keys(), this.held)) this.call.write(update)
-    const records = this.replica.listRecords()
-    if (records.length > 0) this.call.write({ type: 'members', records })
+    for (const message of listFirstMembers(this.replica, this.session.hello.members)) this.call.write(message)
     this.call.write({ type: 'synced' })
     this.held = { ...this.held, ...makeVector(table.staged) }
   }
 
-  private handleItem (item: Item): void {
-    if (item.kind === 'message') this.handleMessage(item.message)
-    else if (item.kind === 'beat') this.call.write(this.makeBeat())
-    else if (item.change.source !== this.node) this.sendChange(item.change)
+  private handleItem (item: Item, pending: PendingHosts): void {
+    switch (item.kind) {
+      case 'message':
+        this.handleMessage(item.message)
+        return
+      case 'beat':
+        this.call.write(this.makeBeat())
+        return
+      case 'change':
+        if (item.change.source !== this.node) this.sendChange(item.change, pending)
+        return
+      case 'members':
+        this.call.write({ type: 'members', records: this.replica.listRecords(pending.takeAll()) })
+    }
   }
 
-  private sendChange (change: Change): void {
+  private sendChange (change: Change, pending: PendingHosts): void {
     for (const update of listUpdates(this.replica, change.services, this.held)) {
       this.call.write(update)
       this.held[update.service] = update.version
     }
-    const records = this.replica.listRecords(change.hosts)
-    if (records.length > 0) this.call.write({ type: 'members', records })
+    pending.push(change.hosts)
   }
 
   private makeBeat (): Beat {
@@ -150,6 +165,7 @@
     switch (message.type) {
       case 'members':
         receiveRecords(this.publisher.receiver, message.records, this.node)
+        if (message.complete !== undefined) for (const newer of listNewer(this.replica, message)) this.call.write(newer)
         return
       case 'ack':
         this.replica.acks.record(this.node, message)
--- a/src/peer/tasks/upstream.ts
+++ b/src/peer/tasks/upstream.ts
@@ -8,7 +8,9 @@
 import { receiveEntries, receiveRecords } from '../commands/receive.js'
 import type { Receiver } from '../commands/receive.js'
 import type { Accept, Beat, Down, Position, Update } from '../messages.js'
+import { PendingHosts } from '../pending.js'
 import { readUpdate } from '../queries/difference.js'
+import { makeComplete, makeDigests } from '../queries/members.js'
 import { SilenceWatch } from '../queries/silence.js'
 import type { Change } from '../replica.js'
 import type { UpstreamCall } from '../services.js'
@@ -20,7 +22,10 @@
 /** Between regions acknowledgements wait longer, so that those of a whole region travel in one message. */
 const REGION_ACK_DELAY_MS = 500
 
-type Item = { kind: 'message', message: Down } | { kind: 'change', change: Change } | { kind: 'check' } | { kind: 'ack' }
+type Item = { kind: 'message', message: Down } | { kind: 'change', change: Change } | { kind: 'check' } | { kind: 'ack' } | { kind: 'members' }
+
+/** `pending` has the hosts whose records the publisher is still to be sent. */
+interface Stream { call: UpstreamCall, pending: PendingHosts }
 
 export type OpenCall = (address: string) => UpstreamCall
 
@@ -58,10 +63,11 @@
     if (signal.aborted) return { reason: 'moved', detail: this.address }
     const call = this.options.open(this.address)
     this.openInbox(call, AbortSignal.any([signal, this.ended.signal]))
+    const pending = new PendingHosts(this.receiver.clock, this.ended.signal, () => { this.inbox.push({ kind: 'members' }) })
     try {
       this.sendHello(call)
       for await (const item of this.inbox) {
-        const end = this.handleItem(call, item)
+        const end = this.handleItem({ call, pending }, item)
         if (end !== undefined) return end
       }
       return { reason: signal.aborted ? 'moved' : 'closed', detail: `${this.address} closed the stream` }
@@ -82,7 +88,7 @@
   }
 
   private sendHello (call: UpstreamCall): void {
-    const { identity, duties, table } = this.receiver.replica
+    const { replica, replica: { identity, duties, table } } = this.receiver
     call.write({
       type: 'hello',
       node: identity.host,
@@ -90,17 +96,21 @@
       region: identity.region,
       peer: identity.peer,
       duties: [...duties],
-      vector: makeVector(table.staged)
+      vector: makeVector(table.staged),
+      members: makeDigests(replica)
     })
   }
 
-  private handleItem (call: UpstreamCall, item: Item): UpstreamEnd | undefined {
+  private handleItem ({ call, pending }: Stream, item: Item): UpstreamEnd | undefined {
     switch (item.kind) {
       case 'message':
         this.silence.noteMessage()
         return this.handleMessage(call, item.message)
       case 'change':
-        this.forwardChange(call, item.change)
+        this.forwardChange(pending, item.change)
+        return undefined
+      case 'members':
+        call.write({ type: 'members', records: this.receiver.replica.listRecords(pending.takeAll()) })
         return undefined
       case 'ack':
         this.sendAck(call)
@@ -126,6 +136,9 @@
       case 'members':
         receiveRecords(this.receiver, message.records, this.publisher)
         return undefined
+      case 'buckets':
+        call.write(makeComplete(this.receiver.replica, message))
+        return undefined
       case 'synced':
         this.finishSync(call)
         return undefined
@@ -180,15 +193,14 @@
   private finishSync (call: UpstreamCall): void {
     const { replica } = this.receiver
     replica.ready = true
-    call.write({ type: 'members', records: replica.listRecords() })
+    call.write({ type: 'members', records: replica.listRecords([replica.identity.host]) })
     this.noteUnacked(replica.acks.listServices())
   }
 
-  private forwardChange (call: UpstreamCall, change: Change): void {
+  private forwardChange (pending: PendingHosts, change: Change): void {
     if (!this.attached) return
     this.noteUnacked(change.services)
-    if (change.source === this.publisher || change.hosts.length === 0) return
-    call.write({ type: 'members', records: this.receiver.replica.listRecords(change.hosts) })
+    if (change.source !== this.publisher) pending.push(change.hosts)
   }
 
   /** The first change starts the delay, so that a steady stream of changes cannot postpone the acknowledgement. */
