--- a/src/core/verdict.ts
+++ b/src/core/verdict.ts
@@ -15,7 +15,9 @@
   message: z.string(),
   status: z.number().int(),
   request: z.string().optional(),
-  retryAfterMs: z.number().int().optional()
+  retryAfterMs: z.number().int().optional(),
+  /** The hops below have made the attempts that the load allows; another one from above would only add to it. */
+  noRetry: z.boolean().optional()
 })
 export type Failure = z.infer<typeof failureSchema>
 
--- a/src/node/http.ts
+++ b/src/node/http.ts
@@ -18,6 +18,10 @@
   const server = createServer({ headersTimeout: HEADERS_TIMEOUT_MS, requestTimeout: 0 }, (message, response) => {
     handle(message, response).catch(() => { response.destroy() })
   })
+  return await listenOn(address, server)
+}
+
+export async function listenOn (address: string, server: Server): Promise<Server> {
   const { host, port } = splitAddress(address)
   server.listen(port, host)
   await once(server, 'listening')
--- a/src/node/start.ts
+++ b/src/node/start.ts
@@ -12,9 +12,9 @@
 } from '../peer/index.js'
 import type { DrainAnswer, DrainRequest, PeerHandlers, Receiver } from '../peer/index.js'
 import { CountingObjectStore, HttpObjectStore } from '../platform/index.js'
-import { BudgetRetryPolicy, LocalTargets, serveCaller, serveInbound, UndiciExchanger, ZonePicker } from '../request/index.js'
+import { BudgetRetryPolicy, createEdge, LocalTargets, serveCaller, serveInbound, UndiciExchanger, ZonePicker } from '../request/index.js'
 import { EventRing, HybridClock, Recorder } from '../timeline/index.js'
-import { startServer } from './http.js'
+import { listenOn, startServer } from './http.js'
 import type { NodeSettings } from './settings.js'
 import { serveAdmin } from './tasks/admin.js'
 import { Follower } from './tasks/follow.js'
@@ -71,10 +71,15 @@
     this.peerServer = await startPeerServer(settings.peer, new MsgpackCodec(), this.makePeerHandlers())
     const localContext = { receiver: this.receiver, clock: this.clock, recorder: this.recorder, log: this.createLog('member') }
     const callerContext = this.makeCallerContext()
+    const callerEdge = createEdge(async (message, response) => { await this.track(serveCaller(callerContext, message, response)) })
+    const inboundEdge = createEdge(async (message, response) => { await this.track(serveInbound(callerContext.inbound, message, response)) })
     this.https.push(
-      await startServer(settings.caller, async (message, response) => { await this.track(serveCaller(callerContext, message, response)) }),
-      await startServer(settings.inbound, async (message, response) => { await this.track(serveInbound(callerContext.inbound, message, response)) }),
-      await startServer(settings.local, async (message, response) => { await serveLocal(localContext, message, response) }),
+      await listenOn(settings.caller, callerEdge),
+      await listenOn(settings.inbound, inboundEdge),
+      await startServer(settings.local, async (message, response) => {
+        await serveLocal(localContext, message, response)
+        this.local.applyLimits()
+      }),
       await startServer(settings.admin, async (message, response) => { await serveAdmin({ replica, metrics: this.metrics }, message, response) })
     )
     void expireSilent(localContext, this.stopped.signal)
@@ -158,9 +163,9 @@
       clock,
       random,
       metrics,
-      inbound: { local: this.local, exchanger: this.targetExchanger },
+      inbound: { local: this.local, exchanger: this.targetExchanger, clock },
       peers: this.peerExchanger,
-      picker: new ZonePicker(settings.zone, settings.region, random),
+      picker: new ZonePicker({ zone: settings.zone, region: settings.region }, clock, random),
       retry: new BudgetRetryPolicy(clock, random),
       getSnapshot: () => replica.table.current,
       isReady: () => replica.ready,
@@ -172,6 +177,7 @@
   }
 
   private noteApplied ({ service, version, acceptedAt }: { service: string, version: number, acceptedAt: number }): void {
+    this.local.applyLimits()
     this.metrics.observe('convergence_ms', this.clock.now() - acceptedAt)
     this.recorder.record('document-applied', `${service} version ${version}`, { service, version })
   }
--- a/src/request/answer.ts
+++ b/src/request/answer.ts
@@ -2,17 +2,13 @@
  * Answers to whoever sent the request: the target's whole answer, or a failure with its verdict.
  */
 import type { ServerResponse } from 'node:http'
-import { pipeline } from 'node:stream/promises'
 import type { Failure } from '../core/index.js'
 import type { Answer } from './exchange.js'
 import { filterHeaders } from './headers.js'
+import type { Headers } from './headers.js'
 import { HEADERS } from './schema.js'
 
-export function writeFailure (response: ServerResponse, failure: Failure, request: string): void {
-  if (response.headersSent || response.destroyed) {
-    response.destroy()
-    return
-  }
+export function formatFailure (failure: Failure, request: string): { headers: Record<string, string | number>, body: string } {
   const body = JSON.stringify({ ...failure, request })
   const headers: Record<string, string | number> = {
     'content-type': 'application/json',
@@ -21,21 +17,87 @@
     [HEADERS.request]: request
   }
   if (failure.retryAfterMs !== undefined) headers['retry-after'] = Math.ceil(failure.retryAfterMs / 1000)
+  if (failure.noRetry === true) headers[HEADERS.noRetry] = '1'
+  return { headers, body }
+}
+
+export function writeFailure (response: ServerResponse, failure: Failure, request: string): void {
+  if (response.headersSent || response.destroyed) {
+    resetConnection(response)
+    return
+  }
+  const { headers, body } = formatFailure(failure, request)
   response.writeHead(failure.status, headers)
   response.end(body)
 }
 
+/** Has no body, whatever its content-length says; undici reports such a length as a cut answer. */
+const NOT_MODIFIED = 304
+
+/** `cut`: the target's answer ended early. `left`: its receiver did not wait for it. */
+export type Passed = 'whole' | 'cut' | 'left'
+
 /** A cut answer ends in a reset of the connection, so that no part of it can pass for the whole. */
-export async function writeAnswer (response: ServerResponse, answer: Answer, request: string): Promise<boolean> {
-  const headers = filterHeaders(answer.headers)
-  // A target may pass on a failure of a call of its own; its verdict is not one on this call.
-  delete headers[HEADERS.verdict]
-  response.writeHead(answer.statusCode, { ...headers, [HEADERS.request]: request })
+export async function writeAnswer (response: ServerResponse, answer: Answer, request: string): Promise<Passed> {
   try {
-    await pipeline(answer.body, response)
-    return true
+    response.writeHead(answer.statusCode, makeAnswerHeaders(response, answer, request))
+    // An answer may begin long before its body: the sender learns of it at once.
+    if (answer.headers['content-length'] === undefined) response.flushHeaders()
+    if (answer.statusCode === NOT_MODIFIED) answer.body.on('error', () => {}).resume()
+    else await passBody(response, answer)
+    if (response.hasHeader('trailer')) response.addTrailers(answer.trailers)
+    response.end()
+    await waitForFinish(response)
+    return response.writableFinished ? 'whole' : 'left'
   } catch {
-    response.destroy()
-    return false
+    const passed = response.destroyed ? 'left' : 'cut'
+    answer.body.destroy()
+    resetConnection(response)
+    return passed
   }
 }
+
+async function passBody (response: ServerResponse, { body }: Answer): Promise<void> {
+  for await (const chunk of body) {
+    if (!response.write(chunk)) await waitForDrain(response)
+    if (response.destroyed) throw new Error('the sender of the request is gone')
+  }
+}
+
+function makeAnswerHeaders (response: ServerResponse, answer: Answer, request: string): Headers {
+  const headers = filterHeaders(answer.headers)
+  // A target may pass on a failure of a call of its own; its verdict is not one on this call.
+  Reflect.deleteProperty(headers, HEADERS.verdict)
+  headers[HEADERS.request] = request
+  const { trailer } = answer.headers
+  const isChunked = answer.headers['transfer-encoding'] !== undefined && response.req.httpVersion === '1.1' && response.req.method !== 'HEAD'
+  if (trailer !== undefined && isChunked) response.setHeader('trailer', trailer)
+  return headers
+}
+
+/** A plain close would end an answer without a length as if it were whole. */
+function resetConnection (response: ServerResponse): void {
+  response.socket?.resetAndDestroy()
+  response.destroy()
+}
+
+async function waitForDrain (response: ServerResponse): Promise<void> {
+  if (response.destroyed) return
+  await new Promise<void>(resolve => {
+    const wake = (): void => {
+      response.off('drain', wake)
+      response.off('close', wake)
+      resolve()
+    }
+    response.on('drain', wake)
+    response.on('close', wake)
+  })
+}
+
+async function waitForFinish (response: ServerResponse): Promise<void> {
+  if (response.writableFinished || response.closed) return
+  await new Promise<void>(resolve => {
+    response.once('finish', resolve)
+    response.once('close', resolve)
+  })
+}
--- a/src/request/commands/admit.ts
+++ b/src/request/commands/admit.ts
@@ -3,14 +3,14 @@
  */
 import { Err, Ok, makeFailure } from '../../core/index.js'
 import type { Clock, Failure, Result } from '../../core/index.js'
-import type { Limits, RouteClass } from '../../document/index.js'
+import type { RouteClass } from '../../document/index.js'
 import type { Announcement, OwnHost } from '../../membership/index.js'
 import type { Snapshot } from '../../snapshot/index.js'
 import { SlotGate } from '../slots.js'
-import type { Permit } from '../slots.js'
+import type { GateLimits, Permit } from '../slots.js'
 
-const DEFAULT_QUEUE = 12
 const RETRY_AFTER_MS = 50
+const DEFAULT_QUEUE = 12
 
 export interface Admitted { announcement: Announcement, permit: Permit }
 
@@ -23,25 +23,62 @@
 
   async admit ({ target, routeClass, waitMs, signal }: AdmitRequest): Promise<Result<Admitted, Failure>> {
     const announcement = this.own.find(target)
-    if (announcement === undefined) return Err(makeFailure('not-run', 503, 'no_target', `this host has no target ${target}`, RETRY_AFTER_MS))
-    if (this.own.isLeaving || announcement.state === 'leaving') {
-      return Err(makeFailure('not-run', 503, 'leaving', `target ${target} is leaving`, RETRY_AFTER_MS))
+    if (announcement === undefined) {
+      this.applyLimits()
+      return Err(makeFailure('not-run', 503, 'no_target', `this host has no target ${target}`, RETRY_AFTER_MS))
     }
+    if (this.isLeaving(target)) return Err(makeLeavingFailure(target))
     const permit = await this.getGate(announcement).acquire(routeClass, waitMs, signal)
-    return permit.ok ? Ok({ announcement, permit: permit.val }) : permit
+    if (permit.err) return permit
+    const now = this.own.find(target)
+    if (now !== undefined && !this.isLeaving(target)) return Ok({ announcement: now, permit: permit.val })
+    permit.val.release()
+    return Err(makeLeavingFailure(target))
   }
 
   countInUse (): number {
     return [...this.gates.values()].reduce((sum, gate) => sum + gate.inUse, 0)
   }
 
+  /** To be called when a document or an announcement changed: new limits hold at once, gates of targets that are gone are dropped. */
+  applyLimits (): void {
+    for (const [target, gate] of this.gates) {
+      const announcement = this.own.find(target)
+      if (announcement !== undefined) {
+        gate.resize(this.getLimits(announcement))
+        continue
+      }
+      gate.close()
+      if (gate.isIdle) this.gates.delete(target)
+    }
+  }
+
+  private isLeaving (target: string): boolean {
+    return this.own.isLeaving || this.own.find(target)?.state === 'leaving'
+  }
+
   private getGate (announcement: Announcement): SlotGate {
-    const limits: Limits | undefined = this.getSnapshot().entries.get(announcement.service)?.document?.limits
-    const slots = Math.min(announcement.slots, limits?.slots ?? announcement.slots)
     const held = this.gates.get(announcement.target)
-    const gate = held ?? new SlotGate(slots, limits?.queue ?? DEFAULT_QUEUE, this.clock)
-    gate.resize(slots)
-    if (held === undefined) this.gates.set(announcement.target, gate)
+    const limits = this.getLimits(announcement)
+    if (held !== undefined) {
+      held.resize(limits)
+      return held
+    }
+    const gate = new SlotGate(limits, this.clock)
+    this.gates.set(announcement.target, gate)
     return gate
   }
+
+  /** A connection carries one request at a time, so fewer connections than slots are the tighter limit. */
+  private getLimits ({ service, slots, connections }: Announcement): GateLimits {
+    const limits = this.getSnapshot().entries.get(service)?.document?.limits
+    return {
+      slots: Math.min(slots, connections, limits?.slots ?? Infinity, limits?.connections ?? Infinity),
+      queue: limits?.queue ?? DEFAULT_QUEUE
+    }
+  }
+}
+
+function makeLeavingFailure (target: string): Failure {
+  return makeFailure('not-run', 503, 'leaving', `target ${target} is leaving`, RETRY_AFTER_MS)
 }
--- a/src/request/exchange.ts
+++ b/src/request/exchange.ts
@@ -14,7 +14,7 @@
   method: string
   path: string
   headers: Headers
-  body: Readable | undefined
+  body: Readable | Buffer | undefined
   signal: AbortSignal
 }
 
--- a/src/request/headers.ts
+++ b/src/request/headers.ts
@@ -1,20 +1,74 @@
 /**
- * Which headers pass from one side to the other.
+ * Which headers pass from one side to the other, and which heads are refused because two readers
+ * could understand them differently.
  */
-import type { IncomingHttpHeaders } from 'node:http'
+import type { IncomingHttpHeaders, IncomingMessage } from 'node:http'
+import { makeFailure } from '../core/index.js'
+import type { Failure } from '../core/index.js'
+import { HEADERS } from './schema.js'
 
 const HOP_BY_HOP = new Set([
   'connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'expect'
 ])
 
+/** Set by nodes for nodes. A caller's own values are dropped, since the last node acts on them. */
+const INTERNAL: readonly string[] = [HEADERS.attempt, HEADERS.target, HEADERS.routeClass, HEADERS.verdict, HEADERS.noRetry]
+
+/** Headers of which a second one is an attempt to be read in two ways. Node joins or drops repetitions silently. */
+const SINGLE = new Set<string>(['host', 'content-length', 'transfer-encoding', HEADERS.key, HEADERS.service, HEADERS.deadline, HEADERS.hops, HEADERS.target])
+
+const INTEGER = /^[0-9]{1,15}$/
+
 export type Headers = Record<string, string | string[]>
 
 /** Drops hop-by-hop headers and those that `connection` names. */
 export function filterHeaders (headers: IncomingHttpHeaders): Headers {
-  const named = new Set((headers.connection ?? '').toLowerCase().split(',').map(name => name.trim()))
+  const named = headers.connection === undefined ? [] : headers.connection.toLowerCase().split(',').map(name => name.trim())
   const kept: Headers = {}
-  for (const [name, value] of Object.entries(headers)) {
-    if (value !== undefined && !HOP_BY_HOP.has(name) && !named.has(name)) kept[name] = value
+  for (const name in headers) {
+    const value = headers[name]
+    if (value !== undefined && !HOP_BY_HOP.has(name) && !named.includes(name)) kept[name] = value
   }
   return kept
 }
+
+/** Of a caller's request; the node adds its own internal headers afterwards. */
+export function filterCallerHeaders (headers: IncomingHttpHeaders): Headers {
+  const kept = filterHeaders(headers)
+  for (const name of INTERNAL) Reflect.deleteProperty(kept, name)
+  return kept
+}
+
+export function checkHead (message: IncomingMessage): Failure | undefined {
+  const seen = new Set<string>()
+  for (let index = 0; index < message.rawHeaders.length; index += 2) {
+    const name = (message.rawHeaders[index] ?? '').toLowerCase()
+    if (!SINGLE.has(name)) continue
+    if (seen.has(name)) return makeFailure('not-run', 400, 'repeated_header', `header ${name} is given more than once`)
+    seen.add(name)
+  }
+  return checkFraming(message, seen)
+}
+
+function checkFraming ({ headers, httpVersion }: IncomingMessage, seen: ReadonlySet<string>): Failure | undefined {
+  const coding = headers['transfer-encoding']
+  if (coding === undefined) {
+    const length = headers['content-length']
+    return length === undefined || INTEGER.test(length) ? undefined : makeFailure('not-run', 400, 'bad_length', 'content-length is not a number')
+  }
+  if (seen.has('content-length')) return makeFailure('not-run', 400, 'bad_length', 'content-length together with transfer-encoding')
+  // Another coding would have to be passed on with its header, which belongs to one hop only.
+  if (coding.toLowerCase() !== 'chunked' || httpVersion !== '1.1') return makeFailure('not-run', 400, 'bad_length', `transfer-encoding ${coding} is not supported`)
+  return undefined
+}
+
+/** Absent is fine, anything but a number of the given range is not. */
+export function parseInteger (value: string | string[] | undefined, lowest: number): number | undefined | 'bad' {
+  if (value === undefined) return undefined
+  if (typeof value !== 'string' || !INTEGER.test(value) || Number(value) < lowest) return 'bad'
+  return Number(value)
+}
+
+export function hasBody ({ headers }: IncomingMessage): boolean {
+  return headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0
+}
--- a/src/request/queries/call.ts
+++ b/src/request/queries/call.ts
@@ -5,30 +5,38 @@
 import { v7 as makeUuid } from 'uuid'
 import { Err, Ok, makeFailure } from '../../core/index.js'
 import type { Failure, Result } from '../../core/index.js'
+import { checkHead, hasBody, parseInteger } from '../headers.js'
 import { HEADERS, MAX_HOPS } from '../schema.js'
 import type { Call } from '../schema.js'
 
+/** A target may resolve `..` after the node chose the route, and so run a route of another kind. */
+const DOT_SEGMENT = /(?:^|\/)(?:\.|%2e){1,2}(?:\/|%2f|\\|%5c|$)|(?:%2f|%5c|\\)(?:\.|%2e){1,2}/i
+
 export function readCall (message: IncomingMessage): Result<Call, Failure> {
+  const refused = checkHead(message)
+  if (refused !== undefined) return Err(refused)
   const service = readHeader(message, HEADERS.service) ?? readHeader(message, 'host')?.split(/[.:]/)[0]
   if (service === undefined || service === '') return Err(makeFailure('not-run', 400, 'no_service', `name the service by ${HEADERS.service} or Host`))
-  const lengths = countHeader(message, 'content-length')
-  const chunked = message.headers['transfer-encoding'] !== undefined
-  if (lengths > 1 || (lengths === 1 && chunked)) return Err(makeFailure('not-run', 400, 'bad_length', 'conflicting body lengths'))
-  const hops = Number(readHeader(message, HEADERS.hops) ?? 0)
-  if (!(hops < MAX_HOPS)) return Err(makeFailure('not-run', 508, 'too_many_hops', `more than ${MAX_HOPS} calls in a chain`))
-  const deadline = readHeader(message, HEADERS.deadline)
-  const bodyBytes = lengths === 1 ? Number(message.headers['content-length']) : undefined
+  const path = message.url ?? '/'
+  if (DOT_SEGMENT.test(path.split('?')[0] ?? '')) return Err(makeFailure('not-run', 400, 'bad_path', 'the path has dot segments'))
+  const hops = parseInteger(message.headers[HEADERS.hops], 0)
+  if (hops === 'bad') return Err(makeFailure('not-run', 400, 'bad_hops', `${HEADERS.hops} is not a whole number`))
+  if ((hops ?? 0) >= MAX_HOPS) return Err(makeFailure('not-run', 508, 'too_many_hops', `more than ${MAX_HOPS} calls in a chain`))
+  const deadlineMs = parseInteger(message.headers[HEADERS.deadline], 1)
+  if (deadlineMs === 'bad') return Err(makeFailure('not-run', 400, 'bad_deadline', `${HEADERS.deadline} is not a whole number above 0`))
+  const length = message.headers['content-length']
   return Ok({
     request: readHeader(message, HEADERS.request) ?? makeUuid(),
     service,
     caller: readHeader(message, HEADERS.caller),
     method: message.method ?? 'GET',
-    path: message.url ?? '/',
-    hops,
-    deadlineMs: deadline === undefined ? undefined : Number(deadline),
+    path,
+    hops: hops ?? 0,
+    deadlineMs,
     key: readHeader(message, HEADERS.key),
-    bodyBytes,
-    hasBody: chunked || (bodyBytes ?? 0) > 0
+    noRetry: message.headers[HEADERS.noRetry] !== undefined,
+    bodyBytes: length === undefined ? undefined : Number(length),
+    hasBody: hasBody(message)
   })
 }
 
@@ -36,7 +44,3 @@
   const value = message.headers[name]
   return Array.isArray(value) ? value[0] : value
 }
-
-function countHeader (message: IncomingMessage, name: string): number {
-  return message.rawHeaders.filter((header, index) => index % 2 === 0 && header.toLowerCase() === name).length
-}
--- /dev/null
+++ b/src/request/queries/inbound.ts
@@ -0,0 +1,48 @@
+/**
+ * Reads the head of a request that another node sent for a target of this host.
+ */
+import type { IncomingMessage } from 'node:http'
+import { z } from 'zod'
+import { Err, Ok, makeFailure } from '../../core/index.js'
+import type { Failure, Result } from '../../core/index.js'
+import { routeClassSchema } from '../../document/index.js'
+import { checkHead, filterHeaders, hasBody, parseInteger } from '../headers.js'
+import { HEADERS } from '../schema.js'
+
+/** Longer than any route's deadline; a timer for more would overflow. */
+const MAX_DEADLINE_MS = 600_000
+
+export const inboundSchema = z.object({
+  request: z.string(),
+  target: z.string(),
+  routeClass: routeClassSchema,
+  deadlineMs: z.number().int(),
+  attempt: z.number().int(),
+  method: z.string(),
+  path: z.string(),
+  headers: z.record(z.string(), z.union([z.string(), z.array(z.string())])),
+  hasBody: z.boolean()
+})
+export type Inbound = z.infer<typeof inboundSchema>
+
+export function readInbound (message: IncomingMessage): Result<Inbound, Failure> {
+  const refused = checkHead(message)
+  if (refused !== undefined) return Err(refused)
+  const { headers } = message
+  const deadlineMs = parseInteger(headers[HEADERS.deadline], 1)
+  if (typeof deadlineMs !== 'number') return Err(makeFailure('not-run', 400, 'bad_deadline', `${HEADERS.deadline} is missing or not a whole number above 0`))
+  const attempt = parseInteger(headers[HEADERS.attempt], 1)
+  if (attempt === 'bad') return Err(makeFailure('not-run', 400, 'bad_attempt', `${HEADERS.attempt} is not a whole number above 0`))
+  const routeClass = String(headers[HEADERS.routeClass] ?? 'normal')
+  return Ok({
+    request: String(headers[HEADERS.request] ?? ''),
+    target: String(headers[HEADERS.target] ?? ''),
+    routeClass: routeClass === 'critical' || routeClass === 'bulk' ? routeClass : 'normal',
+    deadlineMs: Math.min(deadlineMs, MAX_DEADLINE_MS),
+    attempt: attempt ?? 1,
+    method: message.method ?? 'GET',
+    path: message.url ?? '/',
+    headers: filterHeaders(headers),
+    hasBody: hasBody(message)
+  })
+}
--- a/src/request/queries/route.ts
+++ b/src/request/queries/route.ts
@@ -3,7 +3,7 @@
  */
 import { Err, Ok, makeFailure } from '../../core/index.js'
 import type { Failure, Random, Result } from '../../core/index.js'
-import type { Document, Route } from '../../document/index.js'
+import type { Destination, Document, Route } from '../../document/index.js'
 import type { Target } from '../../membership/index.js'
 import type { Snapshot } from '../../snapshot/index.js'
 import type { Call } from '../schema.js'
@@ -24,12 +24,27 @@
     return Err(makeFailure('not-run', 413, 'body_too_large', `body above ${route.maxBodyBytes} bytes`))
   }
   const service = pickDestination(document, route, random)
-  const labels = Object.entries(route.to[service]?.labels ?? {})
-  const all = snapshot.targets.get(service) ?? []
-  const targets = labels.length === 0 ? all : all.filter(target => labels.every(([label, value]) => target.labels[label] === value))
+  const targets = selectLabelled(snapshot.targets.get(service) ?? [], route.to[service]?.labels)
   return Ok({ document, version: entry.version, name, route, service, targets })
 }
 
+type Labels = Destination['labels']
+
+/** Lists and documents are replaced, never changed: the same two give the same list, which the picker knows again. */
+const labelled = new WeakMap<readonly Target[], WeakMap<Labels, readonly Target[]>>()
+
+function selectLabelled (all: readonly Target[], labels: Labels = {}): readonly Target[] {
+  const wanted = Object.entries(labels)
+  if (wanted.length === 0) return all
+  const held = labelled.get(all) ?? new WeakMap<Labels, readonly Target[]>()
+  labelled.set(all, held)
+  const known = held.get(labels)
+  if (known !== undefined) return known
+  const selected = all.filter(target => wanted.every(([label, value]) => target.labels[label] === value))
+  held.set(labels, selected)
+  return selected
+}
+
 /** The longest path that matches whole segments wins. */
 function findRoute (document: Document, call: Call): [string, Route] | undefined {
   const path = call.path.split('?')[0] ?? '/'
--- /dev/null
+++ b/src/request/queue.ts
@@ -0,0 +1,62 @@
+/**
+ * Requests that wait for a slot, by class. Classes are served in proportion to their weights, so
+ * that none waits forever; inside a class the oldest goes first.
+ */
+import type { RouteClass } from '../document/index.js'
+
+/** From the lowest class to the highest. */
+const CLASSES = ['bulk', 'normal', 'critical'] as const satisfies readonly RouteClass[]
+
+/** Served in 13 turns when all classes wait. A class's step is the inverse of its weight 1, 4 or 8. */
+const STEPS: Record<RouteClass, number> = { bulk: 8, normal: 2, critical: 1 }
+
+interface Lane<T> { routeClass: RouteClass, items: T[], turn: number }
+
+export class ClassQueue<T extends { routeClass: RouteClass }> {
+  private readonly lanes: Array<Lane<T>> = CLASSES.map(routeClass => ({ routeClass, items: [], turn: 0 }))
+  /** The turn of the class served last: a class that had nobody waiting does not save up turns. */
+  private now = 0
+
+  get length (): number {
+    return this.lanes.reduce((sum, lane) => sum + lane.items.length, 0)
+  }
+
+  push (item: T): void {
+    const lane = this.getLane(item.routeClass)
+    if (lane.items.length === 0) lane.turn = Math.max(lane.turn, this.now + STEPS[item.routeClass])
+    lane.items.push(item)
+  }
+
+  /** The class whose turn comes first; of two, the higher one. */
+  takeNext (): T | undefined {
+    let first: Lane<T> | undefined
+    for (const lane of this.lanes) {
+      if (lane.items.length > 0 && (first === undefined || lane.turn <= first.turn)) first = lane
+    }
+    if (first === undefined) return undefined
+    this.now = first.turn
+    first.turn += STEPS[first.routeClass]
+    return first.items.shift()
+  }
+
+  /** The newest of the lowest class that is lower than the given one. */
+  takeBelow (routeClass: RouteClass): T | undefined {
+    const below = this.lanes.slice(0, CLASSES.indexOf(routeClass))
+    return below.find(lane => lane.items.length > 0)?.items.pop()
+  }
+
+  takeLowest (): T | undefined {
+    return this.lanes.find(lane => lane.items.length > 0)?.items.pop()
+  }
+
+  remove (item: T): boolean {
+    const { items } = this.getLane(item.routeClass)
+    const index = items.indexOf(item)
+    if (index >= 0) items.splice(index, 1)
+    return index >= 0
+  }
+
+  private getLane (routeClass: RouteClass): Lane<T> {
+    return this.lanes[CLASSES.indexOf(routeClass)] as Lane<T>
+  }
+}
--- a/src/request/retry.ts
+++ b/src/request/retry.ts
@@ -16,54 +16,90 @@
   canResend: boolean
 }
 
+/** Milliseconds to wait before the next attempt. `spent`: another attempt would be right, and the budget has none left. */
+export type RetryDecision = number | 'final' | 'spent'
+
 export abstract class RetryPolicy {
   /** Told of each first attempt, which is what the budget is a share of. */
   abstract countCall (service: string): void
-  /** Milliseconds to wait before the next attempt, or nothing when the failure is final. */
-  abstract decide (question: RetryQuestion): number | undefined
+  abstract decide (question: RetryQuestion): RetryDecision
 }
 
-const WINDOW_MS = 10_000
+const STEP_MS = 1_000
+const STEPS = 10
 const BACKOFF = { baseMs: 5, maxMs: 100 }
 
-interface Window { startedAt: number, calls: number, retries: number }
+/** Calls and retries of the last ten seconds, one step a second. */
+class Budget {
+  private readonly calls = new Array<number>(STEPS).fill(0)
+  private readonly retries = new Array<number>(STEPS).fill(0)
+  private step = 0
+
+  countCall (at: number): void {
+    this.advance(at)
+    this.countIn(this.calls)
+  }
+
+  take (at: number, { budgetPercent, minPerSecond }: Retries): boolean {
+    this.advance(at)
+    const isInShare = sum(this.retries) + 1 <= sum(this.calls) * budgetPercent / 100
+    const isInFloor = (this.retries[this.step % STEPS] ?? 0) + 1 <= minPerSecond
+    if (!isInShare && !isInFloor) return false
+    this.countIn(this.retries)
+    return true
+  }
+
+  private countIn (counts: number[]): void {
+    const index = this.step % STEPS
+    counts[index] = (counts[index] ?? 0) + 1
+  }
+
+  private advance (at: number): void {
+    const now = Math.floor(at / STEP_MS)
+    for (let step = Math.max(this.step + 1, now - STEPS + 1); step <= now; step += 1) {
+      this.calls[step % STEPS] = 0
+      this.retries[step % STEPS] = 0
+    }
+    this.step = Math.max(this.step, now)
+  }
+}
+
+function sum (counts: readonly number[]): number {
+  return counts.reduce((total, count) => total + count, 0)
+}
 
-/** Retries are at most a share of the calls of a window, plus a floor for services with few calls. */
+/** Retries are at most a share of the calls of ten seconds, plus a floor for services with few calls. */
 export class BudgetRetryPolicy extends RetryPolicy {
-  private readonly windows = new Map<string, Window>()
+  private readonly budgets = new Map<string, Budget>()
 
   constructor (private readonly clock: Clock, private readonly random: Random) {
     super()
   }
 
   override countCall (service: string): void {
-    this.getWindow(service).calls += 1
+    this.getBudget(service).countCall(this.clock.monotonic())
   }
 
-  override decide (question: RetryQuestion): number | undefined {
-    const { failure, kind, retries, attempt } = question
-    if (!question.canResend || attempt >= retries.attempts) return undefined
-    if (failure.verdict === 'ran') return undefined
-    if (failure.verdict === 'may-have-run' && kind !== 'idempotent') return undefined
-    const waitMs = computeBackoff(attempt, BACKOFF, this.random)
-    if (waitMs >= question.leftMs || !this.takeBudget(question)) return undefined
-    return waitMs
+  override decide (question: RetryQuestion): RetryDecision {
+    if (!isRepeatable(question)) return 'final'
+    const waitMs = computeBackoff(question.attempt, BACKOFF, this.random)
+    if (waitMs >= question.leftMs) return 'final'
+    const budget = this.getBudget(question.service)
+    return budget.take(this.clock.monotonic(), question.retries) ? waitMs : 'spent'
   }
 
-  private takeBudget ({ service, retries }: RetryQuestion): boolean {
-    const window = this.getWindow(service)
-    const allowed = window.calls * retries.budgetPercent / 100 + retries.minPerSecond * WINDOW_MS / 1000
-    if (window.retries >= allowed) return false
-    window.retries += 1
-    return true
+  private getBudget (service: string): Budget {
+    const held = this.budgets.get(service)
+    if (held !== undefined) return held
+    const budget = new Budget()
+    this.budgets.set(service, budget)
+    return budget
   }
+}
 
-  private getWindow (service: string): Window {
-    const now = this.clock.monotonic()
-    const held = this.windows.get(service)
-    if (held !== undefined && now - held.startedAt < WINDOW_MS) return held
-    const window = { startedAt: now, calls: 0, retries: 0 }
-    this.windows.set(service, window)
-    return window
-  }
+/** A refusal below 500 is about the request itself and would be the same anywhere. */
+function isRepeatable ({ canResend, attempt, retries, failure, kind }: RetryQuestion): boolean {
+  if (!canResend || attempt >= retries.attempts || failure.noRetry === true) return false
+  if (failure.verdict === 'not-run') return failure.status >= 500
+  return failure.verdict === 'may-have-run' && kind === 'idempotent'
 }
--- a/src/request/schema.ts
+++ b/src/request/schema.ts
@@ -13,6 +13,7 @@
   verdict: 'x-comfreyspoke-verdict',
   target: 'x-comfreyspoke-target',
   routeClass: 'x-comfreyspoke-class',
+  noRetry: 'x-comfreyspoke-no-retry',
   key: 'idempotency-key'
 } as const
 
@@ -28,6 +29,8 @@
   /** What the caller allows, in milliseconds; the route's own deadline caps it. */
   deadlineMs: z.number().optional(),
   key: z.string().optional(),
+  /** A caller that is itself serving a retry asks for no further ones. */
+  noRetry: z.boolean(),
   bodyBytes: z.number().int().optional(),
   hasBody: z.boolean()
 })
--- /dev/null
+++ b/src/request/scope.ts
@@ -0,0 +1,53 @@
+/**
+ * The time that one request has, as one abort signal for all that is done for it. It ends at the
+ * deadline or when the sender leaves, whichever is first.
+ */
+import type { ServerResponse } from 'node:http'
+import type { Clock } from '../core/index.js'
+
+/** The deadline passed on is shorter by this, so that the next hop's own verdict arrives in time. */
+const ANSWER_MARGIN_MS = 5
+const ANSWER_MARGIN_SHARE = 0.1
+
+export class RequestScope {
+  private readonly controller = new AbortController()
+  private readonly timer: NodeJS.Timeout
+  private readonly endsAt: number
+  private left = false
+
+  constructor (private readonly clock: Clock, deadlineMs: number, response: ServerResponse) {
+    this.endsAt = clock.monotonic() + deadlineMs
+    this.timer = setTimeout(() => { this.controller.abort() }, deadlineMs)
+    const end = (): void => {
+      clearTimeout(this.timer)
+      if (response.writableFinished) return
+      this.left = true
+      this.controller.abort()
+    }
+    if (response.closed) end()
+    else response.once('close', end)
+  }
+
+  get signal (): AbortSignal {
+    return this.controller.signal
+  }
+
+  get leftMs (): number {
+    return this.endsAt - this.clock.monotonic()
+  }
+
+  /** Whole milliseconds for the next hop. */
+  get passedMs (): number {
+    const left = this.leftMs
+    return Math.max(1, Math.floor(left - Math.min(ANSWER_MARGIN_MS, left * ANSWER_MARGIN_SHARE)))
+  }
+
+  /** The sender closed its connection before it had the whole answer. */
+  get hasLeft (): boolean {
+    return this.left
+  }
+
+  end (): void {
+    clearTimeout(this.timer)
+  }
+}
--- a/src/request/slots.ts
+++ b/src/request/slots.ts
@@ -4,34 +4,56 @@
 import { Err, Ok, makeFailure } from '../core/index.js'
 import type { Clock, Failure, Result } from '../core/index.js'
 import type { RouteClass } from '../document/index.js'
+import { ClassQueue } from './queue.js'
 
 const RETRY_AFTER_MS = 100
 
 export interface Permit { release: () => void }
 
+export interface GateLimits { slots: number, queue: number }
+
 interface Waiter { routeClass: RouteClass, settle: (result: Result<Permit, Failure>) => void }
 
 export class SlotGate {
   private used = 0
-  private readonly waiting: Waiter[] = []
+  private readonly waiting = new ClassQueue<Waiter>()
 
-  constructor (private slots: number, private readonly queue: number, private readonly clock: Clock) {}
+  constructor (private limits: GateLimits, private readonly clock: Clock) {}
 
   get inUse (): number {
     return this.used
   }
 
-  /** Commands only: the announcement or the document changed the number of slots. */
-  resize (slots: number): void {
-    this.slots = slots
+  get isIdle (): boolean {
+    return this.used === 0 && this.waiting.length === 0
+  }
+
+  /** Commands only: the announcement or the document changed the limits. Requests in flight above them run on. */
+  resize (limits: GateLimits): void {
+    this.limits = limits
+    while (this.waiting.length > limits.queue) this.waiting.takeLowest()?.settle(Err(makeShedFailure('the queue was made shorter')))
+    this.serveNext()
   }
 
   async acquire (routeClass: RouteClass, waitMs: number, signal: AbortSignal): Promise<Result<Permit, Failure>> {
-    if (this.used < this.slots) return Ok(this.takeSlot())
-    if (this.waiting.length >= this.queue) return Err(makeFailure('not-run', 503, 'queue_full', 'the target has no free slot and its queue is full', RETRY_AFTER_MS))
+    if (this.used < this.limits.slots) return Ok(this.takeSlot())
+    if (this.waiting.length >= this.limits.queue && !this.shedBelow(routeClass)) {
+      return Err(makeFailure('not-run', 503, 'queue_full', 'the target has no free slot and its queue is full', RETRY_AFTER_MS))
+    }
     return await this.waitForSlot(routeClass, waitMs, signal)
   }
 
+  /** The target is gone: nobody will free a slot for those who wait. */
+  close (): void {
+    while (this.waiting.length > 0) this.waiting.takeLowest()?.settle(Err(makeFailure('not-run', 503, 'no_target', 'the target is gone', RETRY_AFTER_MS)))
+  }
+
+  private shedBelow (routeClass: RouteClass): boolean {
+    const shed = this.waiting.takeBelow(routeClass)
+    shed?.settle(Err(makeShedFailure('a request of a higher class took its place in the queue')))
+    return shed !== undefined
+  }
+
   private takeSlot (): Permit {
     this.used += 1
     let released = false
@@ -46,8 +68,11 @@
   }
 
   private serveNext (): void {
-    if (this.used >= this.slots) return
-    this.waiting.shift()?.settle(Ok(this.takeSlot()))
+    while (this.used < this.limits.slots) {
+      const next = this.waiting.takeNext()
+      if (next === undefined) return
+      next.settle(Ok(this.takeSlot()))
+    }
   }
 
   private async waitForSlot (routeClass: RouteClass, waitMs: number, signal: AbortSignal): Promise<Result<Permit, Failure>> {
@@ -61,14 +86,17 @@
         }
       }
       const giveUp = (): void => {
-        const index = this.waiting.indexOf(waiter)
-        if (index < 0) return
-        this.waiting.splice(index, 1)
+        if (!this.waiting.remove(waiter)) return
         waiter.settle(Err(makeFailure('not-run', 504, 'deadline_in_queue', 'the deadline passed before a slot was free')))
       }
       this.waiting.push(waiter)
       signal.addEventListener('abort', giveUp, { once: true, signal: ended.signal })
       this.clock.sleep(waitMs, ended.signal).then(giveUp, giveUp)
+      if (signal.aborted) giveUp()
     })
   }
 }
+
+function makeShedFailure (reason: string): Failure {
+  return makeFailure('not-run', 503, 'shed', reason, RETRY_AFTER_MS)
+}
--- /dev/null
+++ b/src/request/tasks/attempt.ts
@@ -0,0 +1,120 @@
+/**
+ * One attempt of a call: on a target of this host, or through the node of the target's host.
+ */
+import { Err, Ok, failureSchema, makeFailure } from '../../core/index.js'
+import type { Clock, Failure, Result } from '../../core/index.js'
+import type { Target } from '../../membership/index.js'
+import type { Passed } from '../answer.js'
+import type { RequestBody } from '../body.js'
+import type { Answer, Exchanger, Outgoing } from '../exchange.js'
+import type { Headers } from '../headers.js'
+import type { Outcome, Picker } from '../picker.js'
+import type { Resolved } from '../queries/route.js'
+import { HEADERS } from '../schema.js'
+import type { Call } from '../schema.js'
+import type { RequestScope } from '../scope.js'
+import { runLocal } from './inbound.js'
+import type { InboundContext } from './inbound.js'
+
+/** One call, resolved: what all its attempts have in common. */
+export interface CallRun { call: Call, resolved: Resolved, headers: Headers, body: RequestBody, scope: RequestScope }
+
+export interface Attempt { run: CallRun, target: Target, number: number }
+
+/** `finish` ends the accounting of the attempt when the answer has been passed on. */
+export interface Won { answer: Answer, finish: (passed: Passed) => void }
+
+export interface AttemptContext { host: string, clock: Clock, picker: Picker, inbound: InboundContext, peers: Exchanger }
+
+/** An answer, and the slot it holds if the target is on this host. */
+interface Reached { answer: Answer, release: () => void }
+
+/** Refusals that say that the target is busy or going, not that it is failing. */
+const REFUSAL_CODES = new Set(['queue_full', 'shed', 'leaving', 'no_target', 'deadline_in_queue'])
+
+export async function attemptTarget (context: AttemptContext, attempt: Attempt): Promise<Result<Won, Failure>> {
+  const { picker, clock } = context
+  const { target, run } = attempt
+  const startedAt = clock.monotonic()
+  picker.begin(target)
+  const reached = target.host === context.host ? await attemptLocal(context, attempt) : await attemptRemote(context, attempt)
+  // The time of an upload that streams is mostly the caller's.
+  const latencyMs = run.call.hasBody && !run.body.canResend ? undefined : clock.monotonic() - startedAt
+  if (reached.err) {
+    const failure = run.body.isAboveLimit ? makeLimitFailure(reached.val) : reached.val
+    picker.end(target, latencyMs, deriveFailureOutcome(failure, run))
+    return Err(failure)
+  }
+  const { answer, release } = reached.val
+  const finish = (passed: Passed): void => {
+    release()
+    picker.end(target, latencyMs, deriveAnswerOutcome(answer, passed))
+  }
+  return Ok({ answer, finish })
+}
+
+async function attemptLocal (context: AttemptContext, { run, target, number }: Attempt): Promise<Result<Reached, Failure>> {
+  const held = await runLocal(context.inbound, {
+    target: getName(target),
+    routeClass: run.resolved.route.class,
+    attempt: number,
+    scope: run.scope,
+    outgoing: makeOutgoing(run, target, number),
+    body: run.call.hasBody ? run.body : undefined
+  })
+  return held.map(({ answer, permit }) => ({ answer, release: permit.release }))
+}
+
+async function attemptRemote (context: AttemptContext, { run, target, number }: Attempt): Promise<Result<Reached, Failure>> {
+  const body = run.call.hasBody ? run.body.open() : undefined
+  const sent = await context.peers.send({ ...makeOutgoing(run, target, number), address: target.inbound, body, signal: run.scope.signal })
+  if (sent.err) return sent
+  if (sent.val.headers[HEADERS.verdict] !== undefined) return Err(await readFailure(sent.val))
+  return Ok({ answer: sent.val, release: () => {} })
+}
+
+/** A failure that the last node reported, as the first node sees it. */
+async function readFailure (answer: Answer): Promise<Failure> {
+  try {
+    return failureSchema.parse(await answer.body.json())
+  } catch {
+    return makeFailure('may-have-run', 502, 'bad_answer', 'the node of the target gave an answer that does not parse')
+  }
+}
+
+function makeOutgoing ({ call, resolved, headers, scope }: CallRun, target: Target, number: number): Omit<Outgoing, 'address' | 'body' | 'signal'> {
+  const sent: Headers = {
+    ...headers,
+    [HEADERS.request]: call.request,
+    [HEADERS.service]: resolved.service,
+    [HEADERS.hops]: String(call.hops + 1),
+    [HEADERS.attempt]: String(number),
+    [HEADERS.deadline]: String(scope.passedMs),
+    [HEADERS.routeClass]: resolved.route.class,
+    [HEADERS.target]: getName(target)
+  }
+  // Below a retry nobody retries again, or the attempts would multiply with each hop.
+  if (number > 1 || call.noRetry) sent[HEADERS.noRetry] = '1'
+  return { method: call.method, path: call.path, headers: sent }
+}
+
+function getName (target: Target): string {
+  return target.id.slice(target.host.length + 1)
+}
+
+function makeLimitFailure ({ verdict }: Failure): Failure {
+  return makeFailure(verdict, 413, 'body_too_large', 'the body is longer than its route allows')
+}
+
+function deriveFailureOutcome (failure: Failure, { scope, call, resolved }: CallRun): Outcome {
+  if (scope.hasLeft || failure.status < 500) return 'cancelled'
+  if (failure.verdict === 'not-run' && REFUSAL_CODES.has(failure.code)) return 'refused'
+  // A deadline that the caller shortened says nothing of the target.
+  if (failure.status === 504 && (call.deadlineMs ?? Infinity) < resolved.route.deadlineMs) return 'cancelled'
+  return 'failed'
+}
+
+function deriveAnswerOutcome ({ statusCode }: Answer, passed: Passed): Outcome {
+  if (passed === 'left') return 'cancelled'
+  return passed === 'cut' || statusCode >= 500 ? 'failed' : 'answered'
+}
--- a/src/request/tasks/caller.ts
+++ b/src/request/tasks/caller.ts
@@ -3,32 +3,25 @@
  * a target answers or the failure is final.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { Err, Ok, makeFailure } from '../../core/index.js'
-import type { Clock, Failure, Random, Result } from '../../core/index.js'
-import type { Target } from '../../membership/index.js'
+import { Err, makeFailure } from '../../core/index.js'
+import type { Failure, Random, Result, Verdict } from '../../core/index.js'
 import type { Metrics } from '../../metrics/index.js'
 import type { Snapshot } from '../../snapshot/index.js'
 import { writeAnswer, writeFailure } from '../answer.js'
-import type { Answer, Exchanger, Outgoing } from '../exchange.js'
-import { filterHeaders } from '../headers.js'
-import type { Picker } from '../picker.js'
+import type { Passed } from '../answer.js'
+import { RequestBody } from '../body.js'
+import { filterCallerHeaders } from '../headers.js'
 import { readCall } from '../queries/call.js'
 import { resolveRoute } from '../queries/route.js'
-import type { Resolved } from '../queries/route.js'
 import type { RetryPolicy } from '../retry.js'
-import { HEADERS } from '../schema.js'
 import type { Call } from '../schema.js'
-import { readBody, readFailure, runLocal } from './inbound.js'
-import type { InboundContext } from './inbound.js'
+import { RequestScope } from '../scope.js'
+import { attemptTarget } from './attempt.js'
+import type { AttemptContext, CallRun, Won } from './attempt.js'
 
-export interface CallerContext {
-  host: string
-  clock: Clock
+export interface CallerContext extends AttemptContext {
   random: Random
   metrics: Metrics
-  inbound: InboundContext
-  peers: Exchanger
-  picker: Picker
   retry: RetryPolicy
   getSnapshot: () => Snapshot
   isReady: () => boolean
@@ -36,132 +29,87 @@
   onFailure: (call: Call, failure: Failure) => void
 }
 
-interface Attempt { call: Call, resolved: Resolved, target: Target, number: number, leftMs: number, message: IncomingMessage, signal: AbortSignal }
-
-/** `finish` ends the accounting of the attempt when the answer has been passed on. */
-interface Won { answer: Answer, finish: (failed: boolean) => void }
-
 const RETRY_AFTER_MS = 200
 
 export async function serveCaller (context: CallerContext, message: IncomingMessage, response: ServerResponse): Promise<void> {
-  const left = new AbortController()
-  response.on('close', () => { left.abort() })
+  const body = new RequestBody(message, response)
   const call = readCall(message)
   if (call.err) {
     refuseCall(context, response, call.val)
-    return
-  }
-  const won = await runCall(context, call.val, message, left.signal)
-  if (won.err) {
-    refuseCall(context, response, won.val, call.val)
-    return
+  } else {
+    const won = await runCall(context, call.val, body, message, response)
+    if (won.err) refuseCall(context, response, won.val, call.val)
+    else await answerCall(context, response, won.val, call.val)
   }
-  const whole = await writeAnswer(response, won.val.answer, call.val.request)
-  won.val.finish(!whole)
-  context.metrics.count('calls_total', { service: call.val.service, verdict: whole ? 'ran' : 'cut' })
+  body.drainRest()
+}
+
+async function answerCall (context: CallerContext, response: ServerResponse, { answer, finish }: Won, call: Call): Promise<void> {
+  if (context.isLeaving()) response.setHeader('connection', 'close')
+  const passed = await writeAnswer(response, answer, call.request)
+  finish(passed)
+  context.metrics.count('calls_total', { service: call.service, verdict: PASSED_LABELS[passed] })
+  if (passed === 'cut') context.onFailure(call, makeFailure('may-have-run', 502, 'answer_cut', 'the answer ended early; the caller saw a reset connection'))
 }
 
+const PASSED_LABELS: Record<Passed, string> = { whole: 'ran', cut: 'cut', left: 'left' }
+
 function refuseCall (context: CallerContext, response: ServerResponse, failure: Failure, call?: Call): void {
   context.metrics.count('calls_total', { service: call?.service ?? 'unknown', verdict: failure.verdict })
   if (call !== undefined) context.onFailure(call, failure)
-  if (context.isLeaving()) response.setHeader('connection', 'close')
+  if (context.isLeaving() && !response.headersSent) response.setHeader('connection', 'close')
   writeFailure(response, failure, call?.request ?? '')
 }
 
-async function runCall (context: CallerContext, call: Call, message: IncomingMessage, left: AbortSignal): Promise<Result<Won, Failure>> {
+async function runCall (
+  context: CallerContext, call: Call, body: RequestBody, message: IncomingMessage, response: ServerResponse
+): Promise<Result<Won, Failure>> {
   if (context.isLeaving()) return Err(makeFailure('not-run', 503, 'leaving', 'this node is leaving', RETRY_AFTER_MS))
   if (!context.isReady()) return Err(makeFailure('not-run', 503, 'not_ready', 'this node has no configuration yet', RETRY_AFTER_MS))
   const resolved = resolveRoute(context.getSnapshot(), call, context.random)
   if (resolved.err) return resolved
   const { route, service } = resolved.val
-  const deadlineMs = Math.min(route.deadlineMs, call.deadlineMs ?? route.deadlineMs)
-  const endsAt = context.clock.monotonic() + deadlineMs
-  const signal = AbortSignal.any([left, AbortSignal.timeout(deadlineMs)])
+  body.setLimit(route.maxBodyBytes)
+  const scope = new RequestScope(context.clock, Math.min(route.deadlineMs, call.deadlineMs ?? route.deadlineMs), response)
   context.retry.countCall(service)
-  return await attemptTargets(context, call, resolved.val, message, signal, endsAt)
+  if (call.hasBody && !await body.collect(scope.signal)) {
+    scope.end()
+    return Err(makeFailure('not-run', 504, 'deadline', 'the body did not come in time'))
+  }
+  return await attemptTargets(context, { call, resolved: resolved.val, headers: filterCallerHeaders(message.headers), body, scope })
 }
 
-async function attemptTargets (
-  context: CallerContext, call: Call, resolved: Resolved, message: IncomingMessage, signal: AbortSignal, endsAt: number
-): Promise<Result<Won, Failure>> {
+async function attemptTargets (context: CallerContext, run: CallRun): Promise<Result<Won, Failure>> {
+  const { call, resolved, body, scope } = run
   const tried = new Set<string>()
-  let last = makeFailure('not-run', 503, 'no_target', `${resolved.service} has no target that can be used`, RETRY_AFTER_MS)
-  for (let number = 1; ; number += 1) {
+  let worst: Failure | undefined
+  for (let number = 1; !scope.signal.aborted; number += 1) {
     const target = context.picker.pick({ targets: resolved.targets, tried, zones: resolved.document.zones })
-    if (target === undefined) return Err(last)
+    if (target === undefined) return Err(worst ?? makeFailure('not-run', 503, 'no_target', `${resolved.service} has no target that can be used`, RETRY_AFTER_MS))
     tried.add(target.id)
-    const leftMs = endsAt - context.clock.monotonic()
-    const won = await attemptTarget(context, { call, resolved, target, number, leftMs, message, signal })
+    const won = await attemptTarget(context, { run, target, number })
     if (won.ok) return won
-    last = mergeFailures(last, won.val, number)
-    const waitMs = context.retry.decide({
+    body.release()
+    worst = pickWorse(worst, won.val)
+    const decision = context.retry.decide({
       service: resolved.service,
       kind: resolved.route.kind,
       retries: resolved.document.retries,
       failure: won.val,
       attempt: number,
-      leftMs: endsAt - context.clock.monotonic(),
-      canResend: !call.hasBody || !message.readableDidRead
+      leftMs: scope.leftMs,
+      canResend: !call.hasBody || body.canResend
     })
-    if (waitMs === undefined) return Err(last)
-    await context.clock.sleep(waitMs, signal)
+    if (call.noRetry || typeof decision === 'string') return Err(number > 1 || decision === 'spent' ? { ...worst, noRetry: true } : worst)
+    await context.clock.sleep(decision, scope.signal)
   }
+  return Err(worst ?? makeFailure('not-run', 504, 'deadline', 'the deadline passed before the request was sent'))
 }
 
-/** The verdict over all attempts: one attempt that may have run outweighs any that did not. */
-function mergeFailures (before: Failure, now: Failure, attempt: number): Failure {
-  if (attempt === 1 || before.verdict === 'not-run') return now
-  return { ...now, verdict: before.verdict }
-}
-
-async function attemptTarget (context: CallerContext, attempt: Attempt): Promise<Result<Won, Failure>> {
-  const { picker, clock } = context
-  const startedAt = clock.monotonic()
-  picker.begin(attempt.target)
-  const finish = (failed: boolean): void => { picker.end(attempt.target, clock.monotonic() - startedAt, failed) }
-  const won = attempt.target.host === context.host ? await attemptLocal(context, attempt, finish) : await attemptRemote(context, attempt, finish)
-  if (won.err) finish(true)
-  return won
-}
-
-function makeOutgoing ({ call, resolved, number, target, leftMs, message, signal }: Attempt): Omit<Outgoing, 'address'> {
-  return {
-    method: call.method,
-    path: call.path,
-    headers: {
-      ...filterHeaders(message.headers),
-      [HEADERS.request]: call.request,
-      [HEADERS.service]: resolved.service,
-      [HEADERS.hops]: String(call.hops + 1),
-      [HEADERS.attempt]: String(number),
-      [HEADERS.deadline]: String(Math.max(1, Math.floor(leftMs))),
-      [HEADERS.routeClass]: resolved.route.class,
-      [HEADERS.target]: target.id.slice(target.host.length + 1)
-    },
-    body: readBody(message),
-    signal
-  }
-}
-
-async function attemptLocal (context: CallerContext, attempt: Attempt, finish: Won['finish']): Promise<Result<Won, Failure>> {
-  const outgoing = makeOutgoing(attempt)
-  const held = await runLocal(context.inbound, {
-    target: String(outgoing.headers[HEADERS.target]), routeClass: attempt.resolved.route.class, waitMs: attempt.leftMs, outgoing
-  })
-  if (held.err) return held
-  const { answer, permit } = held.val
-  return Ok({
-    answer,
-    finish: failed => {
-      permit.release()
-      finish(failed)
-    }
-  })
-}
+const VERDICT_ORDER: readonly Verdict[] = ['not-run', 'may-have-run', 'ran']
 
-async function attemptRemote (context: CallerContext, attempt: Attempt, finish: Won['finish']): Promise<Result<Won, Failure>> {
-  const sent = await context.peers.send({ ...makeOutgoing(attempt), address: attempt.target.inbound })
-  if (sent.err) return sent
-  const failed = sent.val.headers[HEADERS.verdict] !== undefined ? await readFailure(sent.val) : sent
-  return failed.map(answer => ({ answer, finish }))
+/** The failure over all attempts: one that may have run outweighs any that did not. */
+function pickWorse (before: Failure | undefined, now: Failure): Failure {
+  if (before === undefined) return now
+  return VERDICT_ORDER.indexOf(before.verdict) > VERDICT_ORDER.indexOf(now.verdict) ? before : now
 }
--- a/src/request/tasks/inbound.ts
+++ b/src/request/tasks/inbound.ts
@@ -2,64 +2,81 @@
  * The task of one request that another node sent for a target of this host.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { Err, failureSchema, makeFailure } from '../../core/index.js'
-import type { Failure, Result } from '../../core/index.js'
-import { routeClassSchema } from '../../document/index.js'
+import { Err, makeFailure } from '../../core/index.js'
+import type { Clock, Failure, Result } from '../../core/index.js'
+import type { RouteClass } from '../../document/index.js'
 import { writeAnswer, writeFailure } from '../answer.js'
+import { RequestBody } from '../body.js'
 import type { LocalTargets } from '../commands/admit.js'
 import type { Answer, Exchanger, Outgoing } from '../exchange.js'
-import { filterHeaders } from '../headers.js'
+import { readInbound } from '../queries/inbound.js'
+import type { Inbound } from '../queries/inbound.js'
+import { RequestScope } from '../scope.js'
 import type { Permit } from '../slots.js'
 import { HEADERS } from '../schema.js'
 
-export interface LocalRun { target: string, routeClass: string, waitMs: number, outgoing: Omit<Outgoing, 'address'> }
+export interface LocalRun {
+  target: string
+  routeClass: RouteClass
+  attempt: number
+  scope: RequestScope
+  outgoing: Omit<Outgoing, 'address' | 'body' | 'signal'>
+  body: RequestBody | undefined
+}
 
-export interface InboundContext { local: LocalTargets, exchanger: Exchanger }
+export interface InboundContext { local: LocalTargets, exchanger: Exchanger, clock: Clock }
 
 export interface Held { answer: Answer, permit: Permit }
 
+const SHED_CODES = new Set(['queue_full', 'shed'])
+
 /** Runs a request on a target of this host. The permit is to be released when the answer has been passed on. */
 export async function runLocal ({ local, exchanger }: InboundContext, run: LocalRun): Promise<Result<Held, Failure>> {
-  const routeClass = routeClassSchema.catch('normal').parse(run.routeClass)
-  const admitted = await local.admit({ target: run.target, routeClass, waitMs: run.waitMs, signal: run.outgoing.signal })
-  if (admitted.err) return admitted
+  const { target, routeClass, attempt, scope, outgoing, body } = run
+  const { signal } = scope
+  if (body !== undefined && !await body.collect(signal)) return Err(makeFailure('not-run', 504, 'deadline', 'the body did not come in time'))
+  const admitted = await local.admit({ target, routeClass, waitMs: Math.max(0, scope.leftMs), signal })
+  if (admitted.err) return admitted.mapErr(failure => markRepeated(failure, attempt))
   const { announcement, permit } = admitted.val
-  const sent = await exchanger.send({ ...run.outgoing, address: announcement.address })
+  if (signal.aborted) {
+    permit.release()
+    return Err(makeFailure('not-run', 504, 'deadline_in_queue', 'the deadline passed before the request was sent'))
+  }
+  const headers = { ...outgoing.headers, [HEADERS.deadline]: String(scope.passedMs) }
+  Reflect.deleteProperty(headers, HEADERS.target)
+  Reflect.deleteProperty(headers, HEADERS.routeClass)
+  const sent = await exchanger.send({ ...outgoing, headers, address: announcement.address, body: body?.open(), signal })
   if (sent.ok) return sent.map(answer => ({ answer, permit }))
   permit.release()
   return sent
 }
 
-export async function serveInbound (context: InboundContext, message: IncomingMessage, response: ServerResponse): Promise<void> {
-  const request = String(message.headers[HEADERS.request] ?? '')
-  const left = new AbortController()
-  response.on('close', () => { left.abort() })
-  const waitMs = Number(message.headers[HEADERS.deadline] ?? 0)
-  const signal = AbortSignal.any([left.signal, AbortSignal.timeout(Math.max(1, waitMs))])
-  const held = await runLocal(context, {
-    target: String(message.headers[HEADERS.target] ?? ''),
-    routeClass: String(message.headers[HEADERS.routeClass] ?? ''),
-    waitMs,
-    outgoing: { method: message.method ?? 'GET', path: message.url ?? '/', headers: filterHeaders(message.headers), body: readBody(message), signal }
-  })
-  if (held.err) {
-    writeFailure(response, held.val, request)
-    return
-  }
-  await writeAnswer(response, held.val.answer, request)
-  held.val.permit.release()
+/** A retry that finds a full queue again is told to stop: more of them would keep the queue full. */
+function markRepeated (failure: Failure, attempt: number): Failure {
+  return attempt > 1 && SHED_CODES.has(failure.code) ? { ...failure, noRetry: true } : failure
 }
 
-export function readBody (message: IncomingMessage): IncomingMessage | undefined {
-  const length = Number(message.headers['content-length'] ?? 0)
-  return length > 0 || message.headers['transfer-encoding'] !== undefined ? message : undefined
+export async function serveInbound (context: InboundContext, message: IncomingMessage, response: ServerResponse): Promise<void> {
+  const inbound = readInbound(message)
+  const body = new RequestBody(message, response)
+  if (inbound.err) writeFailure(response, inbound.val, '')
+  else await passInbound(context, inbound.val, body, response)
+  body.drainRest()
 }
 
-/** A failure that the last node reported, as the first node sees it. */
-export async function readFailure (answer: Answer): Promise<Result<Answer, Failure>> {
+async function passInbound (context: InboundContext, inbound: Inbound, body: RequestBody, response: ServerResponse): Promise<void> {
+  const scope = new RequestScope(context.clock, inbound.deadlineMs, response)
+  const { request, target, routeClass, attempt, method, path, headers } = inbound
+  const outgoing = { method, path, headers }
   try {
-    return Err(failureSchema.parse(await answer.body.json()))
-  } catch {
-    return Err(makeFailure('may-have-run', 502, 'bad_answer', 'the node of the target gave an answer that does not parse'))
+    const held = await runLocal(context, { target, routeClass, attempt, scope, outgoing, body: inbound.hasBody ? body : undefined })
+    if (held.err) {
+      writeFailure(response, held.val, request)
+      return
+    }
+    await writeAnswer(response, held.val.answer, request)
+    held.val.permit.release()
+  } finally {
+    scope.end()
   }
 }
--- /dev/null
+++ b/src/request/zonepicker.ts
@@ -0,0 +1,128 @@
+/**
+ * Own zone, then own region, then the rest; inside a tier the better of two random targets by
+ * requests in flight and latency. What calls have seen goes before what targets announce.
+ */
+import type { Clock, Random } from '../core/index.js'
+import type { Target } from '../membership/index.js'
+import { Picker } from './picker.js'
+import type { Outcome, PickRequest } from './picker.js'
+import { TargetScore } from './score.js'
+
+const MAX_EJECTED_SHARE = 0.3
+/** Stands for the latency of a service that no call has measured yet. */
+const UNKNOWN_LATENCY_MS = 5
+const USUAL_SHARE = 0.05
+/** What is known of a target that got no call for so long is dropped. */
+const UNUSED_MS = 300_000
+
+interface Place { zone: string, region: string }
+
+interface Tiers { near: readonly Target[][], any: readonly Target[][] }
+
+export class ZonePicker extends Picker {
+  private readonly scores = new Map<string, TargetScore>()
+  /** Lists of targets are replaced, never changed, so each is split once. */
+  private readonly tiers = new WeakMap<readonly Target[], Tiers>()
+  private readonly lists = new Map<string, readonly Target[]>()
+  private readonly usualMs = new Map<string, number>()
+
+  constructor (private readonly place: Place, private readonly clock: Clock, private readonly random: Random) {
+    super()
+  }
+
+  override pick ({ targets, tried, zones }: PickRequest): Target | undefined {
+    if (targets.length === 0) return undefined
+    const tiers = this.getTiers(targets)
+    this.lists.set(targets[0]?.service ?? '', targets)
+    const ordered = zones === 'any' ? tiers.any : tiers.near
+    const at = this.clock.monotonic()
+    const open = ordered.map(tier => tier.filter(target => !tried.has(target.id) && !this.getScore(target).isEjected(at)))
+    const free = open.find(tier => tier.some(target => this.hasRoom(target, at)))
+    if (free !== undefined) return this.pickTwo(free.filter(target => this.hasRoom(target, at)), at)
+    const full = open.find(tier => tier.length > 0)
+    // With no other left, an ejected target is better than none.
+    return this.pickTwo(full ?? ordered.flat().filter(target => !tried.has(target.id)), at)
+  }
+
+  override begin (target: Target): void {
+    const score = this.getScore(target)
+    score.inFlight += 1
+    score.usedAt = this.clock.monotonic()
+  }
+
+  override end (target: Target, latencyMs: number | undefined, outcome: Outcome): void {
+    const score = this.getScore(target)
+    const at = this.clock.monotonic()
+    const usual = this.getUsual(target.service)
+    score.inFlight -= 1
+    if (outcome === 'answered' && latencyMs !== undefined) this.usualMs.set(target.service, usual + USUAL_SHARE * (latencyMs - usual))
+    if (score.observe(at, latencyMs, outcome, usual) && this.isEjectable(target, at)) score.eject(at)
+  }
+
+  private isEjectable ({ service, id }: Target, at: number): boolean {
+    const targets = this.lists.get(service) ?? []
+    const ejected = targets.filter(target => target.id !== id && this.scores.get(target.id)?.isEjected(at) === true).length
+    return ejected + 1 <= targets.length * MAX_EJECTED_SHARE
+  }
+
+  /** Only the node of the target's host counts its slots; this is what is known here. */
+  private hasRoom (target: Target, at: number): boolean {
+    const score = this.getScore(target)
+    return score.inFlight < target.slots && !score.isResting(at)
+  }
+
+  private pickTwo (tier: readonly Target[], at: number): Target | undefined {
+    const index = this.random.pickIndex(tier.length)
+    const first = tier[index]
+    if (first === undefined || tier.length === 1) return first
+    const second = tier[(index + 1 + this.random.pickIndex(tier.length - 1)) % tier.length]
+    return second !== undefined && this.measure(second, at) < this.measure(first, at) ? second : first
+  }
+
+  private measure (target: Target, at: number): number {
+    return this.getScore(target).measure(at, this.getUsual(target.service))
+  }
+
+  private getTiers (targets: readonly Target[]): Tiers {
+    const held = this.tiers.get(targets)
+    if (held !== undefined) return held
+    const tiers = this.splitTiers(targets)
+    this.tiers.set(targets, tiers)
+    this.dropUnused(this.clock.monotonic())
+    return tiers
+  }
+
+  private dropUnused (at: number): void {
+    for (const [id, score] of this.scores) if (score.inFlight === 0 && at - score.usedAt > UNUSED_MS) this.scores.delete(id)
+  }
+
+  /** A target that says it is starting, and one whose host is lost, is used when no other is left. */
+  private splitTiers (targets: readonly Target[]): Tiers {
+    const usable = targets.filter(target => target.state !== 'leaving')
+    const ready = usable.filter(target => !target.lost && target.state === 'ready')
+    const starting = usable.filter(target => !target.lost && target.state !== 'ready')
+    const pool = [ready, starting, usable].find(some => some.length > 0) ?? []
+    const now = this.clock.monotonic()
+    for (const target of usable) if (target.lost || target.state !== 'ready') this.getScore(target).readySince = now
+    return {
+      near: [
+        pool.filter(target => target.zone === this.place.zone),
+        pool.filter(target => target.zone !== this.place.zone && target.region === this.place.region),
+        pool.filter(target => target.region !== this.place.region)
+      ],
+      any: [pool]
+    }
+  }
+
+  private getScore (target: Target): TargetScore {
+    const held = this.scores.get(target.id)
+    if (held !== undefined) return held
+    const score = new TargetScore(this.clock.monotonic())
+    this.scores.set(target.id, score)
+    return score
+  }
+
+  private getUsual (service: string): number {
+    return this.usualMs.get(service) ?? UNKNOWN_LATENCY_MS
+  }
+}
