--- a/src/request/body.ts
+++ b/src/request/body.ts
@@ -72,7 +72,7 @@
     this.release()
     this.discarding = true
     const { socket } = this.message
-    const timer = setTimeout(() => { socket.destroy() }, LINGER_MS)
+    const timer = setTimeout(() => { socket.destroy() }, LINGER_MS).unref()
     this.readAll().catch(() => { socket.destroy() }).finally(() => { clearTimeout(timer) })
   }
 
--- /dev/null
+++ b/tests/edge.test.ts
@@ -0,0 +1,145 @@
+/**
+ * Guards against input at the HTTP edge that two readers could understand differently, that stops
+ * the node, or that reaches a target although its sender is told that it was not run.
+ */
+import type { RequestListener } from 'node:http'
+import { buffer } from 'node:stream/consumers'
+import { afterAll, beforeAll, describe, expect, test } from '@jest/globals'
+import fc from 'fast-check'
+import { startMesh } from './fixtures/mesh.js'
+import type { Mesh } from './fixtures/mesh.js'
+import { readProofParameters } from './fixtures/proof.js'
+import { exchangeRaw, openRaw, readRaw } from './fixtures/raw.js'
+
+const RUNS = 150
+/** A request that lost its end is ended by its sender after this time; whatever comes of it is checked alike. */
+const PATIENCE_MS = 20
+
+let mesh: Mesh
+/** Values of x-echo that a target saw. */
+const seen = new Set<string>()
+
+const answerEcho: RequestListener = (message, response) => {
+  seen.add(String(message.headers['x-echo']))
+  buffer(message).then(body => { response.end(`${String(message.headers['x-echo'])}:${body.toString('latin1')}`) }, () => {})
+}
+
+beforeAll(async () => { mesh = await startMesh({ targets: [answerEcho] }) })
+afterAll(async () => { await mesh.close() })
+
+function makeHead (method: string, path: string, headers: readonly string[]): string {
+  return [`${method} ${path} HTTP/1.1`, 'host: desk', 'connection: close', ...headers, '', ''].join('\r\n')
+}
+
+let serial = 0
+
+function makeEcho (): string {
+  serial += 1
+  return `echo-${serial}`
+}
+
+const REFUSED: ReadonlyArray<[string, number, string, string[], string]> = [
+  ['two lengths', 400, 'POST', ['content-length: 3', 'content-length: 4'], 'abcd'],
+  ['the same length twice', 400, 'POST', ['content-length: 3', 'content-length: 3'], 'abc'],
+  ['length and coding', 400, 'POST', ['content-length: 3', 'transfer-encoding: chunked'], '0\r\n\r\n'],
+  ['coding and length', 400, 'POST', ['transfer-encoding: chunked', 'content-length: 3'], '0\r\n\r\n'],
+  ['a length with a sign', 400, 'POST', ['content-length: +3'], 'abc'],
+  ['a list of lengths', 400, 'POST', ['content-length: 3, 3'], 'abc'],
+  ['a coding that hides chunked', 400, 'POST', ['transfer-encoding: xchunked'], '0\r\n\r\n'],
+  ['a coding before chunked', 400, 'POST', ['transfer-encoding: gzip, chunked'], '0\r\n\r\n'],
+  ['two codings', 400, 'POST', ['transfer-encoding: chunked', 'transfer-encoding: chunked'], '0\r\n\r\n'],
+  ['a space before the colon', 400, 'POST', ['content-length : 3'], 'abc'],
+  ['a folded header', 400, 'GET', ['x-a: 1\r\n  2'], ''],
+  ['a bare line feed in a header', 400, 'GET', ['x-a: 1\nx-b: 2'], ''],
+  ['two hosts', 400, 'GET', ['host: other'], ''],
+  ['two services', 400, 'GET', ['x-comfreyspoke-service: desk', 'x-comfreyspoke-service: other'], ''],
+  ['a deadline in words', 400, 'GET', ['x-comfreyspoke-deadline-ms: soon'], ''],
+  ['a negative deadline', 400, 'GET', ['x-comfreyspoke-deadline-ms: -1'], ''],
+  ['a deadline of nothing', 400, 'GET', ['x-comfreyspoke-deadline-ms: 0'], ''],
+  ['two deadlines', 400, 'GET', ['x-comfreyspoke-deadline-ms: 10', 'x-comfreyspoke-deadline-ms: 20'], ''],
+  ['hops in words', 400, 'GET', ['x-comfreyspoke-hops: few'], ''],
+  ['too many hops', 508, 'GET', ['x-comfreyspoke-hops: 8'], ''],
+  ['a head that is too large', 431, 'GET', [`x-a: ${'a'.repeat(20_000)}`], ''],
+  ['a length above the limit of the route', 413, 'POST', ['content-length: 1001'], 'a']
+]
+
+describe('a request that is refused', () => {
+  test.each(REFUSED)('%s: %i, not run', async (_, status, method, headers, body) => {
+    const echo = makeEcho()
+    const path = method === 'POST' ? '/small' : '/read'
+    const answer = await exchangeRaw(mesh.caller, [makeHead(method, path, [`x-echo: ${echo}`, ...headers]) + body])
+    expect(answer).toMatchObject({ status, verdict: 'not-run' })
+    expect(seen.has(echo)).toBe(false)
+  })
+
+  test.each(['/read/../write', '/read/%2e%2E/write', '/read/..%2fwrite', '/read/./x', '/read/..\\write'])('path %s could become another route at the target', async path => {
+    expect(await exchangeRaw(mesh.caller, [makeHead('GET', path, [])])).toMatchObject({ status: 400, verdict: 'not-run' })
+  })
+
+  test('the last node refuses a request without a deadline', async () => {
+    const answer = await exchangeRaw(String(mesh.inbound[0]), [makeHead('GET', '/read', ['x-comfreyspoke-target: t-0'])])
+    expect(answer).toMatchObject({ status: 400, verdict: 'not-run' })
+  })
+})
+
+describe('a chunked body', () => {
+  test.each(['zz\r\nabc\r\n', '3\r\nabcd\r\n0\r\n\r\n', '-1\r\n\r\n', 'ffffffffffffffffff\r\nabc'])('that is malformed (%j) is never answered as whole', async body => {
+    const answer = await exchangeRaw(mesh.caller, [makeHead('POST', '/small', ['transfer-encoding: chunked', `x-echo: ${makeEcho()}`]) + body])
+    expect(answer.status).not.toBe(200)
+    expect(answer.verdict).not.toBe('ran')
+  })
+})
+
+describe('any input', () => {
+  test('a request torn into any pieces is understood as if it came whole', async () => {
+    const text = fc.string({ maxLength: 200, unit: 'grapheme-ascii' })
+    await fc.assert(fc.asyncProperty(text, fc.boolean(), fc.array(fc.nat({ max: 400 }), { maxLength: 6 }), async (body, chunked, cuts) => {
+      const echo = makeEcho()
+      const framing = chunked ? 'transfer-encoding: chunked' : `content-length: ${body.length}`
+      const chunk = body === '' ? '' : `${body.length.toString(16)}\r\n${body}\r\n`
+      const whole = makeHead('POST', '/small', [`x-echo: ${echo}`, framing]) + (chunked ? `${chunk}0\r\n\r\n` : body)
+      const answer = await exchangeRaw(mesh.caller, splitAt(whole, cuts), Infinity)
+      expect(answer.status).toBe(200)
+      expect(answer.text).toContain(`${echo}:${body}`)
+    }), readProofParameters(RUNS))
+  })
+
+  test('mutated bytes never stop the node, and not-run is true of them', async () => {
+    const insert = fc.constantFrom('', '\0', '\r\n', '\n', ' ', ':', ',', '\x80', '-', '9', 'content-length: 1\r\n', 'chunked')
+    const mutation = fc.record({ at: fc.nat({ max: 400 }), remove: fc.nat({ max: 4 }), insert })
+    await fc.assert(fc.asyncProperty(fc.array(mutation, { minLength: 1, maxLength: 3 }), fc.boolean(), async (list, chunked) => {
+      const echo = makeEcho()
+      const framing = chunked ? ['transfer-encoding: chunked', '5\r\nhello\r\n0\r\n\r\n'] as const : ['content-length: 5', 'hello'] as const
+      // The marked header stays untouched, so that the target can be asked whether it saw the request.
+      const start = `POST /small HTTP/1.1\r\nx-echo: ${echo}\r\n`
+      const rest = `host: desk\r\nconnection: close\r\nx-comfreyspoke-deadline-ms: 900\r\n${framing[0]}\r\n\r\n${framing[1]}`
+      const mutated = list.reduce((before, { at, remove, insert }) => {
+        const place = at % before.length
+        return before.slice(0, place) + insert + before.slice(place + remove)
+      }, rest)
+      const answer = await exchangeRaw(mesh.caller, [start + mutated], PATIENCE_MS)
+      if (answer.verdict === 'not-run') expect(seen.has(echo)).toBe(false)
+      const echoAfter = makeEcho()
+      expect((await exchangeRaw(mesh.caller, [makeHead('GET', '/read', [`x-echo: ${echoAfter}`])], Infinity)).text).toContain(`${echoAfter}:`)
+    }), readProofParameters(RUNS))
+  })
+
+  test('a sender that stops in the middle of a short body never gets to a target', async () => {
+    const socket = await openRaw(mesh.caller)
+    const raw = readRaw(socket)
+    const echo = makeEcho()
+    socket.write(makeHead('POST', '/quick', ['content-length: 10', `x-echo: ${echo}`]) + 'abc')
+    // The deadline of the route ends the wait.
+    expect(await raw).toMatchObject({ status: 504, verdict: 'not-run' })
+    expect(seen.has(echo)).toBe(false)
+  })
+
+  test('no slot stays taken after all of it', async () => {
+    while (mesh.locals[0]?.countInUse() !== 0) await new Promise(resolve => { setTimeout(resolve, 5) })
+  })
+})
+
+function splitAt (text: string, cuts: readonly number[]): string[] {
+  const places = [...new Set(cuts.map(cut => cut % text.length))].sort((left, right) => left - right)
+  return [0, ...places].map((place, index) => text.slice(place, places[index] ?? text.length)).filter(piece => piece !== '')
+}
