--- a/src/node/port.ts
+++ b/src/node/port.ts
@@ -2,8 +2,9 @@
  * One HTTP port whose requests in flight are counted and which can be closed without cutting one.
  */
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import { createEdge } from '../request/index.js'
 import type { Handle } from './http.js'
-import { startServer } from './http.js'
+import { listenOn } from './http.js'
 import { InFlight } from './inflight.js'
 
 export class HttpPort {
@@ -15,11 +16,11 @@
   constructor (private readonly handle: Handle) {}
 
   async listen (address: string): Promise<void> {
-    this.server = await startServer(address, async (message, response) => {
+    this.server = await listenOn(address, createEdge(async (message, response) => {
       const served = this.serve(message, response)
       this.inFlight.track(served)
       await served
-    })
+    }))
   }
 
   /** From now on each answer, also to a request in flight, asks the client to close its connection. */
--- a/src/node/start.ts
+++ b/src/node/start.ts
@@ -13,7 +13,9 @@
 } from '../peer/index.js'
 import type { DrainAnswer, DrainRequest, PeerCredentials, PeerHandlers, Receiver } from '../peer/index.js'
 import { CountingObjectStore, HttpObjectStore } from '../platform/index.js'
-import { BudgetRetryPolicy, LocalTargets, matchesSecret, serveCaller, serveInbound, takeToken, TokenExchanger, UndiciExchanger, writeFailure, ZonePicker } from '../request/index.js'
+import {
+  BudgetRetryPolicy, LocalTargets, matchesSecret, serveCaller, serveInbound, takeToken, TokenExchanger, UndiciExchanger, writeFailure, ZonePicker
+} from '../request/index.js'
 import type { CallerContext, Exchanger } from '../request/index.js'
 import { EventRing, filterEvents, HybridClock, Recorder } from '../timeline/index.js'
 import { startServer } from './http.js'
@@ -100,7 +102,10 @@
     await this.callerPort.listen(settings.caller)
     await this.inboundPort.listen(settings.inbound)
     this.https.push(
-      await startServer(settings.local, async (message, response) => { await serveLocal(memberContext, message, response) }),
+      await startServer(settings.local, async (message, response) => {
+        await serveLocal(memberContext, message, response)
+        this.local.applyLimits()
+      }),
       await startServer(settings.admin, async (message, response) => { await serveAdmin(adminContext, message, response) })
     )
     void expireSilent(memberContext, signal)
@@ -205,9 +210,9 @@
       clock,
       random,
       metrics,
-      inbound: { local: this.local, exchanger: this.targetExchanger },
+      inbound: { local: this.local, exchanger: this.targetExchanger, clock },
       peers: this.peerExchanger,
-      picker: new ZonePicker(settings.zone, settings.region, random),
+      picker: new ZonePicker({ zone: settings.zone, region: settings.region }, clock, random),
       retry: new BudgetRetryPolicy(clock, random),
       getSnapshot: () => replica.table.current,
       isReady: () => replica.ready,
@@ -218,6 +223,7 @@
   }
 
   private noteApplied ({ service, version, acceptedAt }: { service: string, version: number, acceptedAt: number }): void {
+    this.local.applyLimits()
     this.metrics.observe('convergence_ms', this.clock.now() - acceptedAt)
     this.recorder.record('document-applied', 'in force', { service, version })
   }
--- a/src/request/queries/route.ts
+++ b/src/request/queries/route.ts
@@ -25,12 +25,27 @@
   }
   const destination = pickDestination(route, random)
   const service = destination?.service ?? document.service
-  const labels = Object.entries(destination?.labels ?? {})
-  const all = snapshot.targets.get(service) ?? []
-  const targets = labels.length === 0 ? all : all.filter(target => labels.every(([label, value]) => target.labels[label] === value))
+  const targets = selectLabelled(snapshot.targets.get(service) ?? [], destination?.labels)
   return Ok({ document, version: entry.version, name, route, service, targets })
 }
 
+type Labels = Destination['labels']
+
+/** Lists and documents are replaced, never changed: the same two give the same list, which the picker knows again. */
+const labelled = new WeakMap<readonly Target[], WeakMap<Labels, readonly Target[]>>()
+
+function selectLabelled (all: readonly Target[], labels: Labels = {}): readonly Target[] {
+  const wanted = Object.entries(labels)
+  if (wanted.length === 0) return all
+  const held = labelled.get(all) ?? new WeakMap<Labels, readonly Target[]>()
+  labelled.set(all, held)
+  const known = held.get(labels)
+  if (known !== undefined) return known
+  const selected = all.filter(target => wanted.every(([label, value]) => target.labels[label] === value))
+  held.set(labels, selected)
+  return selected
+}
+
 /** The longest path that matches whole segments wins. */
 function findRoute (document: Document, call: Call): [string, Route] | undefined {
   const path = call.path.split('?')[0] ?? '/'
