Keep the last good version when the platform holds an invalid object

Cause: the source ended with its watch and started a new upstream each time, a head that starts fresh had no version of a service whose object is invalid, and an older object from a list that lags cleared the refusal of a newer one.

--- a/src/document/queries/read.ts
+++ b/src/document/queries/read.ts
@@ -54,6 +54,13 @@
   return Ok({ version: found.val?.version ?? 0, edits: historySchema.safeParse(found.val?.value).data?.edits ?? [] })
 }
 
+/** The accepted edits that the platform still keeps of a service. */
+export async function readPastEdits (store: ObjectStore, service: string): Promise<Result<PastEdit[], Fault>> {
+  const found = await store.queries.get('history', service)
+  if (found.err) return Err(convertStoreFault(found.val))
+  return Ok(historySchema.safeParse(found.val?.value).data?.edits ?? [])
+}
+
 export async function readEdit (store: ObjectStore, service: string): Promise<Result<StoredEdit | undefined, Fault>> {
   const found = await store.queries.get('service', service)
   if (found.err) return Err(convertStoreFault(found.val))
--- /dev/null
+++ b/src/duty/queries/convert.ts
@@ -0,0 +1,37 @@
+/**
+ * Objects of the platform as versions that nodes take, checked whole: what was written past the
+ * operator's tool may be anything.
+ */
+import { Err, Ok, formatFault, hashValue } from '../../core/index.js'
+import type { Result } from '../../core/index.js'
+import { checkDocument, parseStored } from '../../document/index.js'
+import type { PastEdit } from '../../document/index.js'
+import type { StoredObject } from '../../platform/index.js'
+import type { Entry } from '../../snapshot/index.js'
+
+/** The error is the reason why the object is refused. */
+export function convertObject (object: StoredObject): Result<Entry, string> {
+  const stored = parseStored(object)
+  if (stored.err) return Err(stored.val.message)
+  const { edit, version } = stored.val
+  const converted = convertEdit(object.name, { ...edit, version })
+  return converted.ok ? Ok({ ...converted.val, acceptedAt: edit.fencedAt ?? edit.acceptedAt }) : converted
+}
+
+export function convertEdit (service: string, { version, acceptedAt, document: value, deleted }: PastEdit): Result<Entry, string> {
+  if (deleted) return Ok({ service, version, acceptedAt, hash: '' })
+  const document = checkDocument(value)
+  if (document.err) return Err(document.val.map(formatFault).join('; '))
+  if (document.val.service !== service) return Err(`the document names itself ${document.val.service}`)
+  return Ok({ service, version, acceptedAt, hash: hashValue(document.val), document: document.val })
+}
+
+/** The newest version below a refused one that a node could take. */
+export function findGoodEntry (service: string, below: number, history: readonly PastEdit[]): Entry | undefined {
+  const older = history.filter(past => past.version < below).sort((left, right) => right.version - left.version)
+  for (const past of older) {
+    const converted = convertEdit(service, past)
+    if (converted.ok) return converted.val
+  }
+  return undefined
+}
