Add delete, history, dry runs and a true status to the tool

Cause: the tool could not delete, show or resolve earlier edits, took unknown flags and subcommands silently (exit code 1 or 0), and `status` showed the largest answer of any head, so nodes of a region that could not be reached were counted by what another head still held of them.

Now a strict runner refuses wrong usage with exit code 2 before anything runs; `apply` takes several documents and orders them by their references; faults name file, line, path, expected and found. A read without an answer is `unreachable`, not `unknown`: nothing can have changed.

--- a/src/bin/check.ts
+++ b/src/bin/check.ts
@@ -2,22 +2,24 @@
 /**
  * Entry point of `comfreyspoke-check`: checks documents without the platform.
  */
-import { defineCommand, runMain } from 'citty'
-import { formatFault } from '../core/index.js'
-import { loadDocument } from '../tool/load.js'
+import { defineCommand } from 'citty'
+import { EXIT } from '../tool/exit.js'
+import { loadDocuments } from '../tool/load.js'
+import { formatFileFault } from '../tool/output.js'
+import { runStrict } from '../tool/run.js'
 
-await runMain(defineCommand({
+await runStrict(defineCommand({
   meta: { name: 'comfreyspoke-check', description: 'Check documents offline; exit code 1 when one is invalid.' },
-  args: { file: { type: 'positional', required: true, description: 'YAML or JSON file; more may follow' } },
+  args: { file: { type: 'positional', required: true, valueHint: 'FILE...', description: 'YAML or JSON files, - for standard input' } },
   run: async ({ args }) => {
     for (const file of args._) {
-      const document = await loadDocument(file)
-      if (document.ok) {
-        process.stdout.write(`${file}: valid document of ${document.val.service}\n`)
+      const documents = await loadDocuments(file)
+      if (documents.ok) {
+        for (const document of documents.val) process.stdout.write(`${file}: valid document of ${document.service}\n`)
         continue
       }
-      for (const fault of document.val) process.stderr.write(`${file}: ${formatFault(fault)}\n`)
-      process.exitCode = 1
+      for (const fault of documents.val) process.stderr.write(`${formatFileFault(fault)}\n`)
+      process.exitCode = EXIT.invalid
     }
   }
 }))
--- a/src/bin/tool.ts
+++ b/src/bin/tool.ts
@@ -2,7 +2,7 @@
 /**
  * Entry point of `comfreyspoke`, the operator's tool.
  */
-import { runMain } from 'citty'
 import { toolCommand } from '../tool/main.js'
+import { runStrict } from '../tool/run.js'
 
-await runMain(toolCommand)
+await runStrict(toolCommand)
--- a/src/document/context.ts
+++ b/src/document/context.ts
@@ -51,6 +51,6 @@
 }
 
 /** A read changes nothing, so no answer to it leaves nothing unknown. */
-function convertReadFault (fault: StoreFault): Fault {
+export function convertReadFault (fault: StoreFault): Fault {
   return convertStoreFault(fault.code === 'unknown' ? { ...fault, code: 'unreachable' } : fault)
 }
--- a/src/document/queries/read.ts
+++ b/src/document/queries/read.ts
@@ -4,7 +4,7 @@
 import { Err, Ok, makeFault } from '../../core/index.js'
 import type { Fault, Result } from '../../core/index.js'
 import type { ObjectStore, StoredObject } from '../../platform/index.js'
-import { attemptRead, convertStoreFault } from '../context.js'
+import { attemptRead, convertReadFault } from '../context.js'
 import type { EditContext } from '../context.js'
 import { editSchema, historySchema, referrersSchema } from '../stored.js'
 import type { Edit, PastEdit, Referrers } from '../stored.js'
@@ -57,27 +57,30 @@
 /** The accepted edits that the platform still keeps of a service. */
 export async function readPastEdits (store: ObjectStore, service: string): Promise<Result<PastEdit[], Fault>> {
   const found = await store.queries.get('history', service)
-  if (found.err) return Err(convertStoreFault(found.val))
+  if (found.err) return Err(convertReadFault(found.val))
   return Ok(historySchema.safeParse(found.val?.value).data?.edits ?? [])
 }
 
 export async function readEdit (store: ObjectStore, service: string): Promise<Result<StoredEdit | undefined, Fault>> {
   const found = await store.queries.get('service', service)
-  if (found.err) return Err(convertStoreFault(found.val))
+  if (found.err) return Err(convertReadFault(found.val))
   return found.val === undefined ? Ok(undefined) : parseStored(found.val)
 }
 
-export interface EditList { edits: StoredEdit[], invalid: Fault[] }
+export interface InvalidObject { service: string, version: number, reason: string }
+
+export interface EditList { edits: StoredEdit[], invalid: InvalidObject[] }
 
-/** Objects that do not hold an edit come as faults beside the others. */
 export async function listEdits (store: ObjectStore): Promise<Result<EditList, Fault>> {
   const found = await store.queries.list('service')
-  if (found.err) return Err(convertStoreFault(found.val))
-  const parsed = found.val.objects.map(parseStored)
-  return Ok({
-    edits: parsed.flatMap(one => one.ok ? [one.val] : []),
-    invalid: parsed.flatMap(one => one.err ? [one.val] : [])
-  })
+  if (found.err) return Err(convertReadFault(found.val))
+  const list: EditList = { edits: [], invalid: [] }
+  for (const object of found.val.objects) {
+    const parsed = parseStored(object)
+    if (parsed.ok) list.edits.push(parsed.val)
+    else list.invalid.push({ service: object.name, version: object.version, reason: parsed.val.message })
+  }
+  return Ok(list)
 }
 
 export function parseStored (object: StoredObject): Result<StoredEdit, Fault> {
--- a/src/peer/acks.ts
+++ b/src/peer/acks.ts
@@ -30,6 +30,10 @@
     return sums
   }
 
+  readSources (): Record<string, Counts> {
+    return Object.fromEntries([...this.bySource].map(([source, { counts }]) => [source, counts]))
+  }
+
   listServices (): Set<string> {
     return new Set([...this.bySource.values()].flatMap(one => Object.keys(one.counts)))
   }
--- a/src/peer/messages.ts
+++ b/src/peer/messages.ts
@@ -107,6 +107,8 @@
   upstream: z.string(),
   nodes: z.number().int(),
   counts: z.record(z.string(), z.record(z.string(), z.number().int())),
+  /** The counts by what they come from: the node itself and each of its subscribers with its subtree. */
+  sources: z.record(z.string(), z.record(z.string(), z.record(z.string(), z.number().int()))).default({}),
   lagging: z.array(laggingSchema),
   refused: z.array(z.object({ service: z.string(), version: z.number().int(), reason: z.string() })),
   records: z.array(hostRecordSchema)
--- a/src/peer/queries/status.ts
+++ b/src/peer/queries/status.ts
@@ -17,6 +17,7 @@
     upstream: place.upstream,
     nodes: countNodes(counts),
     counts,
+    sources: acks.readSources(),
     lagging: acks.listLagging(),
     refused: [...replica.refusals.values()],
     records: replica.listRecords()
--- a/src/tool/commands/apply.ts
+++ b/src/tool/commands/apply.ts
@@ -1,36 +1,77 @@
 /**
- * `comfreyspoke apply`: checks a document and puts it on the platform.
+ * `comfreyspoke apply`: checks documents and puts them on the platform, each after those it refers to.
  */
-import { userInfo } from 'node:os'
 import { defineCommand } from 'citty'
-import { SystemClock } from '../../core/index.js'
-import { applyDocument } from '../../document/index.js'
-import { COMMON_FLAGS, openPlatform } from '../flags.js'
-import { loadDocument } from '../load.js'
+import { Err, Ok, SystemClock, makeFault } from '../../core/index.js'
+import type { Fault, Result } from '../../core/index.js'
+import { applyDocument, listEdits, orderDocuments } from '../../document/index.js'
+import type { Document, EditList } from '../../document/index.js'
+import type { HttpObjectStore } from '../../platform/index.js'
+import { EDIT_FLAGS, findAuthor, openPlatform, parseExpected } from '../flags.js'
+import { loadFiles } from '../load.js'
 import { printResult, reportFaults } from '../output.js'
 
+interface Plan { documents: Document[], versions: ReadonlyMap<string, number> }
+
 export const applyCommand = defineCommand({
-  meta: { name: 'apply', description: 'Check a document and accept it as the new version of its service.' },
+  meta: { name: 'apply', description: 'Check documents and accept each as the new version of its service.' },
   args: {
-    file: { type: 'positional', required: true, description: 'YAML or JSON file, - for standard input' },
-    expected: { type: 'string', description: 'version to replace, 0 for a new service (default: the one that is there)' },
-    author: { type: 'string', description: 'name kept with the edit (default: your login name)' },
-    ...COMMON_FLAGS
+    file: { type: 'positional', required: true, valueHint: 'FILE...', description: 'YAML or JSON files, - for standard input' },
+    'dry-run': { type: 'boolean', default: false, description: 'check only, also against the platform; change nothing' },
+    ...EDIT_FLAGS
   },
   run: async ({ args }) => {
-    const document = await loadDocument(args.file)
-    if (document.err) {
-      reportFaults(args.json, document.val)
-      return
-    }
+    const loaded = await loadFiles(args._)
+    if (loaded.err) return reportFaults(args.json, loaded.val)
+    const expected = parseExpected(args.expected, loaded.val.length)
+    if (expected.err) return reportFaults(args.json, [expected.val])
     const store = openPlatform(args.platform)
-    const accepted = await applyDocument(store, new SystemClock(), {
-      document: document.val,
-      author: args.author ?? userInfo().username,
-      ...(args.expected === undefined ? {} : { expected: Number(args.expected) })
-    })
+    const plan = await verifyEdits(store, loaded.val, expected.val)
+    if (plan.err) reportFaults(args.json, plan.val)
+    else if (args['dry-run']) printPlan(args.json, plan.val)
+    else await applyPlan(store, plan.val, { json: args.json, author: findAuthor(args.author), expected: expected.val })
     await store.close()
-    if (accepted.err) reportFaults(args.json, [accepted.val])
-    else printResult(args.json, accepted.val, `accepted ${accepted.val.service} as version ${accepted.val.version}`)
   }
 })
+
+/** Finds what can be found before the first write, so that of several documents none or all are accepted as far as possible. */
+async function verifyEdits (store: HttpObjectStore, documents: Document[], expected: number | undefined): Promise<Result<Plan, Fault[]>> {
+  const listed = await listEdits(store)
+  if (listed.err) return Err([listed.val])
+  const versions = listVersions(listed.val)
+  const present = new Set(listed.val.edits.filter(({ edit }) => !edit.deleted).map(({ service }) => service))
+  const ordered = orderDocuments(documents, present)
+  if (ordered.err) return ordered
+  const held = versions.get(documents[0]?.service ?? '') ?? 0
+  if (expected !== undefined && expected !== held) {
+    return Err([makeFault('conflict', `${documents[0]?.service} is at version ${held}; nothing changed`, { expected: `version ${expected}`, found: `version ${held}`, version: held })])
+  }
+  return Ok({ documents: ordered.val, versions })
+}
+
+function listVersions ({ edits, invalid }: EditList): Map<string, number> {
+  return new Map([...edits, ...invalid].map(({ service, version }) => [service, version]))
+}
+
+function printPlan (json: boolean, { documents, versions }: Plan): void {
+  for (const { service } of documents) {
+    const replaces = versions.get(service) ?? 0
+    printResult(json, { service, replaces, dryRun: true }, `would replace version ${replaces} of ${service}`)
+  }
+}
+
+interface ApplyOptions { json: boolean, author: string, expected: number | undefined }
+
+/** Stops at the first document that is not accepted; those after it may refer to it. */
+async function applyPlan (store: HttpObjectStore, { documents }: Plan, { json, author, expected }: ApplyOptions): Promise<void> {
+  const clock = new SystemClock()
+  for (const [index, document] of documents.entries()) {
+    const accepted = await applyDocument(store, clock, { document, author, ...(expected === undefined ? {} : { expected }) })
+    if (accepted.err) {
+      const left = documents.slice(index + 1).map(({ service }) => service)
+      reportFaults(json, [accepted.val, ...left.map(service => makeFault('not_tried', `${service} was not tried`))])
+      return
+    }
+    printResult(json, accepted.val, `accepted ${accepted.val.service} as version ${accepted.val.version}`)
+  }
+}
--- a/src/tool/flags.ts
+++ b/src/tool/flags.ts
@@ -1,6 +1,9 @@
 /**
  * Flags that several subcommands share.
  */
+import { userInfo } from 'node:os'
+import { Err, Ok, makeFault } from '../core/index.js'
+import type { Fault, Result } from '../core/index.js'
 import { HttpObjectStore } from '../platform/index.js'
 import { EXIT } from './exit.js'
 
@@ -12,6 +15,30 @@
 
 export const COMMON_FLAGS = { ...PLATFORM_FLAG, ...JSON_FLAG } as const
 
+export const EDIT_FLAGS = {
+  expected: { type: 'string', description: 'version to replace, 0 for a new service (default: the one that is there)' },
+  author: { type: 'string', description: 'name kept with the edit (default: your login name)' },
+  ...COMMON_FLAGS
+} as const
+
+export function findAuthor (flag: string | undefined): string {
+  return flag ?? userInfo().username
+}
+
+export function parseVersion (name: string, flag: string | undefined): Result<number | undefined, Fault> {
+  if (flag === undefined) return Ok(undefined)
+  const version = Number(flag)
+  if (/^[0-9]+$/.test(flag) && Number.isSafeInteger(version)) return Ok(version)
+  return Err(makeFault('usage', `--${name} is not a version`, { expected: 'a whole number, 0 or above', found: flag }))
+}
+
+export function parseExpected (flag: string | undefined, documents = 1): Result<number | undefined, Fault> {
+  if (flag !== undefined && documents > 1) {
+    return Err(makeFault('usage', '--expected is for one document', { expected: 'one document', found: `${documents} documents` }))
+  }
+  return parseVersion('expected', flag)
+}
+
 export function openPlatform (flag: string | undefined): HttpObjectStore {
   const url = flag ?? process.env.COMFREYSPOKE_PLATFORM
   if (url === undefined || !URL.canParse(url)) {
--- a/src/tool/load.ts
+++ b/src/tool/load.ts
@@ -1,19 +1,61 @@
 /**
- * Reads a document from a YAML or JSON file; `-` is standard input.
+ * Reads documents from YAML or JSON; one file may hold several, `-` is standard input.
  */
 import { readFile } from 'node:fs/promises'
 import { text } from 'node:stream/consumers'
-import { parse } from 'yaml'
-import { Err, describeError, makeFault } from '../core/index.js'
+import { isNode, LineCounter, parseAllDocuments } from 'yaml'
+import type { Document as YamlDocument, YAMLError } from 'yaml'
+import { Err, Ok, describeError, makeFault } from '../core/index.js'
 import type { Fault, Result } from '../core/index.js'
 import { checkDocument } from '../document/index.js'
 import type { Document } from '../document/index.js'
+import type { FileFault } from './output.js'
 
-export async function loadDocument (file: string): Promise<Result<Document, Fault[]>> {
+/** All documents of all files, or every fault that any of them has. */
+export async function loadFiles (files: readonly string[]): Promise<Result<Document[], FileFault[]>> {
+  const loaded = await Promise.all(files.map(loadDocuments))
+  const faults = loaded.flatMap(one => one.err ? one.val : [])
+  return faults.length > 0 ? Err(faults) : Ok(loaded.flatMap(one => one.ok ? one.val : []))
+}
+
+export async function loadDocuments (file: string): Promise<Result<Document[], FileFault[]>> {
   try {
     const content = file === '-' ? await text(process.stdin) : await readFile(file, 'utf8')
-    return checkDocument(parse(content))
+    return parseDocuments(file, content)
   } catch (error) {
-    return Err([makeFault('unreadable', `${file}: ${describeError(error)}`)])
+    return Err([{ ...makeFault('unreadable', describeError(error)), file }])
   }
 }
+
+/** Duplicate keys, tabs as indentation and the like are errors of the YAML parser. */
+export function parseDocuments (file: string, content: string): Result<Document[], FileFault[]> {
+  const lines = new LineCounter()
+  const parsed = parseAllDocuments(content, { lineCounter: lines, prettyErrors: false })
+  const found = [...parsed].map(yaml => parseOne(file, yaml, lines))
+  if (found.length === 0) return Err([{ ...makeFault('empty', 'there is no document', { expected: 'a YAML or JSON document', found: 'nothing' }), file }])
+  const faults = found.flatMap(one => one.err ? one.val : [])
+  return faults.length > 0 ? Err(faults) : Ok(found.flatMap(one => one.ok ? [one.val] : []))
+}
+
+function parseOne (file: string, yaml: YamlDocument, lines: LineCounter): Result<Document, FileFault[]> {
+  const problems = [...yaml.errors, ...yaml.warnings]
+  if (problems.length > 0) return Err(problems.map(problem => convertProblem(file, problem, lines)))
+  const checked = checkDocument(yaml.toJS())
+  return checked.ok ? checked : Err(checked.val.map(fault => convertFault(file, fault, yaml, lines)))
+}
+
+function convertProblem (file: string, problem: YAMLError, lines: LineCounter): FileFault {
+  const { line, col } = lines.linePos(problem.pos[0])
+  return { ...makeFault('yaml', problem.message, { expected: 'valid YAML', found: `${problem.code} at column ${col}` }), file, line }
+}
+
+function convertFault (file: string, fault: Fault, yaml: YamlDocument, lines: LineCounter): FileFault {
+  const line = findLine(yaml, fault.path, lines)
+  return line === undefined ? { ...fault, file } : { ...fault, file, line }
+}
+
+/** The line of the value, where the document has it. */
+function findLine (yaml: YamlDocument, path: Fault['path'], lines: LineCounter): number | undefined {
+  const node: unknown = path.length === 0 ? yaml.contents : yaml.getIn(path, true)
+  return isNode(node) && node.range !== undefined && node.range !== null ? lines.linePos(node.range[0]).line : undefined
+}
--- a/src/tool/main.ts
+++ b/src/tool/main.ts
@@ -3,8 +3,10 @@
  */
 import { defineCommand } from 'citty'
 import { applyCommand } from './commands/apply.js'
+import { deleteCommand } from './commands/delete.js'
 import { drainCommand } from './commands/drain.js'
 import { getCommand } from './queries/get.js'
+import { historyCommand } from './queries/history.js'
 import { listCommand } from './queries/list.js'
 import { statusCommand } from './queries/status.js'
 
@@ -12,8 +14,10 @@
   meta: { name: 'comfreyspoke', description: 'Edits the documents of services and shows what is in force.' },
   subCommands: {
     apply: applyCommand,
+    delete: deleteCommand,
     drain: drainCommand,
     get: getCommand,
+    history: historyCommand,
     list: listCommand,
     status: statusCommand
   }
--- a/src/tool/output.ts
+++ b/src/tool/output.ts
@@ -9,9 +9,18 @@
   process.stdout.write(`${json ? JSON.stringify(value) : text}\n`)
 }
 
-export function reportFaults (json: boolean, faults: readonly Fault[]): void {
+/** A fault that concerns a file, at a line where that is known. */
+export interface FileFault extends Fault { file: string, line?: number }
+
+/** For example `desk.yaml:7: routes.check.deadlineMs: has the wrong type (expected number, found "soon")`. */
+export function formatFileFault (fault: FileFault): string {
+  const place = fault.line === undefined ? fault.file : `${fault.file}:${fault.line}`
+  return `${place}: ${formatFault(fault)}`
+}
+
+export function reportFaults (json: boolean, faults: ReadonlyArray<Fault | FileFault>): void {
   for (const fault of faults) {
-    process.stderr.write(`${json ? JSON.stringify(fault) : `comfreyspoke: ${fault.code}: ${formatFault(fault)}`}\n`)
+    process.stderr.write(`${json ? JSON.stringify(fault) : `comfreyspoke: ${fault.code}: ${'file' in fault ? formatFileFault(fault) : formatFault(fault)}`}\n`)
   }
   process.exitCode = findExitCode(faults[0]?.code ?? '')
 }
--- a/src/tool/queries/list.ts
+++ b/src/tool/queries/list.ts
@@ -28,6 +28,8 @@
       return
     }
     const rows = found.val.edits.map(makeRow)
-    printResult(args.json, rows, rows.map(formatRow).join('\n'))
+    const { invalid } = found.val
+    const text = [...rows.map(formatRow), ...invalid.map(one => `${one.service}\tversion ${one.version}\tinvalid: ${one.reason}`)]
+    printResult(args.json, [...rows, ...invalid.map(one => ({ ...one, invalid: true }))], text.join('\n'))
   }
 })
