--- a/src/request/zonepicker.ts
+++ b/src/request/zonepicker.ts
@@ -59,10 +59,13 @@
     if (score.observe(at, latencyMs, outcome, usual) && this.isEjectable(target, at)) score.eject(at)
   }
 
+  countEjected (targets: readonly Target[], at = this.clock.monotonic()): number {
+    return targets.filter(target => this.scores.get(target.id)?.isEjected(at) === true).length
+  }
+
   private isEjectable ({ service, id }: Target, at: number): boolean {
     const targets = this.lists.get(service) ?? []
-    const ejected = targets.filter(target => target.id !== id && this.scores.get(target.id)?.isEjected(at) === true).length
-    return ejected + 1 <= targets.length * MAX_EJECTED_SHARE
+    return this.countEjected(targets.filter(target => target.id !== id), at) + 1 <= targets.length * MAX_EJECTED_SHARE
   }
 
   /** Only the node of the target's host counts its slots; this is what is known here. */
