--- a/src/request/score.ts
+++ b/src/request/score.ts
@@ -6,6 +6,8 @@
 
 /** The share of a new sample in the moving latency. */
 const SAMPLE_SHARE = 0.2
+/** Half of what a latency differs from the usual one is forgotten in this time, so that a target that got no call is tried again. */
+const LATENCY_HALF_LIFE_MS = 1_000
 /** A failure counts as a call this much slower than usual, so that failing fast does not look fast. */
 const FAILURE_FACTOR = 3
 const LEAST_FAILURE_MS = 100
@@ -26,6 +28,7 @@
   inFlight = 0
   usedAt: number
   private latencyMs: number | undefined
+  private sampledAt = 0
   private consecutive = 0
   private window = { startedAt: 0, calls: 0, failures: 0 }
   private ejectedUntil = -Infinity
@@ -49,7 +52,7 @@
   measure (at: number, usualMs: number): number {
     const warm = Math.min(1, Math.max(SLOW_START_LEAST, (at - this.readySince) / SLOW_START_MS))
     const penalty = 2 ** Math.min(this.consecutive, MAX_PENALTY_STEPS)
-    return (this.inFlight + 1) * (this.latencyMs ?? usualMs) * penalty / warm
+    return (this.inFlight + 1) * this.computeLatency(at, usualMs) * penalty / warm
   }
 
   /** True when what was seen is reason to eject the target. */
@@ -60,8 +63,8 @@
       return false
     }
     const failed = outcome === 'failed'
-    if (failed) this.recordSample(Math.max(latencyMs ?? 0, LEAST_FAILURE_MS, usualMs * FAILURE_FACTOR))
-    else if (latencyMs !== undefined) this.recordSample(latencyMs)
+    if (failed) this.recordSample(at, Math.max(latencyMs ?? 0, LEAST_FAILURE_MS, usualMs * FAILURE_FACTOR))
+    else if (latencyMs !== undefined) this.recordSample(at, latencyMs)
     this.consecutive = failed ? this.consecutive + 1 : 0
     this.countInWindow(at, failed)
     const { calls, failures } = this.window
@@ -80,7 +83,13 @@
     this.window = { startedAt: at, calls: 0, failures: 0 }
   }
 
-  private recordSample (ms: number): void {
+  private computeLatency (at: number, usualMs: number): number {
+    if (this.latencyMs === undefined) return usualMs
+    return usualMs + (this.latencyMs - usualMs) * 0.5 ** ((at - this.sampledAt) / LATENCY_HALF_LIFE_MS)
+  }
+
+  private recordSample (at: number, ms: number): void {
+    this.sampledAt = at
     this.latencyMs = this.latencyMs === undefined ? ms : this.latencyMs + SAMPLE_SHARE * (ms - this.latencyMs)
   }
 
--- a/src/request/zonepicker.ts
+++ b/src/request/zonepicker.ts
@@ -13,6 +13,8 @@
 /** Stands for the latency of a service that no call has measured yet. */
 const UNKNOWN_LATENCY_MS = 5
 const USUAL_SHARE = 0.05
+/** Between targets that are nearly alike chance decides; else the best of two would get all calls of an idle tier. */
+const CLEARLY_BETTER = 0.8
 /** What is known of a target that got no call for so long is dropped. */
 const UNUSED_MS = 300_000
 
@@ -62,10 +64,13 @@
     if (score.observe(at, latencyMs, outcome, usual) && this.isEjectable(target, at)) score.eject(at)
   }
 
+  countEjected (targets: readonly Target[], at = this.clock.monotonic()): number {
+    return targets.filter(target => this.scores.get(target.id)?.isEjected(at) === true).length
+  }
+
   private isEjectable ({ service, id }: Target, at: number): boolean {
     const targets = this.lists.get(service) ?? []
-    const ejected = targets.filter(target => target.id !== id && this.scores.get(target.id)?.isEjected(at) === true).length
-    return ejected + 1 <= targets.length * MAX_EJECTED_SHARE
+    return this.countEjected(targets.filter(target => target.id !== id), at) + 1 <= targets.length * MAX_EJECTED_SHARE
   }
 
   /** Only the node of the target's host counts its slots; this is what is known here. */
@@ -79,7 +84,7 @@
     const first = tier[index]
     if (first === undefined || tier.length === 1) return first
     const second = tier[(index + 1 + this.random.pickIndex(tier.length - 1)) % tier.length]
-    return second !== undefined && this.measure(second, at) < this.measure(first, at) ? second : first
+    return second !== undefined && this.measure(second, at) < this.measure(first, at) * CLEARLY_BETTER ? second : first
   }
 
   private measure (target: Target, at: number): number {
