--- /dev/null
+++ b/tests/proofs/herd-restart.test.ts
@@ -0,0 +1,41 @@
+/**
+ * Processes of the system crash in large numbers at once. Guards against reconnect storms that keep
+ * the tree from coming back, and against nodes that stay behind or are counted wrongly afterwards.
+ */
+import { afterAll, beforeAll, describe, expect, test } from '@jest/globals'
+import type { HostLayout } from '../../standins/layout/schema.js'
+import { REPAIR_LIMIT_MS, SETUP_LIMIT_MS, startDeployment } from '../fixtures/deployment.js'
+import type { Deployment } from '../fixtures/deployment.js'
+
+let deployment: Deployment
+
+beforeAll(async () => { deployment = await startDeployment(9) })
+afterAll(async () => { await deployment.stop() })
+
+async function listHeads (): Promise<HostLayout[]> {
+  const { regions } = deployment.placement.layout
+  return await Promise.all(regions.map(async ({ region }) => await deployment.findHolder(`head-${region}`)))
+}
+
+const herds: Record<string, () => Promise<HostLayout[]>> = {
+  'half of all nodes': async () => deployment.hosts.filter(host => host.index % 2 === 0),
+  'all nodes of a zone': async () => deployment.hosts.filter(host => host.zone === 'gj-south-b'),
+  'all heads': listHeads
+}
+
+describe.each(Object.keys(herds))('after a crash of %s at once', name => {
+  test('the others get an edit, and those that restart have it and are counted once', async () => {
+    const herd = await herds[name]?.() ?? []
+    const others = deployment.hosts.filter(host => !herd.includes(host))
+    expect(herd.length).toBeGreaterThan(0)
+    deployment.signal(herd, 'SIGKILL')
+    await Promise.all(herd.map(async host => await deployment.processes.awaitExit(`node ${host.host}`)))
+    const version = await deployment.edit()
+    await deployment.awaitInForce(others, version, SETUP_LIMIT_MS)
+    herd.forEach(host => { deployment.processes.startNode(host) })
+    await deployment.processes.awaitReady(herd, SETUP_LIMIT_MS)
+    await deployment.awaitInForce(herd, version, SETUP_LIMIT_MS)
+    await deployment.awaitInForce(deployment.hosts, await deployment.edit(), REPAIR_LIMIT_MS)
+    await deployment.awaitStatus()
+  })
+})
