--- a/src/node/duties.ts
+++ b/src/node/duties.ts
@@ -17,6 +17,8 @@
   clock: Clock
   recorder: Recorder
   log: Logger
+  /** Aborted when the node stops; all duties are then released. */
+  getLifetime: () => AbortSignal
   isRoot: (duty: string) => boolean
   onSource: (duty: string, up: boolean) => void
   /** Another node holds the duty now. */
@@ -35,7 +37,7 @@
   }
 
   /** False when another node was first or the platform does not answer. */
-  async claim (duty: string, held: HeldLease, signal: AbortSignal): Promise<boolean> {
+  async claim (duty: string, held: HeldLease): Promise<boolean> {
     const { replica, store, log, recorder } = this.context
     const lease = { holder: replica.identity.host, peer: replica.identity.peer, released: false }
     const claimed = await claimLease(store, duty, held.version, lease)
@@ -44,7 +46,7 @@
     recorder.record('duty-claimed', duty)
     replica.duties.add(duty)
     const stop = new AbortController()
-    this.holding.set(duty, { stop, done: this.keep(claimed.val, AbortSignal.any([signal, stop.signal])) })
+    this.holding.set(duty, { stop, done: this.keep(claimed.val, AbortSignal.any([this.context.getLifetime(), stop.signal])) })
     return true
   }
 
@@ -55,7 +57,7 @@
     await held?.done
   }
 
-  /** Ends when all duties are released; the signal of their claims must be aborted. */
+  /** Ends when all duties are released, after the end of the node's lifetime. */
   async awaitReleased (): Promise<void> {
     await Promise.allSettled([...this.holding.values()].map(async held => { await held.done }))
   }
--- a/src/node/tasks/follow.ts
+++ b/src/node/tasks/follow.ts
@@ -15,6 +15,7 @@
 import { findDuty, hasHead, isCandidate, listAnyone, listCandidates } from '../queries/candidates.js'
 import type { Known } from '../queries/candidates.js'
 import { RootTicker } from './root.js'
+import { Seeker } from './seek.js'
 
 const BACKOFF = { baseMs: 100, maxMs: 2_000 }
 /** For peers that are about to find an upstream themselves; only the subscribers of one lost node wait for them. */
@@ -45,8 +46,9 @@
   private readonly failures: PeerFailures
   private readonly duties: Duties
   private readonly root: RootTicker
+  private readonly seeker: Seeker
   private known: Known
-  private move = new AbortController()
+  private position = new AbortController()
   private lifetime = new AbortController().signal
   private askPlatformAt: number
   private sawUnrooted = false
@@ -63,10 +65,21 @@
       ...context,
       replica,
       log: dutyLog,
+      getLifetime: () => this.lifetime,
       isRoot: duty => duty.startsWith('head-') && this.root.isActive,
       onSource: (duty, up) => { this.noteSource(duty, up) },
       onLost: (duty, successor) => { this.followSuccessor(duty, successor) }
     })
+    this.seeker = new Seeker({
+      ...context,
+      replica,
+      duties: this.duties,
+      failures: this.failures,
+      originDuty: this.originDuty,
+      getKnown: () => this.known,
+      claim: async (duty, held) => await this.claimDuty(duty, held),
+      getPosition: () => this.position
+    })
   }
 
   async run (signal: AbortSignal): Promise<void> {
@@ -74,9 +87,9 @@
     void this.root.run(signal)
     let failures = 0
     while (!signal.aborted) {
-      this.move = new AbortController()
+      this.position = new AbortController()
       this.sawUnrooted = false
-      const attached = await this.followOnce(AbortSignal.any([signal, this.move.signal]))
+      const attached = await this.followOnce(AbortSignal.any([signal, this.position.signal]))
       failures = attached ? 0 : Math.min(failures + 1, this.sawUnrooted ? UNROOTED_ATTEMPTS : Infinity)
       await this.context.clock.sleep(computeBackoff(failures, BACKOFF, this.context.random), signal)
     }
@@ -128,7 +141,7 @@
       onAttached()
       this.noteAttached(upstream)
       const needsSource = upstream instanceof DetachedUpstream ? this.isOrigin : hasHead(this.replica)
-      seeking = this.seekBetter(seek ?? (async () => await this.listSources()), needsSource, stop, signal)
+      seeking = this.seekBetter(seek ?? (async () => await this.seeker.listForFollower()), needsSource, stop, signal)
     }
     const end = await upstream.run(inner)
     const isMoved = stop.signal.aborted
@@ -193,7 +206,7 @@
     if (held.err) return await this.followWithoutPlatform(signal)
     if (await this.followHolder(held.val.lease, signal)) return true
     if (this.duties.hasLost(duty) && held.val.lease?.released === false) return await this.followWithoutPlatform(signal)
-    return await this.claimDuty(duty, held.val, signal)
+    return await this.claimDuty(duty, held.val)
   }
 
   private async followHolder (lease: Lease | undefined, signal: AbortSignal, needsSource = false): Promise<boolean> {
@@ -202,9 +215,9 @@
     return await this.followFirst([lease.peer], signal, needsSource)
   }
 
-  private async claimDuty (duty: string, held: HeldLease, signal: AbortSignal): Promise<boolean> {
-    if (signal.aborted || !isClaimable(held.lease, this.replica.identity.host, peer => this.failures.has(peer))) return false
-    return await this.duties.claim(duty, held, this.lifetime)
+  private async claimDuty (duty: string, held: HeldLease): Promise<boolean> {
+    if (this.lifetime.aborted || !isClaimable(held.lease, this.replica.identity.host, peer => this.failures.has(peer))) return false
+    return await this.duties.claim(duty, held)
   }
 
   /** The head of a region away from the platform: follows the origin head, else the platform itself. */
@@ -219,7 +232,7 @@
     const { receiver, store, dutyLog } = this.context
     if (signal.aborted) return true
     const upstream = new PlatformUpstream(receiver, store, dutyLog)
-    await this.followUpstream(upstream, signal, async () => await this.listRoots())
+    await this.followUpstream(upstream, signal, async () => await this.seeker.listForWatcher())
     return upstream.attached
   }
 
@@ -229,67 +242,16 @@
     const mayServe = this.replica.ready && isCandidate(this.replica, this.known)
     if (!mayServe || signal.aborted) return false
     this.known = { ...this.known, below: [...new Set([...this.known.below, ...this.context.registry.listHolders()])] }
-    await this.followUpstream(new DetachedUpstream(), signal, async () => await this.listReturns())
+    await this.followUpstream(new DetachedUpstream(), signal, async () => await this.seeker.listForDetached())
     return true
   }
 
-  /** A holder of a duty whose root has lost the platform: the root's successor, or this node takes the root's place. */
-  private async listSources (): Promise<string[]> {
-    const { replica } = this
-    if (replica.duties.size === 0) return []
-    if (replica.place.sourceUp) return await this.listHome()
-    const held = await readLease(this.context.store, this.originDuty)
-    if (held.err || replica.place.sourceUp) return []
-    const lease = held.val.lease
-    if (lease !== undefined && !lease.released && lease.peer !== replica.place.pathPeers[0]) return this.listOther(lease)
-    if (findDuty(replica) === this.originDuty) {
-      if (await this.duties.claim(this.originDuty, held.val, this.lifetime)) this.move.abort()
-    } else if (hasHead(replica)) this.move.abort()
-    return []
-  }
-
-  /** A relay that follows another region's head returns to the head of its own region, or becomes it. */
-  private async listHome (): Promise<string[]> {
-    const { replica } = this
-    const duty = findDuty(replica)
-    const parent = replica.place.pathPeers.at(-2)
-    const region = replica.listRecords().find(record => record.peer === parent)?.region
-    if (duty === undefined || region === undefined || region === replica.identity.region) return []
-    const held = await readLease(this.context.store, duty)
-    if (held.err || this.duties.hasLost(duty)) return []
-    if (await this.claimDuty(duty, held.val, this.lifetime)) this.move.abort()
-    return held.val.lease === undefined || this.failures.has(held.val.lease.peer) ? [] : this.listOther(held.val.lease)
-  }
-
-  /** A head that watches the platform for want of an origin head. */
-  private async listRoots (): Promise<string[]> {
-    if (this.isOrigin) return []
-    const held = await readLease(this.context.store, this.originDuty)
-    return held.ok && held.val.lease?.released === false ? this.listOther(held.val.lease) : []
-  }
-
-  /** A root without any source: peers that may have one. The platform's answer ends this position. */
-  private async listReturns (): Promise<string[]> {
-    void this.checkPlatform()
-    return this.isOrigin ? [...this.known.below] : listAnyone(this.replica, this.known)
-  }
-
-  private async checkPlatform (): Promise<void> {
-    const { move } = this
-    const held = await readLease(this.context.store, this.originDuty)
-    if (held.ok) move.abort()
-  }
-
-  private listOther (lease: Lease): string[] {
-    return lease.peer === this.replica.identity.peer ? [] : [lease.peer]
-  }
-
   private noteSource (duty: string, up: boolean): void {
     if (duty !== formatHeadDuty(this.replica.identity.region) || !this.root.isActive) return
     const wasUp = this.root.sourceUp
     this.root.sourceUp = up
     // The watch may stand on a connection that went silent.
-    if (wasUp && !up) this.move.abort()
+    if (wasUp && !up) this.position.abort()
   }
 
   /** Another node has the duty: follow it. */
@@ -297,7 +259,7 @@
     const { identity } = this.replica
     this.known = { ...this.known, holders: [successor.peer] }
     if (duty === formatRelayDuty(identity.zone)) void this.duties.release(formatHeadDuty(identity.region))
-    this.move.abort()
+    this.position.abort()
   }
 
   private computeAskTime (): number {
--- a/tests/proofs/accepted-in-force.test.ts
+++ b/tests/proofs/accepted-in-force.test.ts
@@ -5,6 +5,7 @@
  */
 import { describe, expect, test } from '@jest/globals'
 import fc from 'fast-check'
+import { SILENCE_MS } from '../../src/peer/queries/silence.js'
 import { makeFleet, ZONES } from '../fixtures/fleet.js'
 import type { Fleet } from '../fixtures/fleet.js'
 import { readProofParameters } from '../fixtures/proof.js'
@@ -106,6 +107,18 @@
     }), readProofParameters(6))
   })
 
+  test.each(['head-a', 'head-b', 'relay-b1'])('at a shutdown of the holder of %s, before silence could be noticed', async duty => {
+    await fc.assert(fc.asyncProperty(fc.nat(1_000), async seed => {
+      const { fleet, oracle } = await startFleet(seed)
+      await fleet.shutDown(fleet.findHolder(duty).index)
+      oracle.desk = fleet.edit('desk')
+      await expectConverged(fleet, oracle, SILENCE_MS)
+      expect(fleet.findHolder(duty).alive).toBe(true)
+      await expectTrueStatus(fleet, oracle)
+      fleet.stop()
+    }), readProofParameters(6))
+  })
+
   test('on every node after any sequence of faults, once they are over', async () => {
     const index = fc.nat(NODES - 1)
     const zone = fc.constantFrom(...ZONES.map(one => one.zone))
