--- a/src/peer/queries/silence.ts
+++ b/src/peer/silence.ts
@@ -2,8 +2,8 @@
  * Whether an upstream still lives: it sends something at least every SILENCE_MS, and the tick of
  * its root moves while the root reaches the platform.
  */
-import type { Clock } from '../../core/index.js'
-import type { UpstreamEnd } from '../upstream.js'
+import type { Clock } from '../core/index.js'
+import type { UpstreamEnd } from './upstream.js'
 
 export const SILENCE_MS = 1_500
 /** A publisher answers at once; one that does not must not hold up the search for another. */
--- a/tests/proofs/accepted-in-force.test.ts
+++ b/tests/proofs/accepted-in-force.test.ts
@@ -5,7 +5,7 @@
  */
 import { describe, expect, test } from '@jest/globals'
 import fc from 'fast-check'
-import { SILENCE_MS } from '../../src/peer/queries/silence.js'
+import { SILENCE_MS } from '../../src/peer/silence.js'
 import { makeFleet, ZONES } from '../fixtures/fleet.js'
 import type { Fleet } from '../fixtures/fleet.js'
 import { readProofParameters } from '../fixtures/proof.js'
--- a/tests/subscribers.test.ts
+++ b/tests/subscribers.test.ts
@@ -5,7 +5,7 @@
 import { describe, expect, test } from '@jest/globals'
 import { SubscriberRegistry } from '../src/peer/index.js'
 import type { Replica, Session } from '../src/peer/index.js'
-import { SilenceWatch } from '../src/peer/queries/silence.js'
+import { SilenceWatch } from '../src/peer/silence.js'
 import { makeClock } from './fixtures/clock.js'
 import { makeReceiver } from './fixtures/receiver.js'
 
