Add conditional removal to the platform's object API

Cause: shards of claims expire after 24 h, and whoever writes removes them. A removal names the version that it removes (HTTP DELETE with ?expected=N), so it cannot take an object that somebody wrote meanwhile. The stand-in counts it as a write.

--- a/src/platform/call.ts
+++ b/src/platform/call.ts
@@ -15,7 +15,7 @@
 const NOT_SENT_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
 
 export async function exchange (
-  connection: Connection, method: 'GET' | 'PUT', path: string, body?: unknown
+  connection: Connection, method: 'GET' | 'PUT' | 'DELETE', path: string, body?: unknown
 ): Promise<Result<Answer, StoreFault>> {
   try {
     const answer = await request(`${connection.origin}${path}`, {
--- a/src/platform/commands/http.ts
+++ b/src/platform/commands/http.ts
@@ -7,7 +7,7 @@
 import { convertStatus, exchange } from '../call.js'
 import type { Connection } from '../call.js'
 import { MAX_VALUE_BYTES } from '../schema.js'
-import type { StoreFault, Write } from '../schema.js'
+import type { Removal, StoreFault, Write } from '../schema.js'
 import { StoreCommands } from '../store.js'
 
 const writtenSchema = z.object({ version: z.number().int().positive() })
@@ -27,4 +27,10 @@
     const written = writtenSchema.safeParse(answer.val.body)
     return written.success ? Ok(written.data.version) : Err({ code: 'unknown', message: 'platform gave no version for a write' })
   }
+
+  override async remove ({ kind, name, expected }: Removal): Promise<Result<void, StoreFault>> {
+    const answer = await exchange(this.connection, 'DELETE', `/v1/objects/${kind}/${encodeURIComponent(name)}?expected=${expected}`)
+    if (answer.err) return answer
+    return answer.val.status === 200 ? Ok(undefined) : Err(convertStatus(answer.val))
+  }
 }
--- a/src/platform/counting.ts
+++ b/src/platform/counting.ts
@@ -2,10 +2,10 @@
  * Counts each call to the platform by kind of call and kind of object, since the platform's rates are limited.
  */
 import type { Result } from '../core/index.js'
-import type { Kind, ObjectList, StoredObject, StoreFault, WatchEvent, Write } from './schema.js'
+import type { Kind, ObjectList, Removal, StoredObject, StoreFault, WatchEvent, Write } from './schema.js'
 import { ObjectStore, StoreCommands, StoreQueries } from './store.js'
 
-export type CountCall = (call: 'get' | 'list' | 'watch' | 'write', kind: Kind) => void
+export type CountCall = (call: 'get' | 'list' | 'watch' | 'write' | 'remove', kind: Kind) => void
 
 class CountingQueries extends StoreQueries {
   constructor (private readonly inner: StoreQueries, private readonly count: CountCall) {
@@ -37,6 +37,11 @@
     this.count('write', change.kind)
     return await this.inner.write(change)
   }
+
+  override async remove (removal: Removal): Promise<Result<void, StoreFault>> {
+    this.count('remove', removal.kind)
+    return await this.inner.remove(removal)
+  }
 }
 
 export class CountingObjectStore extends ObjectStore {
--- a/src/platform/schema.ts
+++ b/src/platform/schema.ts
@@ -40,6 +40,10 @@
 })
 export type Write = z.infer<typeof writeSchema>
 
+/** A conditional removal: `expected` is the version to remove. */
+export const removalSchema = writeSchema.omit({ value: true })
+export type Removal = z.infer<typeof removalSchema>
+
 /**
  * `conflict`: another version is there (`version` says which, 0 for none); nothing was written.
  * `unreachable`: the call did not reach the platform. `unknown`: no answer came, and a write may
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -3,7 +3,7 @@
  * one file with a subclass of each class. Versions of one object must rise at every write.
  */
 import type { Result } from '../core/index.js'
-import type { Kind, ObjectList, StoredObject, StoreFault, WatchEvent, Write } from './schema.js'
+import type { Kind, ObjectList, Removal, StoredObject, StoreFault, WatchEvent, Write } from './schema.js'
 
 export abstract class StoreQueries {
   abstract get (kind: Kind, name: string): Promise<Result<StoredObject | undefined, StoreFault>>
@@ -15,6 +15,8 @@
 export abstract class StoreCommands {
   /** Gives the new version. */
   abstract write (change: Write): Promise<Result<number, StoreFault>>
+  /** A conflict with version 0 means that the object is not there. */
+  abstract remove (removal: Removal): Promise<Result<void, StoreFault>>
 }
 
 export abstract class ObjectStore {
--- a/standins/platform/server.ts
+++ b/standins/platform/server.ts
@@ -86,12 +86,13 @@
     if (this.switches.slowMs > 0) await delay(this.switches.slowMs)
     const kind = kindSchema.safeParse(third)
     if (first !== 'v1' || !kind.success) return answer(response, 404, { message: 'no such path' })
-    const call = second === 'watch' ? 'watch' : message.method === 'PUT' ? 'write' : name === undefined ? 'list' : 'get'
+    const call = second === 'watch' ? 'watch' : message.method === 'PUT' ? 'write' : message.method === 'DELETE' ? 'remove' : name === undefined ? 'list' : 'get'
     this.counts[`${call} ${kind.data}`] = (this.counts[`${call} ${kind.data}`] ?? 0) + 1
-    const allowed = call === 'write' ? this.writes.take(this.switches.writesPerSecond) : this.reads.take(this.switches.readsPerSecond)
+    const allowed = call === 'write' || call === 'remove' ? this.writes.take(this.switches.writesPerSecond) : this.reads.take(this.switches.readsPerSecond)
     if (!allowed) return answer(response, 429, { message: 'rate limit' })
     if (call === 'watch') return this.handleWatch(kind.data, Number(url.searchParams.get('from') ?? 0), response)
     if (call === 'write') return await this.handleWrite(kind.data, decodeURIComponent(name ?? ''), message, response)
+    if (call === 'remove') return this.handleRemove(kind.data, decodeURIComponent(name ?? ''), Number(url.searchParams.get('expected') ?? 0), message, response)
     if (call === 'list') return answer(response, 200, this.objects.list(kind.data))
     const object = this.objects.get(kind.data, decodeURIComponent(name ?? ''))
     answer(response, object === undefined ? 404 : 200, object ?? { message: 'no such object' })
@@ -106,15 +107,25 @@
     const body = bodySchema.safeParse(await json(message))
     if (!body.success) return answer(response, 400, { message: body.error.message })
     const written = this.objects.write({ kind, name, expected: body.data.expected, value: body.data.value })
-    if (this.switches.loseAnswers > 0) {
-      this.switches.loseAnswers -= 1
-      message.socket.destroy()
-      return
-    }
+    if (this.dropAnswer(message)) return
     if (written.ok) answer(response, 200, { version: written.val })
     else answer(response, 409, written.val)
   }
 
+  private handleRemove (kind: Kind, name: string, expected: number, message: IncomingMessage, response: ServerResponse): void {
+    const removed = this.objects.remove({ kind, name, expected })
+    if (this.dropAnswer(message)) return
+    if (removed.ok) answer(response, 200, {})
+    else answer(response, 409, removed.val)
+  }
+
+  private dropAnswer (message: IncomingMessage): boolean {
+    if (this.switches.loseAnswers === 0) return false
+    this.switches.loseAnswers -= 1
+    message.socket.destroy()
+    return true
+  }
+
   private handleWatch (kind: Kind, from: number, response: ServerResponse): void {
     const past = this.objects.listEvents(kind, from)
     if (past === undefined) return answer(response, 410, { message: `revision ${from} is too old` })
--- a/standins/platform/store.ts
+++ b/standins/platform/store.ts
@@ -3,7 +3,7 @@
  */
 import { Err, Ok } from '../../src/core/index.js'
 import type { Result } from '../../src/core/index.js'
-import type { Kind, ObjectList, StoredObject, StoreFault, WatchEvent, Write } from '../../src/platform/index.js'
+import type { Kind, ObjectList, Removal, StoredObject, StoreFault, WatchEvent, Write } from '../../src/platform/index.js'
 
 const KEPT_EVENTS = 10_000
 
@@ -31,6 +31,13 @@
     return Ok(this.revision)
   }
 
+  remove ({ kind, name, expected }: Removal): Result<void, StoreFault> {
+    const held = this.get(kind, name)?.version ?? 0
+    if (held !== expected || held === 0) return Err({ code: 'conflict', message: `${kind}/${name} is at version ${held}, not ${expected}`, version: held })
+    this.objects.delete(`${kind}/${name}`)
+    return Ok(undefined)
+  }
+
   /** Events after a revision, or nothing when they are no longer kept. */
   listEvents (kind: Kind, from: number): WatchEvent[] | undefined {
     const oldest = this.events[0]?.revision ?? this.revision + 1
