Give each exchange a connection of its own and an exact verdict

Cause: the pool of undici chooses the connection itself, so a request with an idempotency key could go out on a connection that had been idle for seconds and had gone silent. The verdict was taken from a list of error codes, so an abort before the connection was made, or an error of a kind not listed, was called may-have-run though nothing was sent. A failed connection destroyed the body of the caller's request, so no second target could get it.

Now: one undici Client for each connection, handed to one exchange at a time and used again only after a whole answer. A time-out closes the idle connections to the same peer too. Undici calls onRequestStart immediately before it writes the first byte (writeH1 in client-h1.js), so an exchange that ends before it is not-run, and any other is may-have-run. A second onRequestStart, which undici's documentation allows after a failure at the head of the pipeline, is stopped before it writes.

Ruled out: bytesWritten of the socket, which undici does not give to a handler. The names of undici's handler methods are added to the names that a library dictates.

--- a/src/request/exchange.ts
+++ b/src/request/exchange.ts
@@ -1,12 +1,17 @@
 /**
  * One HTTP exchange with a target or with the node of its host, and what is known of its run when it fails.
  */
+import type { IncomingHttpHeaders } from 'node:http'
 import type { Readable } from 'node:stream'
-import { Agent } from 'undici'
 import type { Dispatcher } from 'undici'
-import { Err, Ok, describeError, makeFailure } from '../core/index.js'
-import type { Failure, Result } from '../core/index.js'
+import { Err, makeFailure, Ok, describeError, SystemClock } from '../core/index.js'
+import type { Clock, Failure, Result } from '../core/index.js'
+import { Connections } from './connections.js'
+import type { Connection } from './connections.js'
+import { Exchange } from './handler.js'
+import type { ExchangeEnd } from './handler.js'
 import type { Headers } from './headers.js'
+import { HEADERS } from './schema.js'
 
 export interface Outgoing {
   /** `ip:port`. */
@@ -14,59 +19,74 @@
   method: string
   path: string
   headers: Headers
-  body: Readable | undefined
+  body: Readable | Buffer | undefined
   signal: AbortSignal
 }
 
-export type Answer = Dispatcher.ResponseData
+/** The body ends in an error when the answer is cut. */
+export interface Answer { statusCode: number, headers: IncomingHttpHeaders, body: Readable }
 
-const CONNECT_TIMEOUT_MS = 1_000
-const IDLE_MS = 4_000
-
-/** Errors of a connection that was never made: no byte was sent. */
-const NOT_SENT_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
+const RETRY_AFTER_MS = 100
 
 export abstract class Exchanger {
   abstract send (outgoing: Outgoing): Promise<Result<Answer, Failure>>
   abstract close (): Promise<void>
 }
 
-/** HTTP/1.1 without pipelining, so a connection carries one exchange at a time. */
+/** HTTP/1.1 without pipelining: a connection carries one exchange at a time and is used again only after a whole answer. */
 export class UndiciExchanger extends Exchanger {
-  private readonly agent: Agent
+  private readonly peers = new Map<string, Connections>()
 
-  constructor (connections: number, private readonly resolve: (address: string) => string = address => address) {
+  constructor (
+    private readonly connections: number,
+    private readonly resolve: (address: string) => string = address => address,
+    private readonly clock: Clock = new SystemClock()
+  ) {
     super()
-    this.agent = new Agent({
-      connections, pipelining: 1, connect: { timeout: CONNECT_TIMEOUT_MS }, keepAliveTimeout: IDLE_MS, headersTimeout: 0, bodyTimeout: 0
-    })
   }
 
   override async send (outgoing: Outgoing): Promise<Result<Answer, Failure>> {
-    try {
-      return Ok(await this.agent.request({
-        origin: `http://${this.resolve(outgoing.address)}`,
-        path: outgoing.path,
-        method: outgoing.method as Dispatcher.HttpMethod,
-        headers: outgoing.headers,
-        body: outgoing.body ?? null,
-        signal: outgoing.signal
-      }))
-    } catch (error) {
-      return Err(convertError(error, outgoing))
-    }
+    const peer = this.getPeer(outgoing.address)
+    const connection = await peer.acquire(outgoing.headers[HEADERS.key] !== undefined, outgoing.signal)
+    if (connection === undefined) return Err(convertEnd({ error: outgoing.signal.reason, isStarted: false }, outgoing))
+    const exchange = new Exchange(outgoing.signal, isWhole => { endExchange(peer, connection, outgoing.signal, isWhole) })
+    const answer = await exchange.run(connection.client, {
+      path: outgoing.path,
+      method: outgoing.method as Dispatcher.HttpMethod,
+      headers: outgoing.headers,
+      body: outgoing.body ?? null
+    })
+    return answer.ok ? Ok(answer.val) : Err(convertEnd(answer.val, outgoing))
   }
 
   override async close (): Promise<void> {
-    await this.agent.destroy()
+    await Promise.all([...this.peers.values()].map(async peer => { await peer.close() }))
   }
-}
 
-function convertError (error: unknown, { address, signal }: Outgoing): Failure {
-  const code = (error as { code?: unknown }).code
-  if (typeof code === 'string' && NOT_SENT_CODES.has(code)) {
-    return makeFailure('not-run', 503, 'not_connected', `no connection to ${address}: ${describeError(error)}`, 100)
+  private getPeer (address: string): Connections {
+    const held = this.peers.get(address)
+    if (held !== undefined) return held
+    for (const [other, connections] of this.peers) if (connections.prune()) this.peers.delete(other)
+    const peer = new Connections(`http://${this.resolve(address)}`, this.connections, this.clock)
+    this.peers.set(address, peer)
+    return peer
   }
-  if (signal.aborted) return makeFailure('may-have-run', 504, 'deadline', `no answer from ${address} in time`)
-  return makeFailure('may-have-run', 502, 'connection_lost', `connection to ${address} lost: ${describeError(error)}`)
+}
+
+/** After a time-out the idle connections to the peer are suspect too: they may have gone silent in the same way. */
+function endExchange (peer: Connections, connection: Connection, signal: AbortSignal, isWhole: boolean): void {
+  peer.release(connection, isWhole)
+  if (!isWhole && isTimeout(signal)) peer.closeIdle()
+}
+
+function isTimeout (signal: AbortSignal): boolean {
+  return signal.aborted && (signal.reason as { name?: unknown } | undefined)?.name === 'TimeoutError'
+}
+
+/** An exchange that undici has not begun to write sent no byte, whatever the error; any other may have. */
+function convertEnd ({ error, isStarted }: ExchangeEnd, { address, signal }: Outgoing): Failure {
+  const verdict = isStarted ? 'may-have-run' : 'not-run'
+  if (signal.aborted) return makeFailure(verdict, 504, 'deadline', `no answer from ${address} in time`)
+  if (isStarted) return makeFailure(verdict, 502, 'connection_lost', `connection to ${address} lost: ${describeError(error)}`)
+  return makeFailure(verdict, 503, 'not_connected', `no connection to ${address}: ${describeError(error)}`, RETRY_AFTER_MS)
 }
--- /dev/null
+++ b/src/request/handler.ts
@@ -0,0 +1,86 @@
+/**
+ * One exchange on a connection of undici. Undici calls `onRequestStart` immediately before it writes
+ * the first byte, so an exchange that ends before that call was not sent, and one that ends later may have been.
+ */
+import type { IncomingHttpHeaders } from 'node:http'
+import { Readable } from 'node:stream'
+import type { Client, Dispatcher } from 'undici'
+import { Err, Ok } from '../core/index.js'
+import type { Result } from '../core/index.js'
+import type { Answer } from './exchange.js'
+
+export interface ExchangeEnd { error: unknown, isStarted: boolean }
+
+type Controller = Dispatcher.DispatchController
+
+const FIRST_FINAL_STATUS = 200
+
+export class Exchange implements Dispatcher.DispatchHandler {
+  private controller: Controller | undefined
+  private body: Readable | undefined
+  private isEnded = false
+  private settle: (result: Result<Answer, ExchangeEnd>) => void = () => {}
+
+  /** `onEnd` is called once, with whether the answer came whole and the connection can be used again. */
+  constructor (private readonly signal: AbortSignal, private readonly onEnd: (isWhole: boolean) => void) {}
+
+  async run (client: Client, options: Dispatcher.DispatchOptions): Promise<Result<Answer, ExchangeEnd>> {
+    return await new Promise(resolve => {
+      this.settle = resolve
+      if (this.signal.aborted) {
+        this.endFailed(this.signal.reason)
+        return
+      }
+      this.signal.addEventListener('abort', this.abort, { once: true })
+      client.dispatch(options, this)
+    })
+  }
+
+  /** Undici may start a request again on a new connection; a second start is stopped before it writes. */
+  onRequestStart (controller: Controller): void {
+    if (this.isEnded || this.controller !== undefined) controller.abort(new Error('the exchange has ended'))
+    else this.controller = controller
+  }
+
+  onResponseStart (controller: Controller, statusCode: number, headers: IncomingHttpHeaders): void {
+    if (statusCode < FIRST_FINAL_STATUS) return
+    this.body = new Readable({
+      read: () => { controller.resume() },
+      destroy: (error, done) => {
+        this.endFailed(error ?? new Error('the answer was not read to its end'))
+        done(error)
+      }
+    })
+    this.settle(Ok({ statusCode, headers, body: this.body }))
+  }
+
+  onResponseData (controller: Controller, chunk: Buffer): void {
+    if (this.body?.push(chunk) === false) controller.pause()
+  }
+
+  onResponseEnd (): void {
+    this.body?.push(null)
+    this.end(true)
+  }
+
+  onResponseError (_controller: Controller, error: Error): void {
+    this.endFailed(error)
+  }
+
+  private readonly abort = (): void => { this.endFailed(this.signal.reason) }
+
+  private endFailed (error: unknown): void {
+    if (this.isEnded) return
+    this.end(false)
+    this.settle(Err({ error, isStarted: this.controller !== undefined }))
+    const reason = error instanceof Error ? error : new Error(String(error))
+    if (this.controller?.aborted === false) this.controller.abort(reason)
+    this.body?.destroy(reason)
+  }
+
+  private end (isWhole: boolean): void {
+    this.isEnded = true
+    this.signal.removeEventListener('abort', this.abort)
+    this.onEnd(isWhole)
+  }
+}
--- a/src/request/tasks/inbound.ts
+++ b/src/request/tasks/inbound.ts
@@ -2,6 +2,7 @@
  * The task of one request that another node sent for a target of this host.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import { json } from 'node:stream/consumers'
 import { Err, failureSchema, makeFailure } from '../../core/index.js'
 import type { Failure, Result } from '../../core/index.js'
 import { routeClassSchema } from '../../document/index.js'
@@ -58,7 +59,7 @@
 /** A failure that the last node reported, as the first node sees it. */
 export async function readFailure (answer: Answer): Promise<Result<Answer, Failure>> {
   try {
-    return Err(failureSchema.parse(await answer.body.json()))
+    return Err(failureSchema.parse(await json(answer.body)))
   } catch {
     return Err(makeFailure('may-have-run', 502, 'bad_answer', 'the node of the target gave an answer that does not parse'))
   }
--- a/tests/names.test.ts
+++ b/tests/names.test.ts
@@ -9,7 +9,9 @@
 const METHOD = /^ {2}(?:(?:private|protected|override|static|abstract) )*(?:async )?(?:\* ?)?([a-z][A-Za-z]*) (?:<[^>]*> )?\(/gm
 const NO_FUNCTIONS = new Set(['constructor', 'if', 'for', 'while', 'switch', 'return'])
 /** Names that an interface of a library or of the field dictates. */
-const GIVEN_NAMES = new Set(['now', 'monotonic', 'next', 'abort'])
+const GIVEN_NAMES = new Set([
+  'now', 'monotonic', 'next', 'abort', 'onRequestStart', 'onResponseStart', 'onResponseData', 'onResponseEnd', 'onResponseError'
+])
 
 function listSources (folder: string): string[] {
   return readdirSync(folder, { recursive: true, encoding: 'utf8' }).filter(name => name.endsWith('.ts')).map(name => join(folder, name))
