Claim idempotency keys on the platform before a once request is sent on

Cause: routes of kind once were forwarded like any other, so a resend could run twice.

A claim is an entry in a shard object, written by a conditional update; a lost answer is resolved by repeating the same write and reading back. Only the process that knows its claim to be written makes attempts, and it checks the key's age again then. Outcomes up to 2 KiB are kept for resends. Expired shards are removed by whoever creates new ones. Documents get keyTime, and once routes a body limit of 1 MiB, since the body is read before the claim.

Ruled out: a list of the claim kind to find expired shards, since a list carries all values; a cursor object for each shard number instead. The removal limit is taken from the earlier of the node's clock and the new key's time: with the clock alone, a node that is 20 hours ahead would remove claims in use. Records of incarnations: the attempt's id is unique for each send.

--- a/src/document/queries/check.ts
+++ b/src/document/queries/check.ts
@@ -4,7 +4,7 @@
 import type { z } from 'zod'
 import { Err, Ok, makeFault } from '../../core/index.js'
 import type { Fault, Result } from '../../core/index.js'
-import { documentSchema } from '../schema.js'
+import { documentSchema, MAX_ONCE_BODY_BYTES } from '../schema.js'
 import type { Document, Route } from '../schema.js'
 
 export function checkDocument (value: unknown): Result<Document, Fault[]> {
@@ -32,7 +32,8 @@
   const seen = new Map<string, string>()
   return Object.entries(document.routes).flatMap(([name, route]) => [
     ...checkMatches(name, route, seen),
-    ...checkWeights(name, route)
+    ...checkWeights(name, route),
+    ...checkOnce(name, route)
   ])
 }
 
@@ -59,6 +60,13 @@
   })]
 }
 
+function checkOnce (name: string, { kind, maxBodyBytes }: Route): Fault[] {
+  if (kind !== 'once' || maxBodyBytes <= MAX_ONCE_BODY_BYTES) return []
+  return [makeFault('once_body_too_large', 'bodies of once routes are held in memory', {
+    path: ['routes', name, 'maxBodyBytes'], expected: `at most ${MAX_ONCE_BODY_BYTES}`, found: String(maxBodyBytes)
+  })]
+}
+
 function checkNeeds (document: Document): Fault[] {
   const index = document.needs.indexOf(document.service)
   if (index < 0) return []
--- a/src/document/schema.ts
+++ b/src/document/schema.ts
@@ -6,6 +6,8 @@
 import { z } from 'zod'
 
 export const MAX_BODY_BYTES = 1024 ** 3
+/** Bodies of `once` requests are held in memory until a target has responded. */
+export const MAX_ONCE_BODY_BYTES = 1024 ** 2
 const MAX_DEADLINE_MS = 600_000
 
 /** Names of services, routes and labels: lower case, digits and hyphens, at most 63 characters. */
@@ -35,6 +37,8 @@
   class: routeClassSchema.default('normal'),
   deadlineMs: z.number().int().min(1).max(MAX_DEADLINE_MS),
   maxBodyBytes: z.number().int().min(0).max(MAX_BODY_BYTES).default(1024 * 1024),
+  /** Of a `once` route: whether callers may give the time of a key that is no UUIDv7 in `x-comfreyspoke-key-time`. */
+  keyTime: z.enum(['uuid', 'header']).default('uuid'),
   /** Services that serve the route, by name. Empty means the document's own service. */
   to: z.record(nameSchema, destinationSchema).default({})
 })
--- a/src/node/start.ts
+++ b/src/node/start.ts
@@ -12,7 +12,9 @@
 } from '../peer/index.js'
 import type { DrainAnswer, DrainRequest, PeerHandlers, Receiver } from '../peer/index.js'
 import { CountingObjectStore, HttpObjectStore } from '../platform/index.js'
-import { BudgetRetryPolicy, LocalTargets, serveCaller, serveInbound, UndiciExchanger, ZonePicker } from '../request/index.js'
+import type { ObjectStore } from '../platform/index.js'
+import { ClaimLedger } from '../once/index.js'
+import { BudgetRetryPolicy, LocalTargets, OnceBodies, serveCaller, serveInbound, UndiciExchanger, ZonePicker } from '../request/index.js'
 import { EventRing, HybridClock, Recorder } from '../timeline/index.js'
 import { startServer } from './http.js'
 import type { NodeSettings } from './settings.js'
@@ -38,6 +40,7 @@
   private readonly targetExchanger = new UndiciExchanger(TARGET_CONNECTIONS)
   private readonly peerExchanger: UndiciExchanger
   private readonly local: LocalTargets
+  private readonly countedStore: ObjectStore
   private readonly stopped = new AbortController()
   private readonly https: HttpServer[] = []
   private peerServer: PeerServer | undefined
@@ -59,6 +62,7 @@
     })
     this.receiver = { replica: this.replica, clock: this.clock, onApplied: entry => { this.noteApplied(entry) } }
     this.store = new HttpObjectStore(settings.platform)
+    this.countedStore = new CountingObjectStore(this.store, (call, kind) => { this.metrics.count('platform_calls_total', { call, kind }) })
     this.client = new PeerClient(new MsgpackCodec(), dialer)
     this.peerExchanger = new UndiciExchanger(PEER_CONNECTIONS, address => dialer.resolve(address))
     this.local = new LocalTargets(this.replica.own, () => this.replica.table.current, this.clock)
@@ -115,14 +119,13 @@
 
   private makeFollower (): Follower {
     const { receiver, client, clock, random, recorder, settings } = this
-    const count = (call: string, kind: string): void => { this.metrics.count('platform_calls_total', { call, kind }) }
     return new Follower({
       receiver,
       client,
       clock,
       random,
       recorder,
-      store: new CountingObjectStore(this.store, count),
+      store: this.countedStore,
       peerLog: this.createLog('peer'),
       dutyLog: this.createLog('duty'),
       bootstrap: settings.peers,
@@ -162,6 +165,7 @@
       peers: this.peerExchanger,
       picker: new ZonePicker(settings.zone, settings.region, random),
       retry: new BudgetRetryPolicy(clock, random),
+      once: { ledger: new ClaimLedger({ node: settings.host, store: this.countedStore, clock, random }), bodies: new OnceBodies(), clock },
       getSnapshot: () => replica.table.current,
       isReady: () => replica.ready,
       isLeaving: () => replica.own.isLeaving,
--- a/src/request/queries/call.ts
+++ b/src/request/queries/call.ts
@@ -27,6 +27,7 @@
     hops,
     deadlineMs: deadline === undefined ? undefined : Number(deadline),
     key: readHeader(message, HEADERS.key),
+    keyTime: readHeader(message, HEADERS.keyTime),
     bodyBytes,
     hasBody: chunked || (bodyBytes ?? 0) > 0
   })
--- a/src/request/schema.ts
+++ b/src/request/schema.ts
@@ -13,7 +13,9 @@
   verdict: 'x-comfreyspoke-verdict',
   target: 'x-comfreyspoke-target',
   routeClass: 'x-comfreyspoke-class',
-  key: 'idempotency-key'
+  key: 'idempotency-key',
+  keyTime: 'x-comfreyspoke-key-time',
+  replayed: 'x-comfreyspoke-replayed'
 } as const
 
 export const MAX_HOPS = 8
@@ -28,6 +30,7 @@
   /** What the caller allows, in milliseconds; the route's own deadline caps it. */
   deadlineMs: z.number().optional(),
   key: z.string().optional(),
+  keyTime: z.string().optional(),
   bodyBytes: z.number().int().optional(),
   hasBody: z.boolean()
 })
--- a/src/request/tasks/caller.ts
+++ b/src/request/tasks/caller.ts
@@ -20,6 +20,8 @@
 import type { Call } from '../schema.js'
 import { readBody, readFailure, runLocal } from './inbound.js'
 import type { InboundContext } from './inbound.js'
+import { runOnce } from './once.js'
+import type { OnceContext } from './once.js'
 
 export interface CallerContext {
   host: string
@@ -30,16 +32,27 @@
   peers: Exchanger
   picker: Picker
   retry: RetryPolicy
+  once: OnceContext
   getSnapshot: () => Snapshot
   isReady: () => boolean
   isLeaving: () => boolean
   onFailure: (call: Call, failure: Failure) => void
 }
 
-interface Attempt { call: Call, resolved: Resolved, target: Target, number: number, leftMs: number, message: IncomingMessage, signal: AbortSignal }
+/** `kept` is the whole body where it was read before the first attempt. */
+interface Attempt {
+  call: Call
+  resolved: Resolved
+  target: Target
+  number: number
+  leftMs: number
+  message: IncomingMessage
+  signal: AbortSignal
+  kept: Buffer | undefined
+}
 
 /** `finish` ends the accounting of the attempt when the answer has been passed on. */
-interface Won { answer: Answer, finish: (failed: boolean) => void }
+export interface Won { answer: Answer, finish: (failed: boolean) => void }
 
 const RETRY_AFTER_MS = 200
 
@@ -78,11 +91,13 @@
   const endsAt = context.clock.monotonic() + deadlineMs
   const signal = AbortSignal.any([left, AbortSignal.timeout(deadlineMs)])
   context.retry.countCall(service)
-  return await attemptTargets(context, call, resolved.val, message, signal, endsAt)
+  if (route.kind !== 'once') return await attemptTargets(context, call, resolved.val, message, signal, endsAt)
+  return await runOnce(context.once, { call, route, message, signal }, async kept =>
+    await attemptTargets(context, call, resolved.val, message, signal, endsAt, kept))
 }
 
 async function attemptTargets (
-  context: CallerContext, call: Call, resolved: Resolved, message: IncomingMessage, signal: AbortSignal, endsAt: number
+  context: CallerContext, call: Call, resolved: Resolved, message: IncomingMessage, signal: AbortSignal, endsAt: number, kept?: Buffer
 ): Promise<Result<Won, Failure>> {
   const tried = new Set<string>()
   let last = makeFailure('not-run', 503, 'no_target', `${resolved.service} has no target that can be used`, RETRY_AFTER_MS)
@@ -91,7 +106,7 @@
     if (target === undefined) return Err(last)
     tried.add(target.id)
     const leftMs = endsAt - context.clock.monotonic()
-    const won = await attemptTarget(context, { call, resolved, target, number, leftMs, message, signal })
+    const won = await attemptTarget(context, { call, resolved, target, number, leftMs, message, signal, kept })
     if (won.ok) return won
     last = mergeFailures(last, won.val, number)
     const waitMs = context.retry.decide({
@@ -101,7 +116,7 @@
       failure: won.val,
       attempt: number,
       leftMs: endsAt - context.clock.monotonic(),
-      canResend: !call.hasBody || !message.readableDidRead
+      canResend: kept !== undefined || !call.hasBody || !message.readableDidRead
     })
     if (waitMs === undefined) return Err(last)
     await context.clock.sleep(waitMs, signal)
@@ -124,7 +139,7 @@
   return won
 }
 
-function makeOutgoing ({ call, resolved, number, target, leftMs, message, signal }: Attempt): Omit<Outgoing, 'address'> {
+function makeOutgoing ({ call, resolved, number, target, leftMs, message, signal, kept }: Attempt): Omit<Outgoing, 'address'> {
   return {
     method: call.method,
     path: call.path,
@@ -138,7 +153,7 @@
       [HEADERS.routeClass]: resolved.route.class,
       [HEADERS.target]: target.id.slice(target.host.length + 1)
     },
-    body: readBody(message),
+    body: kept ?? readBody(message),
     signal
   }
 }
