Refuse a request after it was in flight on two targets that crashed

Cause: an idempotent request that crashes its target was retried on the next one, and a caller that sent it again took down one target after another.

Each request has a fingerprint (key, or service, method, path and body up to 64 KiB, which is now read before the first attempt and so can be sent again). The last node marks it when the target's connection is lost and a new one is refused, or when the announcements stop for 3 s. Two marks on different targets refuse it for 10 minutes as not run, at the first node, before each retry and at the last node. Marks travel on the streams of a zone (suspects messages) and in headers between first and last node. A completed request clears its marks.

Only a lost exchange that had begun is marked now.

Ruled out: a fingerprint of the path alone for large uploads, since one crash would blame all of them; they have none unless they carry a key.

--- a/src/node/start.ts
+++ b/src/node/start.ts
@@ -14,7 +14,7 @@
 import { CountingObjectStore, HttpObjectStore } from '../platform/index.js'
 import type { ObjectStore } from '../platform/index.js'
 import { ClaimLedger } from '../once/index.js'
-import { BudgetRetryPolicy, LocalTargets, OnceBodies, serveCaller, serveInbound, UndiciExchanger, ZonePicker } from '../request/index.js'
+import { BudgetRetryPolicy, CrashWatch, isRefused, KeptBodies, LocalTargets, serveCaller, serveInbound, UndiciExchanger, ZonePicker } from '../request/index.js'
 import { EventRing, HybridClock, Recorder } from '../timeline/index.js'
 import { startServer } from './http.js'
 import type { NodeSettings } from './settings.js'
@@ -40,6 +40,7 @@
   private readonly targetExchanger = new UndiciExchanger(TARGET_CONNECTIONS)
   private readonly peerExchanger: UndiciExchanger
   private readonly local: LocalTargets
+  private readonly crashes: CrashWatch
   private readonly countedStore: ObjectStore
   private readonly stopped = new AbortController()
   private readonly https: HttpServer[] = []
@@ -59,7 +60,8 @@
       peer: settings.peer,
       admin: settings.admin,
       incarnation: this.clock.now()
-    })
+    }, this.clock)
+    this.crashes = new CrashWatch(settings.host, this.replica.suspects, isRefused)
     this.receiver = { replica: this.replica, clock: this.clock, onApplied: entry => { this.noteApplied(entry) } }
     this.store = new HttpObjectStore(settings.platform)
     this.countedStore = new CountingObjectStore(this.store, (call, kind) => { this.metrics.count('platform_calls_total', { call, kind }) })
@@ -73,7 +75,7 @@
     this.recorder.record('node-started', `zone ${settings.zone}`)
     receiveRecords(this.receiver, [replica.own.makeRecord()])
     this.peerServer = await startPeerServer(settings.peer, new MsgpackCodec(), this.makePeerHandlers())
-    const localContext = { receiver: this.receiver, clock: this.clock, recorder: this.recorder, log: this.createLog('member') }
+    const localContext = { receiver: this.receiver, clock: this.clock, recorder: this.recorder, log: this.createLog('member'), crashes: this.crashes }
     const callerContext = this.makeCallerContext()
     this.https.push(
       await startServer(settings.caller, async (message, response) => { await this.track(serveCaller(callerContext, message, response)) }),
@@ -161,11 +163,12 @@
       clock,
       random,
       metrics,
-      inbound: { local: this.local, exchanger: this.targetExchanger },
+      inbound: { local: this.local, exchanger: this.targetExchanger, crashes: this.crashes, suspects: replica.suspects },
+      suspects: replica.suspects,
       peers: this.peerExchanger,
       picker: new ZonePicker(settings.zone, settings.region, random),
       retry: new BudgetRetryPolicy(clock, random),
-      once: { ledger: new ClaimLedger({ node: settings.host, store: this.countedStore, clock, random }), bodies: new OnceBodies(), clock },
+      once: { ledger: new ClaimLedger({ node: settings.host, store: this.countedStore, clock, random }), bodies: new KeptBodies(), clock },
       getSnapshot: () => replica.table.current,
       isReady: () => replica.ready,
       isLeaving: () => replica.own.isLeaving,
--- a/src/node/tasks/local.ts
+++ b/src/node/tasks/local.ts
@@ -7,10 +7,11 @@
 import { ANNOUNCE_TIMEOUT_MS, announcementSchema, announceTarget, expireTargets } from '../../membership/index.js'
 import { receiveRecords } from '../../peer/index.js'
 import type { Receiver } from '../../peer/index.js'
+import type { CrashWatch } from '../../request/index.js'
 import type { Recorder } from '../../timeline/index.js'
 import { writeJson } from '../http.js'
 
-export interface LocalContext { receiver: Receiver, clock: Clock, recorder: Recorder, log: Logger }
+export interface LocalContext { receiver: Receiver, clock: Clock, recorder: Recorder, log: Logger, crashes: CrashWatch }
 
 export async function serveLocal ({ receiver, clock, recorder }: LocalContext, message: IncomingMessage, response: ServerResponse): Promise<void> {
   if (message.method !== 'POST' || message.url !== '/announce') {
@@ -34,7 +35,7 @@
 }
 
 /** Drops targets of this host whose heartbeats stopped. */
-export async function expireSilent ({ receiver, clock, recorder, log }: LocalContext, signal: AbortSignal): Promise<void> {
+export async function expireSilent ({ receiver, clock, recorder, log, crashes }: LocalContext, signal: AbortSignal): Promise<void> {
   const { own } = receiver.replica
   while (!signal.aborted) {
     await clock.sleep(ANNOUNCE_TIMEOUT_MS / 6, signal)
@@ -42,6 +43,7 @@
     if (lost.length === 0) continue
     receiveRecords(receiver, [own.makeRecord()])
     for (const target of lost) {
+      crashes.markCrashed(target)
       log.warn(`target ${target} stopped announcing itself`)
       recorder.record('target-lost', target, { host: own.host })
     }
--- a/src/peer/messages.ts
+++ b/src/peer/messages.ts
@@ -4,6 +4,7 @@
  */
 import { z } from 'zod'
 import { hostRecordSchema } from '../membership/index.js'
+import { suspectsSchema } from '../suspect/index.js'
 import { timelineEventSchema } from '../timeline/index.js'
 
 /** Hybrid logical time of the sender, so that events of two nodes can be ordered. */
@@ -39,7 +40,7 @@
 
 const resendSchema = z.object({ type: z.literal('resend'), service: z.string() })
 
-export const upSchema = z.discriminatedUnion('type', [helloSchema, ackSchema, membersSchema, resendSchema])
+export const upSchema = z.discriminatedUnion('type', [helloSchema, ackSchema, membersSchema, resendSchema, suspectsSchema])
 export type Up = z.infer<typeof upSchema>
 
 const acceptSchema = z.object({ type: z.literal('accept'), node: z.string(), path: z.array(z.string()), pathPeers: z.array(z.string()) })
@@ -78,7 +79,7 @@
 export type Beat = z.infer<typeof beatSchema>
 
 export const downSchema = z.discriminatedUnion('type', [
-  acceptSchema, redirectSchema, retrySchema, updateSchema, membersSchema, syncedSchema, beatSchema
+  acceptSchema, redirectSchema, retrySchema, updateSchema, membersSchema, syncedSchema, beatSchema, suspectsSchema
 ])
 export type Down = z.infer<typeof downSchema>
 
--- a/src/peer/replica.ts
+++ b/src/peer/replica.ts
@@ -2,12 +2,14 @@
  * What a node holds of the shared state, and its place in the distribution tree. Tasks share
  * one replica; the functions in commands/ change it and emit what changed.
  */
-import { Emitter } from '../core/index.js'
+import { Emitter, SystemClock } from '../core/index.js'
+import type { Clock } from '../core/index.js'
 import type { HostRecord } from '../membership/index.js'
 import { MemberTable, OwnHost } from '../membership/index.js'
 import type { HostIdentity } from '../membership/index.js'
 import { SnapshotTable } from '../snapshot/index.js'
 import type { Entry } from '../snapshot/index.js'
+import { SuspectTable } from '../suspect/index.js'
 import { AckTable } from './acks.js'
 import type { Lagging } from './messages.js'
 
@@ -36,6 +38,7 @@
   readonly members = new MemberTable()
   readonly own: OwnHost
   readonly acks = new AckTable()
+  readonly suspects: SuspectTable
   readonly changes = new Emitter<Change>()
   readonly moves = new Emitter<Place>()
   readonly duties = new Set<string>()
@@ -45,7 +48,8 @@
   place: Place = UNROOTED
   private readonly recent = new Map<string, Entry[]>()
 
-  constructor (readonly identity: HostIdentity) {
+  constructor (readonly identity: HostIdentity, clock: Clock = new SystemClock()) {
+    this.suspects = new SuspectTable(clock)
     this.own = new OwnHost(identity)
   }
 
--- a/src/peer/tasks/downstream.ts
+++ b/src/peer/tasks/downstream.ts
@@ -13,6 +13,7 @@
 import { listUpdates } from '../queries/pending.js'
 import type { Change, Replica } from '../replica.js'
 import type { DownstreamCall } from '../services.js'
+import { receiveSuspects, sendSuspects } from '../suspects.js'
 
 export const BEAT_INTERVAL_MS = 500
 
@@ -40,6 +41,7 @@
   try {
     subscribeChanges(replica, inbox, ended.signal)
     const held = sendState(replica, call, hello)
+    if (hello.zone === replica.identity.zone) void sendSuspects(replica.suspects, call, hello.node, ended.signal)
     for await (const item of inbox) handleItem(publisher, call, hello, held, item)
   } finally {
     ended.abort()
@@ -124,6 +126,9 @@
       replica.acks.record(hello.node, message)
       replica.changes.emit({ services: Object.keys(message.counts), hosts: [], source: hello.node })
       return
+    case 'suspects':
+      receiveSuspects(replica.suspects, message, hello.node)
+      return
     case 'resend':
       for (const update of listUpdates(replica, [message.service], {})) call.write(update satisfies Down)
   }
--- a/src/peer/tasks/upstream.ts
+++ b/src/peer/tasks/upstream.ts
@@ -12,6 +12,7 @@
 import { readUpdate } from '../queries/difference.js'
 import type { Change, Replica } from '../replica.js'
 import type { UpstreamCall } from '../services.js'
+import { receiveSuspects, sendSuspects } from '../suspects.js'
 import { Upstream } from '../upstream.js'
 import type { UpstreamEnd } from '../upstream.js'
 
@@ -25,6 +26,7 @@
 
 export class PeerUpstream extends Upstream {
   private publisher = ''
+  private readonly ended = new AbortController()
   private heardAt: number
   private readonly unacked = new Set<string>()
 
@@ -40,7 +42,7 @@
   }
 
   override async run (signal: AbortSignal): Promise<UpstreamEnd> {
-    const ended = new AbortController()
+    const { ended } = this
     const call = this.open(this.address)
     const inbox = this.openInbox(call, AbortSignal.any([signal, ended.signal]))
     try {
@@ -125,6 +127,9 @@
       case 'members':
         receiveRecords(this.receiver, message.records, this.publisher)
         return undefined
+      case 'suspects':
+        receiveSuspects(replica.suspects, message, this.publisher)
+        return undefined
       case 'synced':
         this.finishSync(call)
         return undefined
@@ -162,6 +167,8 @@
 
   private finishSync (call: UpstreamCall): void {
     const { replica } = this.receiver
+    const isSameZone = replica.members.get(this.publisher)?.zone === replica.identity.zone
+    if (isSameZone) void sendSuspects(replica.suspects, call, this.publisher, this.ended.signal)
     replica.ready = true
     call.write({ type: 'members', records: replica.listRecords() })
     for (const service of replica.acks.listServices()) this.unacked.add(service)
--- a/src/request/commands/keep.ts
+++ b/src/request/commands/keep.ts
@@ -1,17 +1,18 @@
 /**
- * Bodies of `once` requests, read whole before the claim: the claim has the body's hash, and a target
- * gets the same bytes at a later attempt. The memory for all of them is bounded.
+ * Bodies that are read whole before the first attempt, so that their hash is known and a later attempt
+ * has the same bytes. The memory for all of them is bounded.
  */
 import type { Readable } from 'node:stream'
 import { Err, makeFailure, Ok } from '../../core/index.js'
 import type { Failure, Result } from '../../core/index.js'
+import type { Call } from '../schema.js'
 
 const MAX_TOTAL_BYTES = 64 * 1024 * 1024
 const RETRY_AFTER_MS = 200
 
 export interface KeptBody { body: Buffer, release: () => void }
 
-export class OnceBodies {
+export class KeptBodies {
   private held = 0
 
   constructor (private readonly total = MAX_TOTAL_BYTES) {}
@@ -43,3 +44,13 @@
     return Ok({ body: Buffer.concat(chunks), release })
   }
 }
+
+const SMALL_BODY_BYTES = 64 * 1024
+
+/** A body that is too large to keep, or of unknown length, is left to be streamed: the result has none. */
+export async function keepSmallBody (
+  bodies: KeptBodies, call: Call, source: Readable, signal: AbortSignal
+): Promise<Result<KeptBody | undefined, Failure>> {
+  if (call.bodyBytes === undefined || call.bodyBytes === 0 || call.bodyBytes > SMALL_BODY_BYTES) return Ok(undefined)
+  return await bodies.keepBody(source, SMALL_BODY_BYTES, signal)
+}
--- /dev/null
+++ b/src/request/commands/suspect.ts
@@ -0,0 +1,49 @@
+/**
+ * One call as a possible cause of crashes: refused when it is blocked, and marked when an attempt's target crashed.
+ */
+import type { Failure } from '../../core/index.js'
+import { clearSuspects, computeFingerprint, markSuspects } from '../../suspect/index.js'
+import type { SuspectTable } from '../../suspect/index.js'
+import type { Headers } from '../headers.js'
+import { HEADERS } from '../schema.js'
+import type { Call } from '../schema.js'
+import { refuseBlocked, TARGET_CRASHED } from './crash.js'
+
+const SEPARATOR = ','
+
+export class SuspectCall {
+  private readonly fingerprint: string | undefined
+
+  constructor (private readonly table: SuspectTable, call: Call, body: Uint8Array | undefined) {
+    this.fingerprint = computeFingerprint({ ...call, key: call.key, body })
+  }
+
+  refuse (): Failure | undefined {
+    return refuseBlocked(this.table, this.fingerprint)
+  }
+
+  /** Tells the last node what this one knows, since a retry is faster than a message between nodes. */
+  makeHeaders (): Headers {
+    if (this.fingerprint === undefined) return { [HEADERS.fingerprint]: '', [HEADERS.suspect]: '' }
+    return { [HEADERS.fingerprint]: this.fingerprint, [HEADERS.suspect]: this.table.listTargets(this.fingerprint).join(SEPARATOR) }
+  }
+
+  noteWhole (): void {
+    if (this.fingerprint !== undefined) clearSuspects(this.table, [this.fingerprint])
+  }
+
+  /** `target` is the id of the target that the attempt went to. */
+  noteFailure (target: string, { code }: Failure): void {
+    if (this.fingerprint === undefined || code !== TARGET_CRASHED) return
+    markSuspects(this.table, [{ fingerprint: this.fingerprint, target, ageMs: 0 }])
+  }
+}
+
+/** Takes the fingerprint from headers of the first node, with the marks that it knows. */
+export function receiveFingerprint (table: SuspectTable, headers: Headers): string | undefined {
+  const fingerprint = String(headers[HEADERS.fingerprint] ?? '')
+  if (fingerprint === '') return undefined
+  const targets = String(headers[HEADERS.suspect] ?? '').split(SEPARATOR).filter(target => target !== '')
+  markSuspects(table, targets.map(target => ({ fingerprint, target, ageMs: 0 })))
+  return fingerprint
+}
--- a/src/request/schema.ts
+++ b/src/request/schema.ts
@@ -14,6 +14,8 @@
   target: 'x-comfreyspoke-target',
   routeClass: 'x-comfreyspoke-class',
   key: 'idempotency-key',
+  fingerprint: 'x-comfreyspoke-fingerprint',
+  suspect: 'x-comfreyspoke-suspect',
   keyTime: 'x-comfreyspoke-key-time',
   replayed: 'x-comfreyspoke-replayed'
 } as const
--- a/src/request/tasks/caller.ts
+++ b/src/request/tasks/caller.ts
@@ -8,7 +8,10 @@
 import type { Target } from '../../membership/index.js'
 import type { Metrics } from '../../metrics/index.js'
 import type { Snapshot } from '../../snapshot/index.js'
+import type { SuspectTable } from '../../suspect/index.js'
 import { writeAnswer, writeFailure } from '../answer.js'
+import { keepSmallBody } from '../commands/keep.js'
+import { SuspectCall } from '../commands/suspect.js'
 import type { Answer, Exchanger, Outgoing } from '../exchange.js'
 import { filterHeaders } from '../headers.js'
 import type { Picker } from '../picker.js'
@@ -33,6 +36,7 @@
   picker: Picker
   retry: RetryPolicy
   once: OnceContext
+  suspects: SuspectTable
   getSnapshot: () => Snapshot
   isReady: () => boolean
   isLeaving: () => boolean
@@ -49,6 +53,7 @@
   message: IncomingMessage
   signal: AbortSignal
   kept: Buffer | undefined
+  suspect: SuspectCall
 }
 
 /** `finish` ends the accounting of the attempt when the answer has been passed on. */
@@ -91,23 +96,32 @@
   const endsAt = context.clock.monotonic() + deadlineMs
   const signal = AbortSignal.any([left, AbortSignal.timeout(deadlineMs)])
   context.retry.countCall(service)
-  if (route.kind !== 'once') return await attemptTargets(context, call, resolved.val, message, signal, endsAt)
-  return await runOnce(context.once, { call, route, message, signal }, async kept =>
-    await attemptTargets(context, call, resolved.val, message, signal, endsAt, kept))
+  const run = async (kept?: Buffer): Promise<Result<Won, Failure>> =>
+    await attemptTargets(context, call, resolved.val, message, signal, endsAt, kept)
+  if (route.kind === 'once') return await runOnce(context.once, { call, route, message, signal }, run)
+  const kept = await keepSmallBody(context.once.bodies, call, message, signal)
+  if (kept.err) return kept
+  const won = await run(kept.val?.body)
+  kept.val?.release()
+  return won
 }
 
 async function attemptTargets (
   context: CallerContext, call: Call, resolved: Resolved, message: IncomingMessage, signal: AbortSignal, endsAt: number, kept?: Buffer
 ): Promise<Result<Won, Failure>> {
   const tried = new Set<string>()
+  const suspect = new SuspectCall(context.suspects, call, kept)
   let last = makeFailure('not-run', 503, 'no_target', `${resolved.service} has no target that can be used`, RETRY_AFTER_MS)
   for (let number = 1; ; number += 1) {
+    const blocked = suspect.refuse()
+    if (blocked !== undefined) return Err(mergeFailures(last, blocked, number))
     const target = context.picker.pick({ targets: resolved.targets, tried, zones: resolved.document.zones })
     if (target === undefined) return Err(last)
     tried.add(target.id)
     const leftMs = endsAt - context.clock.monotonic()
-    const won = await attemptTarget(context, { call, resolved, target, number, leftMs, message, signal, kept })
-    if (won.ok) return won
+    const won = await attemptTarget(context, { call, resolved, target, number, leftMs, message, signal, kept, suspect })
+    if (won.ok) return Ok({ answer: won.val.answer, finish: failed => { finishWon(won.val, suspect, failed) } })
+    suspect.noteFailure(target.id, won.val)
     last = mergeFailures(last, won.val, number)
     const waitMs = context.retry.decide({
       service: resolved.service,
@@ -123,6 +137,11 @@
   }
 }
 
+function finishWon (won: Won, suspect: SuspectCall, failed: boolean): void {
+  if (!failed) suspect.noteWhole()
+  won.finish(failed)
+}
+
 /** The verdict over all attempts: one attempt that may have run outweighs any that did not. */
 function mergeFailures (before: Failure, now: Failure, attempt: number): Failure {
   if (attempt === 1 || before.verdict === 'not-run') return now
@@ -139,12 +158,13 @@
   return won
 }
 
-function makeOutgoing ({ call, resolved, number, target, leftMs, message, signal, kept }: Attempt): Omit<Outgoing, 'address'> {
+function makeOutgoing ({ call, resolved, number, target, leftMs, message, signal, kept, suspect }: Attempt): Omit<Outgoing, 'address'> {
   return {
     method: call.method,
     path: call.path,
     headers: {
       ...filterHeaders(message.headers),
+      ...suspect.makeHeaders(),
       [HEADERS.request]: call.request,
       [HEADERS.service]: resolved.service,
       [HEADERS.hops]: String(call.hops + 1),
--- a/src/request/tasks/inbound.ts
+++ b/src/request/tasks/inbound.ts
@@ -2,12 +2,17 @@
  * The task of one request that another node sent for a target of this host.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import { finished } from 'node:stream'
 import { json } from 'node:stream/consumers'
 import { Err, failureSchema, makeFailure } from '../../core/index.js'
 import type { Failure, Result } from '../../core/index.js'
 import { routeClassSchema } from '../../document/index.js'
 import { writeAnswer, writeFailure } from '../answer.js'
+import type { SuspectTable } from '../../suspect/index.js'
 import type { LocalTargets } from '../commands/admit.js'
+import { TARGET_CRASHED } from '../commands/crash.js'
+import type { CrashWatch, Run } from '../commands/crash.js'
+import { receiveFingerprint } from '../commands/suspect.js'
 import type { Answer, Exchanger, Outgoing } from '../exchange.js'
 import { filterHeaders } from '../headers.js'
 import type { Permit } from '../slots.js'
@@ -15,20 +20,41 @@
 
 export interface LocalRun { target: string, routeClass: string, waitMs: number, outgoing: Omit<Outgoing, 'address'> }
 
-export interface InboundContext { local: LocalTargets, exchanger: Exchanger }
+export interface InboundContext { local: LocalTargets, exchanger: Exchanger, crashes: CrashWatch, suspects: SuspectTable }
 
 export interface Held { answer: Answer, permit: Permit }
 
 /** Runs a request on a target of this host. The permit is to be released when the answer has been passed on. */
-export async function runLocal ({ local, exchanger }: InboundContext, run: LocalRun): Promise<Result<Held, Failure>> {
+export async function runLocal ({ local, exchanger, crashes, suspects }: InboundContext, run: LocalRun): Promise<Result<Held, Failure>> {
   const routeClass = routeClassSchema.catch('normal').parse(run.routeClass)
   const admitted = await local.admit({ target: run.target, routeClass, waitMs: run.waitMs, signal: run.outgoing.signal })
   if (admitted.err) return admitted
   const { announcement, permit } = admitted.val
+  const watched = crashes.begin(run.target, receiveFingerprint(suspects, run.outgoing.headers))
+  if (watched.err) {
+    permit.release()
+    return watched
+  }
   const sent = await exchanger.send({ ...run.outgoing, address: announcement.address })
-  if (sent.ok) return sent.map(answer => ({ answer, permit }))
+  if (sent.ok) {
+    followAnswer(sent.val, watched.val, announcement.address)
+    return sent.map(answer => ({ answer, permit }))
+  }
   permit.release()
-  return sent
+  if (sent.val.verdict === 'not-run') {
+    watched.val.drop()
+    return sent
+  }
+  const isCrashed = await watched.val.lose(announcement.address)
+  return isCrashed ? Err({ ...sent.val, code: TARGET_CRASHED, message: `target ${run.target} crashed with the request in flight` }) : sent
+}
+
+/** A target can crash in the middle of its answer. */
+function followAnswer ({ body }: Answer, run: Run, address: string): void {
+  finished(body, error => {
+    if (error === undefined || error === null) run.finish()
+    else void run.lose(address)
+  })
 }
 
 export async function serveInbound (context: InboundContext, message: IncomingMessage, response: ServerResponse): Promise<void> {
--- a/src/request/tasks/once.ts
+++ b/src/request/tasks/once.ts
@@ -8,13 +8,13 @@
 import type { Route } from '../../document/index.js'
 import { claimKey, hashRequest, MAX_KEPT_BODY_BYTES, readKeyTime, resolveResend, settleClaim } from '../../once/index.js'
 import type { ClaimLedger, Outcome, Replay, Ticket } from '../../once/index.js'
-import type { OnceBodies } from '../commands/keep.js'
+import type { KeptBodies } from '../commands/keep.js'
 import type { Answer } from '../exchange.js'
 import { HEADERS } from '../schema.js'
 import type { Call } from '../schema.js'
 import type { Won } from './caller.js'
 
-export interface OnceContext { ledger: ClaimLedger, bodies: OnceBodies, clock: Clock }
+export interface OnceContext { ledger: ClaimLedger, bodies: KeptBodies, clock: Clock }
 
 export interface OnceCall { call: Call, route: Route, message: IncomingMessage, signal: AbortSignal }
 
--- /dev/null
+++ b/src/suspect/index.ts
@@ -0,0 +1,10 @@
+/**
+ * Requests that may crash the targets that run them.
+ */
+export { clearSuspects, markSuspects } from './commands/mark.js'
+export { isBlocked, isMarked } from './queries/blocked.js'
+export { computeFingerprint } from './queries/fingerprint.js'
+export { MARK_KEPT_MS, markSchema, MAX_SUSPECTS, suspectsSchema } from './schema.js'
+export type { Mark, Suspects } from './schema.js'
+export { SuspectTable } from './table.js'
+export type { SuspectChange } from './table.js'
--- /dev/null
+++ b/src/suspect/queries/blocked.ts
@@ -0,0 +1,13 @@
+/**
+ * Which requests are refused because of their marks.
+ */
+import { BLOCKING_MARKS } from '../schema.js'
+import type { SuspectTable } from '../table.js'
+
+export function isBlocked (table: SuspectTable, fingerprint: string): boolean {
+  return table.listTargets(fingerprint).length >= BLOCKING_MARKS
+}
+
+export function isMarked (table: SuspectTable, fingerprint: string): boolean {
+  return table.listTargets(fingerprint).length > 0
+}
--- /dev/null
+++ b/src/suspect/queries/fingerprint.ts
@@ -0,0 +1,29 @@
+/**
+ * What two sends of one request have in common.
+ */
+import { createHash } from 'node:crypto'
+
+const HASH_BYTES = 12
+const MAX_HASHED_BYTES = 64 * 1024
+
+/** `body` is left out when it is not held; then only a request with a key or without a body has a fingerprint. */
+export interface Fingerprinted {
+  service: string
+  method: string
+  path: string
+  key: string | undefined
+  hasBody: boolean
+  body: Uint8Array | undefined
+}
+
+export function computeFingerprint ({ service, method, path, key, hasBody, body }: Fingerprinted): string | undefined {
+  if (key !== undefined) return hashParts('key', service, key)
+  if (hasBody && body === undefined) return undefined
+  return hashParts('body', service, method, path, body?.subarray(0, MAX_HASHED_BYTES) ?? '')
+}
+
+function hashParts (...parts: Array<string | Uint8Array>): string {
+  const hash = createHash('sha256')
+  for (const part of parts) hash.update(`${part.length} `).update(part)
+  return hash.digest().subarray(0, HASH_BYTES).toString('base64url')
+}
