--- a/src/document/schema.ts
+++ b/src/document/schema.ts
@@ -8,6 +8,8 @@
 export const MAX_BODY_BYTES = 1024 ** 3
 /** Of the canonical text. The history object of a service, 512 KiB, has to hold the newest edit whole. */
 export const MAX_DOCUMENT_BYTES = 500_000
+/** Bodies of `once` requests are held in memory until a target has responded. */
+export const MAX_ONCE_BODY_BYTES = 1024 ** 2
 const MAX_DEADLINE_MS = 600_000
 const MAX_LABELS = 16
 const MAX_NAMES = 1_000
@@ -52,6 +54,8 @@
   class: routeClassSchema.default('normal'),
   deadlineMs: z.number().int().min(1).max(MAX_DEADLINE_MS),
   maxBodyBytes: z.number().int().min(0).max(MAX_BODY_BYTES).default(1024 * 1024),
+  /** Of a `once` route: whether callers may give the time of a key that is no UUIDv7 in `x-comfreyspoke-key-time`. */
+  keyTime: z.enum(['uuid', 'header']).default('uuid'),
   /** Destinations by name. Empty means the document's own service. */
   to: z.record(nameSchema, destinationSchema).default({})
 })
--- a/src/node/start.ts
+++ b/src/node/start.ts
@@ -13,8 +13,11 @@
 } from '../peer/index.js'
 import type { DrainAnswer, DrainRequest, PeerCredentials, PeerHandlers, Receiver } from '../peer/index.js'
 import { CountingObjectStore, HttpObjectStore } from '../platform/index.js'
+import type { ObjectStore } from '../platform/index.js'
+import { ClaimLedger } from '../once/index.js'
 import {
-  BudgetRetryPolicy, LocalTargets, matchesSecret, serveCaller, serveInbound, takeToken, TokenExchanger, UndiciExchanger, writeFailure, ZonePicker
+  BudgetRetryPolicy, CrashWatch, isRefused, KeptBodies, LocalTargets, matchesSecret, serveCaller, serveInbound, takeToken, TokenExchanger,
+  UndiciExchanger, writeFailure, ZonePicker
 } from '../request/index.js'
 import type { CallerContext, Exchanger } from '../request/index.js'
 import { EventRing, filterEvents, HybridClock, Recorder } from '../timeline/index.js'
@@ -52,6 +55,8 @@
   private readonly targetExchanger = new UndiciExchanger(TARGET_CONNECTIONS)
   private readonly peerExchanger: Exchanger
   private readonly local: LocalTargets
+  private readonly crashes: CrashWatch
+  private readonly countedStore: ObjectStore
   private readonly stopped = new AbortController()
   private readonly callerPort: HttpPort
   private readonly inboundPort: HttpPort
@@ -73,10 +78,12 @@
       peer: settings.peer,
       admin: settings.admin,
       incarnation: this.clock.now()
-    })
+    }, this.clock)
+    this.crashes = new CrashWatch(settings.host, this.replica.suspects, isRefused)
     this.receiver = { replica: this.replica, clock: this.clock, onApplied: entry => { this.noteApplied(entry) } }
     this.registry = new SubscriberRegistry({ fanOut: settings['fan-out'], perSecond: settings['admit-per-second'] }, this.clock)
     this.store = new HttpObjectStore(settings.platform)
+    this.countedStore = new CountingObjectStore(this.store, (call, kind) => { this.metrics.count('platform_calls_total', { call, kind }) })
     this.meter = new ControlMeter(new MsgpackCodec(), settings, ({ kind, link, direction, bytes }) => {
       const labels = { kind, link, direction }
       this.metrics.count('control_messages_total', labels)
@@ -97,7 +104,7 @@
     recorder.record('node-started', `zone ${settings.zone}`)
     receiveRecords(receiver, [replica.own.makeRecord()])
     this.peerServer = await startPeerServer(settings.peer, meter.codec, this.makePeerHandlers(), this.credentials.server, [meter.serverInterceptor])
-    const memberContext = { receiver, clock, recorder, log: this.createLog('member') }
+    const memberContext = { receiver, clock, recorder, log: this.createLog('member'), crashes: this.crashes }
     const adminContext = { replica, metrics: this.metrics, countInFlight: () => this.callerPort.inFlight.size + this.inboundPort.inFlight.size }
     await this.callerPort.listen(settings.caller)
     await this.inboundPort.listen(settings.inbound)
@@ -168,7 +175,6 @@
 
   private makeFollower (): Follower {
     const { receiver, registry, client, clock, random, recorder, settings } = this
-    const count = (call: string, kind: string): void => { this.metrics.count('platform_calls_total', { call, kind }) }
     return new Follower({
       receiver,
       registry,
@@ -176,7 +182,7 @@
       clock,
       random,
       recorder,
-      store: new CountingObjectStore(this.store, count),
+      store: this.countedStore,
       peerLog: this.createLog('peer'),
       dutyLog: this.createLog('duty'),
       bootstrap: settings.peers,
@@ -210,10 +216,12 @@
       clock,
       random,
       metrics,
-      inbound: { local: this.local, exchanger: this.targetExchanger, clock },
+      inbound: { local: this.local, exchanger: this.targetExchanger, clock, crashes: this.crashes, suspects: replica.suspects },
+      suspects: replica.suspects,
       peers: this.peerExchanger,
       picker: new ZonePicker({ zone: settings.zone, region: settings.region }, clock, random),
       retry: new BudgetRetryPolicy(clock, random),
+      once: { ledger: new ClaimLedger({ node: settings.host, store: this.countedStore, clock, random }), bodies: new KeptBodies(), clock },
       getSnapshot: () => replica.table.current,
       isReady: () => replica.ready,
       onFailure: (call, failure) => {
--- a/src/peer/messages.ts
+++ b/src/peer/messages.ts
@@ -4,6 +4,7 @@
  */
 import { z } from 'zod'
 import { hostRecordSchema } from '../membership/index.js'
+import { suspectsSchema } from '../suspect/index.js'
 import { eventFilterSchema, timelineEventSchema } from '../timeline/index.js'
 import { bucketsSchema, digestsSchema, membersSchema } from './members.js'
 
@@ -38,7 +39,7 @@
 
 const resendSchema = z.object({ type: z.literal('resend'), service: z.string() })
 
-export const upSchema = z.discriminatedUnion('type', [helloSchema, ackSchema, membersSchema, resendSchema])
+export const upSchema = z.discriminatedUnion('type', [helloSchema, ackSchema, membersSchema, resendSchema, suspectsSchema])
 export type Up = z.infer<typeof upSchema>
 
 const acceptSchema = z.object({
@@ -87,7 +88,7 @@
 export type Beat = z.infer<typeof beatSchema>
 
 export const downSchema = z.discriminatedUnion('type', [
-  acceptSchema, redirectSchema, retrySchema, updateSchema, membersSchema, bucketsSchema, syncedSchema, beatSchema
+  acceptSchema, redirectSchema, retrySchema, updateSchema, membersSchema, bucketsSchema, syncedSchema, beatSchema, suspectsSchema
 ])
 export type Down = z.infer<typeof downSchema>
 
--- a/src/peer/tasks/downstream.ts
+++ b/src/peer/tasks/downstream.ts
@@ -14,6 +14,7 @@
 import { listUpdates } from '../queries/pending.js'
 import type { Change, Replica } from '../replica.js'
 import type { DownstreamCall } from '../services.js'
+import { receiveSuspects, sendSuspects } from '../suspects.js'
 import { awaitReturn } from './absence.js'
 
 export const BEAT_INTERVAL_MS = 500
@@ -93,6 +94,7 @@
       drainStream<Item>(this.replica.changes.stream.map(change => ({ kind: 'change', change }) as const), inbox, ended.signal)
       void pushEvery<Item>(clock, BEAT_INTERVAL_MS, inbox, { kind: 'beat' }, ended.signal)
       this.sendState()
+      if (this.session.hello.zone === this.replica.identity.zone) void sendSuspects(this.replica.suspects, this.call, this.node, ended.signal)
       for await (const item of inbox) {
         if (registry.isCurrent(this.session)) this.handleItem(item, pending)
       }
@@ -171,6 +173,9 @@
         this.replica.acks.record(this.node, message)
         this.replica.changes.emit({ services: Object.keys(message.counts), hosts: [], source: this.node })
         return
+      case 'suspects':
+        receiveSuspects(this.replica.suspects, message, this.node)
+        return
       case 'resend':
         for (const update of listUpdates(this.replica, [message.service], {})) this.call.write(update)
     }
--- a/src/peer/tasks/upstream.ts
+++ b/src/peer/tasks/upstream.ts
@@ -14,6 +14,7 @@
 import type { Change } from '../replica.js'
 import type { UpstreamCall } from '../services.js'
 import { SilenceWatch } from '../silence.js'
+import { receiveSuspects, sendSuspects } from '../suspects.js'
 import { Upstream } from '../upstream.js'
 import type { UpstreamEnd } from '../upstream.js'
 
@@ -139,6 +140,9 @@
       case 'buckets':
         call.write(makeComplete(this.receiver.replica, message))
         return undefined
+      case 'suspects':
+        receiveSuspects(this.receiver.replica.suspects, message, this.publisher)
+        return undefined
       case 'synced':
         this.finishSync(call)
         return undefined
@@ -192,6 +196,8 @@
 
   private finishSync (call: UpstreamCall): void {
     const { replica } = this.receiver
+    const isSameZone = replica.members.get(this.publisher)?.zone === replica.identity.zone
+    if (isSameZone) void sendSuspects(replica.suspects, call, this.publisher, this.ended.signal)
     replica.ready = true
     call.write({ type: 'members', records: replica.listRecords([replica.identity.host]) })
     this.noteUnacked(replica.acks.listServices())
--- a/src/request/body.ts
+++ b/src/request/body.ts
@@ -12,7 +12,7 @@
 const LINGER_MS = 2_000
 
 export class RequestBody {
-  private readonly kept: Buffer[] = []
+  private readonly chunks: Buffer[] = []
   private bytes = 0
   private ended = false
   private whole = true
@@ -23,6 +23,7 @@
   private pulling: Promise<void> | undefined
   private reader: AsyncIterator<Buffer> | undefined
   private limit = Infinity
+  private keepBytes = KEEP_BYTES
 
   constructor (private readonly message: IncomingMessage, private readonly response: ServerResponse) {}
 
@@ -30,6 +31,16 @@
     this.limit = bytes
   }
 
+  /** Keeps the whole body, whatever its length up to the limit. */
+  keepAll (): void {
+    this.keepBytes = Infinity
+  }
+
+  /** The whole body once it was read to its end and kept. */
+  get kept (): Buffer | undefined {
+    return this.ended && this.whole ? Buffer.concat(this.chunks) : undefined
+  }
+
   /** All that was read is kept, so another attempt can be given the same. */
   get canResend (): boolean {
     return this.whole && !this.above
@@ -45,7 +56,7 @@
    */
   async collect (signal: AbortSignal): Promise<boolean> {
     const length = Number(this.message.headers['content-length'] ?? Infinity)
-    if (length === 0 || length > KEEP_BYTES) return true
+    if (length === 0 || length > this.keepBytes) return true
     return await new Promise(resolve => {
       const giveUp = (): void => { resolve(false) }
       if (signal.aborted) giveUp()
@@ -56,7 +67,7 @@
 
   open (): Readable | Buffer {
     this.turn += 1
-    if (this.ended && this.whole) return Buffer.concat(this.kept)
+    if (this.kept !== undefined) return this.kept
     return Readable.from(this.emitChunks(this.turn), { objectMode: false })
   }
 
@@ -82,7 +93,7 @@
 
   private async * emitChunks (turn: number): AsyncGenerator<Buffer> {
     for (let at = 0; ;) {
-      const chunk = this.kept[at]
+      const chunk = this.chunks[at]
       if (chunk !== undefined) {
         at = this.pass(at)
         yield chunk
@@ -95,11 +106,11 @@
     }
   }
 
-  /** The place of the next chunk. From KEEP_BYTES on, a chunk that was passed on is dropped. */
+  /** The place of the next chunk. Beyond what is kept, a chunk that was passed on is dropped. */
   private pass (at: number): number {
-    if (this.bytes <= KEEP_BYTES) return at + 1
+    if (this.bytes <= this.keepBytes) return at + 1
     this.whole = false
-    this.kept.splice(0, at + 1)
+    this.chunks.splice(0, at + 1)
     return 0
   }
 
@@ -119,7 +130,7 @@
     this.bytes += next.value.length
     this.above = this.bytes > this.limit
     if (this.above) throw new Error(`body above ${this.limit} bytes`)
-    this.kept.push(next.value)
+    this.chunks.push(next.value)
   }
 
   private begin (): void {
--- a/src/request/headers.ts
+++ b/src/request/headers.ts
@@ -12,7 +12,9 @@
 ])
 
 /** Set by nodes for nodes. A caller's own values are dropped, since the last node acts on them. */
-const INTERNAL: readonly string[] = [HEADERS.attempt, HEADERS.target, HEADERS.routeClass, HEADERS.verdict, HEADERS.noRetry]
+const INTERNAL: readonly string[] = [
+  HEADERS.attempt, HEADERS.target, HEADERS.routeClass, HEADERS.verdict, HEADERS.noRetry, HEADERS.fingerprint, HEADERS.suspect
+]
 
 /** Headers of which a second one is an attempt to be read in two ways. Node joins or drops repetitions silently. */
 const SINGLE = new Set<string>(['host', 'content-length', 'transfer-encoding', HEADERS.key, HEADERS.service, HEADERS.deadline, HEADERS.hops, HEADERS.target])
--- a/src/request/queries/call.ts
+++ b/src/request/queries/call.ts
@@ -34,6 +34,7 @@
     hops: hops ?? 0,
     deadlineMs,
     key: readHeader(message, HEADERS.key),
+    keyTime: readHeader(message, HEADERS.keyTime),
     noRetry: message.headers[HEADERS.noRetry] !== undefined,
     bodyBytes: length === undefined ? undefined : Number(length),
     hasBody: hasBody(message)
--- a/src/request/schema.ts
+++ b/src/request/schema.ts
@@ -14,7 +14,11 @@
   target: 'x-comfreyspoke-target',
   routeClass: 'x-comfreyspoke-class',
   noRetry: 'x-comfreyspoke-no-retry',
-  key: 'idempotency-key'
+  key: 'idempotency-key',
+  fingerprint: 'x-comfreyspoke-fingerprint',
+  suspect: 'x-comfreyspoke-suspect',
+  keyTime: 'x-comfreyspoke-key-time',
+  replayed: 'x-comfreyspoke-replayed'
 } as const
 
 export const MAX_HOPS = 8
@@ -29,6 +33,7 @@
   /** What the caller allows, in milliseconds; the route's own deadline caps it. */
   deadlineMs: z.number().optional(),
   key: z.string().optional(),
+  keyTime: z.string().optional(),
   /** A caller that is itself serving a retry asks for no further ones. */
   noRetry: z.boolean(),
   bodyBytes: z.number().int().optional(),
--- a/src/request/scope.ts
+++ b/src/request/scope.ts
@@ -17,7 +17,8 @@
 
   constructor (private readonly clock: Clock, deadlineMs: number, response: ServerResponse) {
     this.endsAt = clock.monotonic() + deadlineMs
-    this.timer = setTimeout(() => { this.controller.abort() }, deadlineMs)
+    // The reason tells a deadline from a sender that left: after a deadline, idle connections to the peer are closed.
+    this.timer = setTimeout(() => { this.controller.abort(new DOMException('the deadline passed', 'TimeoutError')) }, deadlineMs)
     const end = (): void => {
       clearTimeout(this.timer)
       if (response.writableFinished) return
--- a/src/request/tasks/attempt.ts
+++ b/src/request/tasks/attempt.ts
@@ -1,11 +1,13 @@
 /**
  * One attempt of a call: on a target of this host, or through the node of the target's host.
  */
+import { json } from 'node:stream/consumers'
 import { Err, Ok, failureSchema, makeFailure } from '../../core/index.js'
 import type { Clock, Failure, Result } from '../../core/index.js'
 import type { Target } from '../../membership/index.js'
 import type { Passed } from '../answer.js'
 import type { RequestBody } from '../body.js'
+import type { SuspectCall } from '../commands/suspect.js'
 import type { Answer, Exchanger, Outgoing } from '../exchange.js'
 import type { Headers } from '../headers.js'
 import type { Outcome, Picker } from '../picker.js'
@@ -17,7 +19,7 @@
 import type { InboundContext } from './inbound.js'
 
 /** One call, resolved: what all its attempts have in common. */
-export interface CallRun { call: Call, resolved: Resolved, headers: Headers, body: RequestBody, scope: RequestScope }
+export interface CallRun { call: Call, resolved: Resolved, headers: Headers, body: RequestBody, scope: RequestScope, suspect: SuspectCall }
 
 export interface Attempt { run: CallRun, target: Target, number: number }
 
@@ -30,7 +32,7 @@
 interface Reached { answer: Answer, release: () => void }
 
 /** Refusals that say that the target is busy or going, not that it is failing. */
-const REFUSAL_CODES = new Set(['queue_full', 'shed', 'leaving', 'no_target', 'deadline_in_queue'])
+const REFUSAL_CODES = new Set(['queue_full', 'shed', 'leaving', 'no_target', 'deadline_in_queue', 'suspect_waits', 'quarantined'])
 
 export async function attemptTarget (context: AttemptContext, attempt: Attempt): Promise<Result<Won, Failure>> {
   const { picker, clock } = context
@@ -76,15 +78,16 @@
 /** A failure that the last node reported, as the first node sees it. */
 async function readFailure (answer: Answer): Promise<Failure> {
   try {
-    return failureSchema.parse(await answer.body.json())
+    return failureSchema.parse(await json(answer.body))
   } catch {
     return makeFailure('may-have-run', 502, 'bad_answer', 'the node of the target gave an answer that does not parse')
   }
 }
 
-function makeOutgoing ({ call, resolved, headers, scope }: CallRun, target: Target, number: number): Omit<Outgoing, 'address' | 'body' | 'signal'> {
+function makeOutgoing ({ call, resolved, headers, scope, suspect }: CallRun, target: Target, number: number): Omit<Outgoing, 'address' | 'body' | 'signal'> {
   const sent: Headers = {
     ...headers,
+    ...suspect.makeHeaders(),
     [HEADERS.request]: call.request,
     [HEADERS.service]: resolved.service,
     [HEADERS.hops]: String(call.hops + 1),
--- a/src/request/tasks/caller.ts
+++ b/src/request/tasks/caller.ts
@@ -3,11 +3,13 @@
  * a target answers or the failure is final.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { Err, makeFailure } from '../../core/index.js'
+import { Err, Ok, makeFailure } from '../../core/index.js'
 import type { Failure, Random, Result, Verdict } from '../../core/index.js'
 import type { Metrics } from '../../metrics/index.js'
 import type { Snapshot } from '../../snapshot/index.js'
 import { writeAnswer, writeFailure } from '../answer.js'
+import { SuspectCall } from '../commands/suspect.js'
+import type { SuspectTable } from '../../suspect/index.js'
 import type { Passed } from '../answer.js'
 import { RequestBody } from '../body.js'
 import { filterCallerHeaders } from '../headers.js'
@@ -17,12 +19,16 @@
 import type { Call } from '../schema.js'
 import { RequestScope } from '../scope.js'
 import { attemptTarget } from './attempt.js'
+import { runOnce } from './once.js'
+import type { OnceContext } from './once.js'
 import type { AttemptContext, CallRun, Won } from './attempt.js'
 
 export interface CallerContext extends AttemptContext {
   random: Random
   metrics: Metrics
   retry: RetryPolicy
+  once: OnceContext
+  suspects: SuspectTable
   getSnapshot: () => Snapshot
   isReady: () => boolean
   onFailure: (call: Call, failure: Failure) => void
@@ -68,23 +74,31 @@
   body.setLimit(route.maxBodyBytes)
   const scope = new RequestScope(context.clock, Math.min(route.deadlineMs, call.deadlineMs ?? route.deadlineMs), response)
   context.retry.countCall(service)
+  const run = async (): Promise<Result<Won, Failure>> => {
+    const suspect = new SuspectCall(context.suspects, call, body.kept)
+    return await attemptTargets(context, { call, resolved: resolved.val, headers: filterCallerHeaders(message.headers), body, scope, suspect })
+  }
+  if (route.kind === 'once') return await runOnce(context.once, { call, route, body, signal: scope.signal }, run)
   if (call.hasBody && !await body.collect(scope.signal)) {
     scope.end()
     return Err(makeFailure('not-run', 504, 'deadline', 'the body did not come in time'))
   }
-  return await attemptTargets(context, { call, resolved: resolved.val, headers: filterCallerHeaders(message.headers), body, scope })
+  return await run()
 }
 
 async function attemptTargets (context: CallerContext, run: CallRun): Promise<Result<Won, Failure>> {
-  const { call, resolved, body, scope } = run
+  const { call, resolved, body, scope, suspect } = run
   const tried = new Set<string>()
   let worst: Failure | undefined
   for (let number = 1; !scope.signal.aborted; number += 1) {
+    const blocked = suspect.refuse()
+    if (blocked !== undefined) return Err(pickWorse(worst, blocked))
     const target = context.picker.pick({ targets: resolved.targets, tried, zones: resolved.document.zones })
     if (target === undefined) return Err(worst ?? makeFailure('not-run', 503, 'no_target', `${resolved.service} has no target that can be used`, RETRY_AFTER_MS))
     tried.add(target.id)
     const won = await attemptTarget(context, { run, target, number })
-    if (won.ok) return won
+    if (won.ok) return Ok({ answer: won.val.answer, finish: passed => { finishWon(won.val, suspect, passed) } })
+    suspect.noteFailure(target.id, won.val)
     body.release()
     worst = pickWorse(worst, won.val)
     const decision = context.retry.decide({
@@ -102,6 +116,11 @@
   return Err(worst ?? makeFailure('not-run', 504, 'deadline', 'the deadline passed before the request was sent'))
 }
 
+function finishWon (won: Won, suspect: SuspectCall, passed: Passed): void {
+  if (passed === 'whole') suspect.noteWhole()
+  won.finish(passed)
+}
+
 const VERDICT_ORDER: readonly Verdict[] = ['not-run', 'may-have-run', 'ran']
 
 /** The failure over all attempts: one that may have run outweighs any that did not. */
--- a/src/request/tasks/inbound.ts
+++ b/src/request/tasks/inbound.ts
@@ -2,13 +2,19 @@
  * The task of one request that another node sent for a target of this host.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import { finished } from 'node:stream'
 import { Err, makeFailure } from '../../core/index.js'
 import type { Clock, Failure, Result } from '../../core/index.js'
 import type { RouteClass } from '../../document/index.js'
 import { writeAnswer, writeFailure } from '../answer.js'
 import { RequestBody } from '../body.js'
+import type { SuspectTable } from '../../suspect/index.js'
+import { TARGET_CRASHED } from '../commands/crash.js'
+import type { CrashWatch, Run } from '../commands/crash.js'
+import { receiveFingerprint } from '../commands/suspect.js'
 import type { LocalTargets } from '../commands/admit.js'
 import type { Answer, Exchanger, Outgoing } from '../exchange.js'
+import type { Headers } from '../headers.js'
 import { readInbound } from '../queries/inbound.js'
 import type { Inbound } from '../queries/inbound.js'
 import { RequestScope } from '../scope.js'
@@ -24,14 +30,14 @@
   body: RequestBody | undefined
 }
 
-export interface InboundContext { local: LocalTargets, exchanger: Exchanger, clock: Clock }
+export interface InboundContext { local: LocalTargets, exchanger: Exchanger, clock: Clock, crashes: CrashWatch, suspects: SuspectTable }
 
 export interface Held { answer: Answer, permit: Permit }
 
 const SHED_CODES = new Set(['queue_full', 'shed'])
 
 /** Runs a request on a target of this host. The permit is to be released when the answer has been passed on. */
-export async function runLocal ({ local, exchanger }: InboundContext, run: LocalRun): Promise<Result<Held, Failure>> {
+export async function runLocal ({ local, exchanger, crashes, suspects }: InboundContext, run: LocalRun): Promise<Result<Held, Failure>> {
   const { target, routeClass, attempt, scope, outgoing, body } = run
   const { signal } = scope
   if (body !== undefined && !await body.collect(signal)) return Err(makeFailure('not-run', 504, 'deadline', 'the body did not come in time'))
@@ -42,13 +48,45 @@
     permit.release()
     return Err(makeFailure('not-run', 504, 'deadline_in_queue', 'the deadline passed before the request was sent'))
   }
-  const headers = { ...outgoing.headers, [HEADERS.deadline]: String(scope.passedMs) }
-  Reflect.deleteProperty(headers, HEADERS.target)
-  Reflect.deleteProperty(headers, HEADERS.routeClass)
+  const watched = crashes.begin(target, receiveFingerprint(suspects, outgoing.headers))
+  if (watched.err) {
+    permit.release()
+    return watched
+  }
+  const headers = makeTargetHeaders(outgoing.headers, scope)
   const sent = await exchanger.send({ ...outgoing, headers, address: announcement.address, body: body?.open(), signal })
-  if (sent.ok) return sent.map(answer => ({ answer, permit }))
+  if (sent.ok) {
+    followAnswer(sent.val, watched.val, announcement.address)
+    return sent.map(answer => ({ answer, permit }))
+  }
   permit.release()
-  return sent
+  return Err(await watchFailure(sent.val, watched.val, run.target, announcement.address))
+}
+
+/** Headers that nodes set for the last node end there. */
+const LAST_NODE_HEADERS = [HEADERS.target, HEADERS.routeClass, HEADERS.fingerprint, HEADERS.suspect] as const
+
+function makeTargetHeaders (received: Headers, scope: RequestScope): Headers {
+  const headers = { ...received, [HEADERS.deadline]: String(scope.passedMs) }
+  for (const name of LAST_NODE_HEADERS) Reflect.deleteProperty(headers, name)
+  return headers
+}
+
+/** A target can crash in the middle of its answer. */
+function followAnswer ({ body }: Answer, run: Run, address: string): void {
+  finished(body, error => {
+    if (error === undefined || error === null) run.finish()
+    else void run.lose(address)
+  })
+}
+
+async function watchFailure (failure: Failure, run: Run, target: string, address: string): Promise<Failure> {
+  if (failure.verdict === 'not-run') {
+    run.drop()
+    return failure
+  }
+  const isCrashed = await run.lose(address)
+  return isCrashed ? { ...failure, code: TARGET_CRASHED, message: `target ${target} crashed with the request in flight` } : failure
 }
 
 /** A retry that finds a full queue again is told to stop: more of them would keep the queue full. */
