Open the watch on the platform anew before silence can hide an edit

Cause: an open connection may go silent for good while new ones work. The watch had no time limit, so the origin head would have waited on it forever and no edit would have reached a node.

The watch is opened anew every 2 s from the last revision seen. Ruled out: a list every few seconds, for its size. Messages for a missing reference and a conflict stand once.

--- a/src/document/commands/refer.ts
+++ b/src/document/commands/refer.ts
@@ -10,6 +10,7 @@
 import { isPresent, readReferrers, readState } from '../queries/read.js'
 import type { ReferrersState, ServiceState } from '../queries/read.js'
 import { decideEntry, deriveWithout, deriveWithReferrer, isRecorded } from '../queries/referrer.js'
+import { makeMissingReference } from '../queries/references.js'
 import type { Reference } from '../queries/referrer.js'
 import type { Referrers } from '../stored.js'
 import { fenceService } from './fence.js'
@@ -101,9 +102,7 @@
   if (target.version > 0 && target.edit === undefined) {
     return makeFault('invalid_object', `the object of ${service}, which ${referrer.service} refers to, holds no edit; apply a valid document to it first`)
   }
-  return makeFault('missing_reference', `${referrer.service} refers to ${service}, and there is no such service; apply it first`, {
-    expected: 'the name of a service that exists', found: service
-  })
+  return makeMissingReference(referrer.service, service)
 }
 
 function makeReferenced (service: string, present: readonly string[]): Fault {
--- a/src/document/queries/order.ts
+++ b/src/document/queries/order.ts
@@ -4,7 +4,7 @@
 import { Err, Ok, makeFault } from '../../core/index.js'
 import type { Fault, Result } from '../../core/index.js'
 import type { Document } from '../schema.js'
-import { listReferences } from './references.js'
+import { listReferences, makeMissingReference } from './references.js'
 
 /**
  * `present` are the services that exist. References to those do not bind the order, so only new
@@ -38,9 +38,7 @@
 function checkMissing (documents: readonly Document[], present: ReadonlySet<string>): Fault[] {
   const known = new Set([...present, ...documents.map(document => document.service)])
   return documents.flatMap(document => listReferences(document).filter(name => !known.has(name)).map(name =>
-    makeFault('missing_reference', `${document.service} refers to ${name}, and there is no such service; apply it first or together`, {
-      expected: 'the name of a service that exists', found: name
-    })))
+    makeMissingReference(document.service, name)))
 }
 
 function makeCircle (left: readonly Document[]): Fault {
--- a/src/document/queries/references.ts
+++ b/src/document/queries/references.ts
@@ -1,6 +1,8 @@
 /**
  * The other services that a document refers to, by its routes and by `needs`.
  */
+import { makeFault } from '../../core/index.js'
+import type { Fault } from '../../core/index.js'
 import type { Document } from '../schema.js'
 
 export function listReferences (document: Document): string[] {
@@ -11,3 +13,9 @@
   names.delete(document.service)
   return [...names].sort()
 }
+
+export function makeMissingReference (referrer: string, service: string): Fault {
+  return makeFault('missing_reference', `${referrer} refers to ${service}, and there is no such service; apply it first or together`, {
+    expected: 'the name of a service that exists', found: service
+  })
+}
--- a/src/duty/tasks/source.ts
+++ b/src/duty/tasks/source.ts
@@ -8,12 +8,14 @@
 import { readPastEdits } from '../../document/index.js'
 import { receiveEntries, Upstream } from '../../peer/index.js'
 import type { Receiver, UpstreamEnd } from '../../peer/index.js'
-import type { ObjectStore, StoredObject } from '../../platform/index.js'
+import type { ObjectStore, StoredObject, WatchEvent } from '../../platform/index.js'
 import type { Entry } from '../../snapshot/index.js'
 import { convertObject, findGoodEntry } from '../queries/convert.js'
 
 /** Keeps a watch that ends at once, or a list that lags behind the kept events, from becoming a stream of lists. */
 const LIST_INTERVAL_MS = 200
+/** A connection that has gone silent looks like a platform without edits, so each watch is opened anew after this time. */
+const WATCH_MS = 2_000
 const MAX_REASON_CHARACTERS = 300
 
 export class PlatformUpstream extends Upstream {
@@ -37,24 +39,32 @@
     return { reason: 'closed', detail: 'told to stop' }
   }
 
-  /** Until the watch ends, for whatever reason: the list that follows says whether the platform answers. */
+  /** Until the platform ends a watch, for whatever reason: the list that follows says whether it answers. */
   private async followWatch (from: number, signal: AbortSignal): Promise<Result<undefined, Fault>> {
-    for await (const event of this.store.queries.watch('service', from, signal)) {
-      if (event.err) {
-        this.log.info(`watch ended, listing again: ${event.val.message}`)
-        break
-      }
-      const { object, removed } = event.val
-      if (removed) {
-        this.log.warn(`object of ${object.name} was removed past the tool; the version held stays in force`)
-        continue
+    let revision = from
+    while (!signal.aborted) {
+      const end = new AbortController()
+      void this.receiver.clock.sleep(WATCH_MS, AbortSignal.any([signal, end.signal])).then(() => { end.abort() })
+      for await (const event of this.store.queries.watch('service', revision, end.signal)) {
+        if (event.err) {
+          end.abort()
+          this.log.info(`watch ended, listing again: ${event.val.message}`)
+          return Ok(undefined)
+        }
+        const taken = await this.takeEvent(event.val)
+        if (taken.err) return taken
+        revision = event.val.revision
       }
-      const taken = await this.takeObjects([object])
-      if (taken.err) return taken
     }
     return Ok(undefined)
   }
 
+  private async takeEvent ({ object, removed }: WatchEvent): Promise<Result<undefined, Fault>> {
+    if (!removed) return await this.takeObjects([object])
+    this.log.warn(`object of ${object.name} was removed past the tool; the version held stays in force`)
+    return Ok(undefined)
+  }
+
   /** Fails only when the history of a refused object cannot be read. */
   private async takeObjects (objects: readonly StoredObject[]): Promise<Result<undefined, Fault>> {
     const entries: Entry[] = []
--- a/src/tool/commands/apply.ts
+++ b/src/tool/commands/apply.ts
@@ -4,7 +4,7 @@
 import { defineCommand } from 'citty'
 import { Err, Ok, SystemClock, makeFault } from '../../core/index.js'
 import type { Fault, Result } from '../../core/index.js'
-import { applyDocument, listEdits, orderDocuments } from '../../document/index.js'
+import { applyDocument, listEdits, makeConflict, orderDocuments } from '../../document/index.js'
 import type { Document, EditList } from '../../document/index.js'
 import type { HttpObjectStore } from '../../platform/index.js'
 import { EDIT_FLAGS, findAuthor, openPlatform, parseExpected } from '../flags.js'
@@ -44,7 +44,7 @@
   if (ordered.err) return ordered
   const held = versions.get(documents[0]?.service ?? '') ?? 0
   if (expected !== undefined && expected !== held) {
-    return Err([makeFault('conflict', `${documents[0]?.service} is at version ${held}; nothing changed`, { expected: `version ${expected}`, found: `version ${held}`, version: held })])
+    return Err([makeConflict({ service: documents[0]?.service ?? '', version: expected }, held)])
   }
   return Ok({ documents: ordered.val, versions })
 }
--- a/standins/platform/switches.ts
+++ b/standins/platform/switches.ts
@@ -28,6 +28,8 @@
   perSecondByCall: perCallSchema.default({}),
   /** Ends all watches now; with `expireWatches` they cannot resume from before, either. */
   endWatches: z.boolean().default(false),
+  /** The open watches stay open and say nothing more, like a connection that was lost on the way. */
+  silenceWatches: z.boolean().default(false),
   expireWatches: z.boolean().default(false)
 })
 export type Switches = z.infer<typeof switchesSchema>
--- a/tests/platform.test.ts
+++ b/tests/platform.test.ts
@@ -3,9 +3,13 @@
  * since "not carried out" and "no answer" lead to different verdicts.
  */
 import { afterEach, beforeEach, describe, expect, test } from '@jest/globals'
+import { createLogger, SystemClock } from '../src/core/index.js'
+import { PlatformUpstream } from '../src/duty/index.js'
 import { HttpObjectStore } from '../src/platform/index.js'
 import type { WatchEvent } from '../src/platform/index.js'
 import { PlatformServer } from '../standins/platform/server.js'
+import { makeDocument } from './fixtures/document.js'
+import { makeReceiver } from './fixtures/replica.js'
 
 let server: PlatformServer
 let store: HttpObjectStore
@@ -86,4 +90,24 @@
     expect(ends).toEqual(['event', 'unreachable'])
     for await (const event of store.queries.watch('service', 0, stop.signal)) expect(event.val).toMatchObject({ code: 'too-old' })
   })
+
+  test('an edit arrives although the open watch has gone silent without ending', async () => {
+    const stop = new AbortController()
+    const { promise: applied, resolve } = makeSignal()
+    const receiver = { ...makeReceiver(), clock: new SystemClock(), onApplied: resolve }
+    const running = new PlatformUpstream(receiver, store, createLogger('duty', 'silent')).run(stop.signal)
+    while (server.counts['watch service'] === undefined) await new Promise(resolve => { setTimeout(resolve, 5) })
+    server.setSwitches({ silenceWatches: true })
+    await writeValue(0, { editId: 'one', acceptedAt: 1, document: makeDocument() })
+    await applied
+    expect(receiver.replica.table.current.entries.get('desk')?.version).toBe(1)
+    stop.abort()
+    await running
+  })
 })
+
+function makeSignal (): { promise: Promise<void>, resolve: () => void } {
+  let resolve = (): void => {}
+  const promise = new Promise<void>(_resolve => { resolve = _resolve })
+  return { promise, resolve }
+}
