--- a/src/document/queries/edits.ts
+++ b/src/document/queries/edits.ts
@@ -5,20 +5,20 @@
 import type { Fault, Result } from '../../core/index.js'
 import type { ObjectStore } from '../../platform/index.js'
 import { findEditVersion, findPastVersion } from './outcome.js'
-import { listEdits, readPastEdits } from './read.js'
+import { listEdits, readEdit, readPastEdits } from './read.js'
+import type { StoredEdit } from './read.js'
 
 export interface FoundEdit { service: string, version: number, editId: string }
 
 /** Nothing when no service has the edit among its last 16 or in its history. Without a service all are asked. */
 export async function findEdit (store: ObjectStore, editId: string, service?: string): Promise<Result<FoundEdit | undefined, Fault>> {
-  const listed = await listEdits(store)
-  if (listed.err) return listed
-  const asked = listed.val.edits.filter(stored => service === undefined || stored.service === service)
-  for (const stored of asked) {
+  const asked = service === undefined ? await listStored(store) : await readStored(store, service)
+  if (asked.err) return asked
+  for (const stored of asked.val) {
     const version = findEditVersion(stored.version, stored.edit, editId)
     if (version !== undefined) return Ok({ service: stored.service, version, editId })
   }
-  const names = service === undefined ? asked.map(stored => stored.service) : [service]
+  const names = service === undefined ? asked.val.map(stored => stored.service) : [service]
   for (const name of names) {
     const past = await readPastEdits(store, name)
     if (past.err) return past
@@ -27,3 +27,15 @@
   }
   return Ok(undefined)
 }
+
+async function listStored (store: ObjectStore): Promise<Result<StoredEdit[], Fault>> {
+  const listed = await listEdits(store)
+  return listed.ok ? Ok(listed.val.edits) : listed
+}
+
+/** An object that holds no edit leaves the history to ask. */
+async function readStored (store: ObjectStore, service: string): Promise<Result<StoredEdit[], Fault>> {
+  const stored = await readEdit(store, service)
+  if (stored.err) return stored.val.code === 'invalid_object' ? Ok([]) : stored
+  return Ok(stored.val === undefined ? [] : [stored.val])
+}
--- a/src/document/queries/read.ts
+++ b/src/document/queries/read.ts
@@ -61,6 +61,22 @@
   return Ok(historySchema.safeParse(found.val?.value).data?.edits ?? [])
 }
 
+/** Versions of the services that have an object, and which of them may be referred to. Read one by one, since a list may lag behind. */
+export interface Presence { versions: Map<string, number>, present: Set<string> }
+
+export async function readPresence (store: ObjectStore, services: Iterable<string>): Promise<Result<Presence, Fault>> {
+  const presence: Presence = { versions: new Map(), present: new Set() }
+  for (const service of services) {
+    const found = await store.queries.get('service', service)
+    if (found.err) return Err(convertReadFault(found.val))
+    if (found.val === undefined) continue
+    presence.versions.set(service, found.val.version)
+    const edit = editSchema.safeParse(found.val.value)
+    if (edit.success && !edit.data.deleted) presence.present.add(service)
+  }
+  return Ok(presence)
+}
+
 export async function readEdit (store: ObjectStore, service: string): Promise<Result<StoredEdit | undefined, Fault>> {
   const found = await store.queries.get('service', service)
   if (found.err) return Err(convertReadFault(found.val))
--- a/src/tool/commands/apply.ts
+++ b/src/tool/commands/apply.ts
@@ -4,8 +4,8 @@
 import { defineCommand } from 'citty'
 import { Err, Ok, SystemClock, makeFault } from '../../core/index.js'
 import type { Fault, Result } from '../../core/index.js'
-import { applyDocument, listEdits, makeConflict, orderDocuments } from '../../document/index.js'
-import type { Document, EditList } from '../../document/index.js'
+import { applyDocument, listReferences, makeConflict, orderDocuments, readPresence } from '../../document/index.js'
+import type { Document } from '../../document/index.js'
 import type { HttpObjectStore } from '../../platform/index.js'
 import { EDIT_FLAGS, findAuthor, openPlatform, parseExpected } from '../flags.js'
 import { loadFiles } from '../load.js'
@@ -36,10 +36,10 @@
 
 /** Finds what can be found before the first write, so that of several documents none or all are accepted as far as possible. */
 async function verifyEdits (store: HttpObjectStore, documents: Document[], expected: number | undefined): Promise<Result<Plan, Fault[]>> {
-  const listed = await listEdits(store)
-  if (listed.err) return Err([listed.val])
-  const versions = listVersions(listed.val)
-  const present = new Set(listed.val.edits.filter(({ edit }) => !edit.deleted).map(({ service }) => service))
+  const concerned = new Set(documents.flatMap(document => [document.service, ...listReferences(document)]))
+  const presence = await readPresence(store, concerned)
+  if (presence.err) return Err([presence.val])
+  const { versions, present } = presence.val
   const ordered = orderDocuments(documents, present)
   if (ordered.err) return ordered
   const held = versions.get(documents[0]?.service ?? '') ?? 0
@@ -49,10 +49,6 @@
   return Ok({ documents: ordered.val, versions })
 }
 
-function listVersions ({ edits, invalid }: EditList): Map<string, number> {
-  return new Map([...edits, ...invalid].map(({ service, version }) => [service, version]))
-}
-
 function printPlan (json: boolean, { documents, versions }: Plan): void {
   for (const { service } of documents) {
     const replaces = versions.get(service) ?? 0
--- a/tests/tool.test.ts
+++ b/tests/tool.test.ts
@@ -77,13 +77,19 @@
     expect(stdout.trim().split('\n').map(line => (JSON.parse(line) as { service: string }).service)).toEqual(['design-gallery', 'counter-desk'])
   })
 
+  test('a list that lags behind does not make a service look missing', async () => {
+    await applyNew('gallery')
+    server.setSwitches({ lagLists: 100 })
+    expect((await runTool('apply', await makeFile('desk.yaml', formatDocument('desk', ['gallery'])))).code).toBe(0)
+  })
+
   test('--dry-run checks against the platform and changes nothing', async () => {
     const missing = await runTool('apply', await makeFile('desk.yaml', formatDocument('desk', ['gallery'])), '--dry-run')
     expect(missing.code).toBe(1)
     expect(missing.stderr).toContain('missing_reference')
     const fine = await runTool('apply', await makeFile('gallery.yaml', formatDocument('gallery')), '--dry-run')
     expect(fine).toMatchObject({ code: 0, stdout: 'would replace version 0 of gallery\n' })
-    expect(Object.keys(server.counts)).toEqual(['list service'])
+    expect(Object.keys(server.counts)).toEqual(['get service'])
   })
 
   test.each([
