Claim a duty whose holder answers that it has none

It was neither silent nor the holder, and nobody could claim the duty; a successor that had itself lost the duty stayed a root without source for good.

The answer that turns a subscriber away now names the duties of the publisher; a holder without any counts as gone.

--- a/src/duty/queries/holder.ts
+++ b/src/duty/queries/holder.ts
@@ -17,7 +17,10 @@
   return Ok({ version: found.val.version, lease: lease.success ? lease.data : undefined })
 }
 
-/** A node may claim a duty that nobody holds, that its own host held before a restart, or whose holder did not answer it. */
-export function isClaimable (lease: Lease | undefined, host: string, isSilent: (peer: string) => boolean): boolean {
-  return lease === undefined || lease.released || lease.holder === host || isSilent(lease.peer)
+/**
+ * A node may claim a duty that nobody holds, that its own host held before a restart, or whose
+ * holder did not answer it or answered without the duty.
+ */
+export function isClaimable (lease: Lease | undefined, host: string, isGone: (peer: string) => boolean): boolean {
+  return lease === undefined || lease.released || lease.holder === host || isGone(lease.peer)
 }
--- a/src/node/tasks/follow.ts
+++ b/src/node/tasks/follow.ts
@@ -44,6 +44,8 @@
   private readonly replica: Replica
   private readonly originDuty: string
   private readonly failures: PeerFailures
+  /** Peers that answered and hold no duty, whatever a lease says of them: their process restarted. */
+  private readonly idle: PeerFailures
   private readonly duties: Duties
   private readonly root: RootTicker
   private readonly seeker: Seeker
@@ -58,6 +60,7 @@
     this.replica = replica
     this.originDuty = formatHeadDuty(platformRegion)
     this.failures = new PeerFailures(clock)
+    this.idle = new PeerFailures(clock)
     this.root = new RootTicker(replica, clock)
     this.known = { above: [], candidates: [], below: [], holders: [], bootstrap }
     this.askPlatformAt = this.computeAskTime()
@@ -120,12 +123,17 @@
       const upstream = this.makePeerUpstream(address, needsSource)
       const end = await this.followUpstream(upstream, signal)
       if (upstream.attached) return true
-      if (end.reason === 'retry' && end.afterMs <= RETRY_UNROOTED_MS) this.sawUnrooted = true
+      if (end.reason === 'retry') this.noteRetry(address, end)
       if (end.reason === 'redirect') queue.unshift(...this.orderRandomly(end.peers))
     }
     return false
   }
 
+  private noteRetry (address: string, { afterMs, duties }: Extract<UpstreamEnd, { reason: 'retry' }>): void {
+    if (afterMs <= RETRY_UNROOTED_MS) this.sawUnrooted = true
+    if (duties.length === 0) this.idle.note(address)
+  }
+
   private makePeerUpstream (address: string, needsSource: boolean): PeerUpstream {
     const { receiver, open, peerLog } = this.context
     return new PeerUpstream({ receiver, open, address, log: peerLog, needsSource })
@@ -205,7 +213,8 @@
     const held = await readLease(store, duty)
     if (held.err) return await this.followWithoutPlatform(signal)
     if (await this.followHolder(held.val.lease, signal)) return true
-    if (this.duties.hasLost(duty) && held.val.lease?.released === false) return await this.followWithoutPlatform(signal)
+    const successor = this.duties.hasLost(duty) ? held.val.lease : undefined
+    if (successor?.released === false && !this.idle.has(successor.peer)) return await this.followWithoutPlatform(signal)
     return await this.claimDuty(duty, held.val)
   }
 
@@ -216,7 +225,8 @@
   }
 
   private async claimDuty (duty: string, held: HeldLease): Promise<boolean> {
-    if (this.lifetime.aborted || !isClaimable(held.lease, this.replica.identity.host, peer => this.failures.has(peer))) return false
+    const isGone = (peer: string): boolean => this.failures.has(peer) || this.idle.has(peer)
+    if (this.lifetime.aborted || !isClaimable(held.lease, this.replica.identity.host, isGone)) return false
     return await this.duties.claim(duty, held)
   }
 
--- a/src/peer/codec.ts
+++ b/src/peer/codec.ts
@@ -30,7 +30,7 @@
  * references are shortest.
  */
 const SAMPLES: unknown[] = [
-  { type: 'retry', afterMs: 200 },
+  { type: 'retry', afterMs: 200, duties: [] },
   { type: 'accept', node: '', region: '', sourceUp: true, path: [], pathPeers: [], candidates: [] },
   { type: 'members', records: [] },
   { type: 'update', service: '', version: 1, acceptedAt: 0, hash: '', text: '' },
--- a/src/peer/commands/admit.ts
+++ b/src/peer/commands/admit.ts
@@ -47,9 +47,9 @@
   /** Gives nothing when the subscriber was admitted, else the answer that turns it away. */
   admit (replica: Replica, session: Session): Down | undefined {
     const { hello } = session
-    if (!replica.isRooted || replica.place.path.includes(hello.node)) return { type: 'retry', afterMs: RETRY_UNROOTED_MS }
+    if (!replica.isRooted || replica.place.path.includes(hello.node)) return makeRetry(replica, RETRY_UNROOTED_MS)
     if (this.isFull(hello)) return { type: 'redirect', peers: this.listNear(hello.zone) }
-    if (!this.takeToken()) return { type: 'retry', afterMs: RETRY_BUSY_MS }
+    if (!this.takeToken()) return makeRetry(replica, RETRY_BUSY_MS)
     this.sessions.get(hello.node)?.end()
     this.sessions.set(hello.node, session)
     return undefined
@@ -81,3 +81,7 @@
     return true
   }
 }
+
+function makeRetry (replica: Replica, afterMs: number): Down {
+  return { type: 'retry', afterMs, duties: [...replica.duties] }
+}
--- a/src/peer/messages.ts
+++ b/src/peer/messages.ts
@@ -54,7 +54,8 @@
 export type Accept = z.infer<typeof acceptSchema>
 
 const redirectSchema = z.object({ type: z.literal('redirect'), peers: z.array(z.string()) })
-const retrySchema = z.object({ type: z.literal('retry'), afterMs: z.number().int() })
+/** `duties` are the publisher's own, so that a claimant sees when a restarted node no longer has the duty of its lease. */
+const retrySchema = z.object({ type: z.literal('retry'), afterMs: z.number().int(), duties: z.array(z.string()) })
 
 /** Exactly one of `text` (canonical JSON) and `patch` (against version `base`), or neither for a deletion. */
 const updateSchema = z.object({
--- a/src/peer/tasks/upstream.ts
+++ b/src/peer/tasks/upstream.ts
@@ -115,7 +115,7 @@
       case 'redirect':
         return { reason: 'redirect', peers: message.peers }
       case 'retry':
-        return { reason: 'retry', afterMs: message.afterMs }
+        return { reason: 'retry', afterMs: message.afterMs, duties: message.duties }
       case 'accept':
         return this.takeAccept(message)
       case 'beat':
--- a/src/peer/upstream.ts
+++ b/src/peer/upstream.ts
@@ -4,7 +4,7 @@
 export type UpstreamEnd =
   | { reason: 'closed' | 'silent' | 'stalled' | 'loop' | 'moved' | 'no-source', detail: string }
   | { reason: 'redirect', peers: string[] }
-  | { reason: 'retry', afterMs: number }
+  | { reason: 'retry', afterMs: number, duties: string[] }
 
 export abstract class Upstream {
   /** For logs, status and the time line. */
--- a/tests/proofs/accepted-in-force.test.ts
+++ b/tests/proofs/accepted-in-force.test.ts
@@ -119,6 +119,20 @@
     }), readProofParameters(6))
   })
 
+  /** Found by FC_SEED=1001: the lease named a node whose new process had found an upstream and never claimed it again. */
+  test('when the holder in a lease restarted without its duty', async () => {
+    const { fleet, oracle } = await startFleet(840)
+    fleet.living.forEach(node => { fleet.setPlatform(node.index, true) })
+    fleet.kill(0)
+    fleet.startNode(0)
+    await fleet.time.advance(1_354)
+    fleet.kill(0)
+    fleet.healAll()
+    await expectConverged(fleet, oracle, HEAL_LIMIT_MS)
+    await expectTrueStatus(fleet, oracle)
+    fleet.stop()
+  })
+
   test('on every node after any sequence of faults, once they are over', async () => {
     const index = fc.nat(NODES - 1)
     const zone = fc.constantFrom(...ZONES.map(one => one.zone))
