--- a/src/node/start.ts
+++ b/src/node/start.ts
@@ -8,10 +8,10 @@
 import { leaveHost } from '../membership/index.js'
 import { Metrics } from '../metrics/index.js'
 import {
-  Attachments, ControlMeter, Dialer, makeFetchAnswer, makeStatus, MsgpackCodec, PeerClient, receiveRecords, Replica, serveSubscriber, startPeerServer,
-  SubscriberRegistry
+  Attachments, awaitReturn, ControlMeter, Dialer, makeFetchAnswer, makeStatus, MsgpackCodec, PeerClient, receiveRecords, Replica, serveSubscriber,
+  startPeerServer, SubscriberRegistry
 } from '../peer/index.js'
-import type { DrainAnswer, DrainRequest, PeerHandlers, Receiver } from '../peer/index.js'
+import type { AbsenceContext, DrainAnswer, DrainRequest, PeerHandlers, Receiver } from '../peer/index.js'
 import { CountingObjectStore, HttpObjectStore } from '../platform/index.js'
 import { BudgetRetryPolicy, LocalTargets, serveCaller, serveInbound, UndiciExchanger, ZonePicker } from '../request/index.js'
 import { EventRing, HybridClock, Recorder } from '../timeline/index.js'
@@ -50,6 +50,7 @@
   private readonly callerPort: HttpPort
   private readonly inboundPort: HttpPort
   private readonly meter: ControlMeter
+  private readonly attachments = new Attachments()
   private readonly https: HttpServer[] = []
   private peerServer: PeerServer | undefined
   private following: Promise<void> = Promise.resolve()
@@ -156,15 +157,28 @@
       peerLog: this.createLog('peer'),
       dutyLog: this.createLog('duty'),
       bootstrap: settings.peers,
-      platformRegion: settings['platform-region']
+      platformRegion: settings['platform-region'],
+      onGone: peer => { this.watchPeer(peer) }
     })
   }
 
+  private makeAbsenceContext (): AbsenceContext {
+    const { receiver, attachments, stopped: { signal } } = this
+    const isBack = (host: string): boolean => attachments.has(host) || receiver.replica.place.path.includes(host)
+    return { receiver, isBack, log: this.createLog('peer'), signal }
+  }
+
+  /** A relay is subscribed in another zone, where nobody may mark it, so its subscribers and its successor watch for its return. */
+  private watchPeer (peer: string): void {
+    const record = this.replica.listRecords().find(one => one.peer === peer)
+    if (record !== undefined) void awaitReturn(this.makeAbsenceContext(), record.host)
+  }
+
   private makePeerHandlers (): PeerHandlers {
-    const { replica, receiver, settings } = this
+    const { replica, settings, attachments } = this
     const limits = { fanOut: settings['fan-out'], perSecond: settings['admit-per-second'] }
     const registry = new SubscriberRegistry(limits, this.clock)
-    const publisher = { receiver, registry, limits, attachments: new Attachments(), log: this.createLog('peer'), signal: this.stopped.signal }
+    const publisher = { ...this.makeAbsenceContext(), registry, limits, attachments }
     return {
       subscribe: async call => { await serveSubscriber(publisher, call) },
       fetch: () => makeFetchAnswer(replica),
--- a/src/node/tasks/follow.ts
+++ b/src/node/tasks/follow.ts
@@ -26,6 +26,8 @@
   dutyLog: Logger
   bootstrap: readonly string[]
   platformRegion: string
+  /** Told of the peer address of an upstream that ended its stream, and of a holder whose lease this node took over. */
+  onGone: (peer: string) => void
 }
 
 export class Follower {
@@ -86,6 +88,7 @@
     if (attached && !signal.aborted) {
       peerLog.info(`left upstream ${upstream.name}: ${end.reason}`)
       recorder.record('upstream-lost', `${upstream.name}: ${end.reason}`)
+      if (!stop.aborted && (end.reason === 'closed' || end.reason === 'silent')) this.context.onGone(upstream.name)
     }
     await this.heedEnd(end, signal)
     return attached
@@ -115,7 +118,7 @@
     if (duty === undefined) return await this.seekOrigin(platformRegion, signal)
     const held = await readLease(store, duty)
     if (held.err) return await this.serveDetached(signal)
-    if (!this.observer.observe(duty, held.val, replica.place.renewals[duty])) {
+    if (replica.own.isLeaving || !this.observer.observe(duty, held.val, replica.place.renewals[duty])) {
       this.noteHolder(held.val)
       return false
     }
@@ -135,6 +138,7 @@
     dutyLog.info(`claimed ${duty}`)
     recorder.record('duty-claimed', duty)
     replica.duties.add(duty)
+    if (held.lease !== undefined) this.context.onGone(held.lease.peer)
     this.holders = []
     this.sourceUp = true
     this.grants.set(duty, this.keepDuty(written.val, signal))
--- a/src/peer/queries/members.ts
+++ b/src/peer/queries/members.ts
@@ -21,7 +21,7 @@
   const { digests } = replica.members
   const lacking = digests.listZones().filter(zone => theirs[zone] === undefined)
   const differing = Object.entries(theirs).filter(([zone, bytes]) => Buffer.compare(digests.formatZone(zone), bytes) !== 0)
-  const messages: Array<Members | Buckets> = splitRecords(replica.listRecords(lacking.flatMap(zone => digests.listHosts(zone))))
+  const messages: Array<Members | Buckets> = splitRecords(replica.listRecords(lacking.flatMap(zone => digests.listHosts(zone).sort())))
   if (differing.length === 0) return messages
   return [...messages, { type: 'buckets', zones: Object.fromEntries(differing.map(([zone]) => [zone, digests.formatBuckets(zone)])) }]
 }
--- a/src/peer/tasks/downstream.ts
+++ b/src/peer/tasks/downstream.ts
@@ -3,12 +3,10 @@
  */
 import { merge, periodic } from 'most'
 import { Channel, drainStream } from '../../core/index.js'
-import type { Logger } from '../../core/index.js'
 import { makeVector } from '../../snapshot/index.js'
 import type { Vector } from '../../snapshot/index.js'
 import type { AdmissionLimits, SubscriberRegistry } from '../commands/admit.js'
 import { receiveRecords } from '../commands/receive.js'
-import type { Receiver } from '../commands/receive.js'
 import type { Attachments } from '../attachments.js'
 import type { Beat, Down, Hello, Up } from '../messages.js'
 import { PendingHosts } from '../pending.js'
@@ -17,17 +15,14 @@
 import type { Change, Replica } from '../replica.js'
 import type { DownstreamCall } from '../services.js'
 import { awaitReturn } from './absence.js'
+import type { AbsenceContext } from './absence.js'
 
 export const BEAT_INTERVAL_MS = 500
 
-export interface Publisher {
-  receiver: Receiver
+export interface Publisher extends AbsenceContext {
   registry: SubscriberRegistry
   limits: AdmissionLimits
   attachments: Attachments
-  log: Logger
-  /** Aborted when this node stops. */
-  signal: AbortSignal
 }
 
 type Item = { kind: 'message', message: Up } | { kind: 'change', change: Change } | { kind: 'beat' } | { kind: 'members' }
@@ -60,7 +55,7 @@
     dropSubscriber(replica, hello.node)
     call.end()
     log.debug(`${hello.node} unsubscribed`)
-    void awaitReturn({ ...publisher, isBack: host => attachments.has(host) }, hello.node)
+    void awaitReturn(publisher, hello.node)
   }
 }
 
