--- a/src/node/start.ts
+++ b/src/node/start.ts
@@ -123,7 +123,10 @@
   /** Spreads that this host is leaving, once. Gives the monotonic time at which it began to. */
   private leave (): number {
     const record = leaveHost(this.replica.own)
-    if (record !== undefined) receiveRecords(this.receiver, [record])
+    if (record !== undefined) {
+      receiveRecords(this.receiver, [record])
+      this.recorder.record('target-leaving', 'the host leaves with all its targets', { host: record.host })
+    }
     this.leftAt ??= this.clock.monotonic()
     return this.leftAt
   }
