--- a/src/node/start.ts
+++ b/src/node/start.ts
@@ -8,10 +8,10 @@
 import { leaveHost } from '../membership/index.js'
 import { Metrics } from '../metrics/index.js'
 import {
-  ControlMeter, Dialer, makeFetchAnswer, makeStatus, MsgpackCodec, PeerClient, receiveRecords, Replica, serveSubscriber, startPeerServer,
+  awaitReturn, ControlMeter, Dialer, makeFetchAnswer, makeStatus, MsgpackCodec, PeerClient, receiveRecords, Replica, serveSubscriber, startPeerServer,
   SubscriberRegistry
 } from '../peer/index.js'
-import type { DrainAnswer, DrainRequest, PeerCredentials, PeerHandlers, Receiver } from '../peer/index.js'
+import type { AbsenceContext, DrainAnswer, DrainRequest, PeerCredentials, PeerHandlers, Receiver } from '../peer/index.js'
 import { CountingObjectStore, HttpObjectStore } from '../platform/index.js'
 import type { ObjectStore } from '../platform/index.js'
 import { ClaimLedger } from '../once/index.js'
@@ -142,7 +142,10 @@
   /** Spreads that this host is leaving, once. Gives the monotonic time at which it began to. */
   private leave (): number {
     const record = leaveHost(this.replica.own)
-    if (record !== undefined) receiveRecords(this.receiver, [record])
+    if (record !== undefined) {
+      receiveRecords(this.receiver, [record])
+      this.recorder.record('target-leaving', 'the host leaves with all its targets', { host: record.host })
+    }
     this.leftAt ??= this.clock.monotonic()
     return this.leftAt
   }
@@ -186,13 +189,26 @@
       peerLog: this.createLog('peer'),
       dutyLog: this.createLog('duty'),
       bootstrap: settings.peers,
-      platformRegion: settings['platform-region']
+      platformRegion: settings['platform-region'],
+      onGone: peer => { this.watchPeer(peer) }
     })
   }
 
+  private makeAbsenceContext (): AbsenceContext {
+    const { receiver, registry, stopped: { signal } } = this
+    const isBack = (host: string): boolean => registry.has(host) || receiver.replica.place.path.includes(host)
+    return { receiver, isBack, log: this.createLog('peer'), signal }
+  }
+
+  /** A relay is subscribed in another zone, where nobody may mark it, so its subscribers and its successor watch for its return. */
+  private watchPeer (peer: string): void {
+    const record = this.replica.listRecords().find(one => one.peer === peer)
+    if (record !== undefined) void awaitReturn(this.makeAbsenceContext(), record.host)
+  }
+
   private makePeerHandlers (): PeerHandlers {
-    const { replica, receiver, registry } = this
-    const publisher = { receiver, registry, log: this.createLog('peer'), signal: this.stopped.signal }
+    const { replica, registry } = this
+    const publisher = { ...this.makeAbsenceContext(), registry }
     return {
       subscribe: async call => { await serveSubscriber(publisher, call) },
       fetch: () => makeFetchAnswer(replica),
--- a/src/node/tasks/follow.ts
+++ b/src/node/tasks/follow.ts
@@ -38,6 +38,8 @@
   dutyLog: Logger
   bootstrap: readonly string[]
   platformRegion: string
+  /** Told of the peer address of an upstream that ended its stream, and of a holder whose lease this node took over. */
+  onGone: (peer: string) => void
 }
 
 export class Follower {
@@ -182,6 +184,7 @@
     if (!signal.aborted) {
       peerLog.info(`left ${upstream.name}: ${'detail' in end ? end.detail : end.reason}`)
       recorder.record('upstream-lost', `${upstream.name}: ${end.reason}`)
+      if (end.reason === 'closed' || end.reason === 'silent') this.context.onGone(upstream.name)
     }
     const above = replica.place.pathPeers.filter(peer => peer !== replica.identity.peer).reverse()
     if (above.length > 0) this.known = { ...this.known, above, candidates: replica.place.candidates }
@@ -226,8 +229,10 @@
 
   private async claimDuty (duty: string, held: HeldLease): Promise<boolean> {
     const isGone = (peer: string): boolean => this.failures.has(peer) || this.idle.has(peer)
-    if (this.lifetime.aborted || !isClaimable(held.lease, this.replica.identity.host, isGone)) return false
-    return await this.duties.claim(duty, held)
+    if (this.lifetime.aborted || this.replica.own.isLeaving || !isClaimable(held.lease, this.replica.identity.host, isGone)) return false
+    const isClaimed = await this.duties.claim(duty, held)
+    if (isClaimed && held.lease !== undefined) this.context.onGone(held.lease.peer)
+    return isClaimed
   }
 
   /** The head of a region away from the platform: follows the origin head, else the platform itself. */
--- a/src/peer/tasks/downstream.ts
+++ b/src/peer/tasks/downstream.ts
@@ -2,12 +2,10 @@
  * The task of one subscriber: admits it, brings it up to date, then sends each change until the stream ends.
  */
 import { Channel, drainStream, pushEvery } from '../../core/index.js'
-import type { Logger } from '../../core/index.js'
 import { makeVector } from '../../snapshot/index.js'
 import type { Vector } from '../../snapshot/index.js'
 import type { Session, SubscriberRegistry } from '../commands/admit.js'
 import { receiveRecords } from '../commands/receive.js'
-import type { Receiver } from '../commands/receive.js'
 import type { Beat, Hello, Up } from '../messages.js'
 import { PendingHosts } from '../pending.js'
 import { listFirstMembers, listNewer } from '../queries/members.js'
@@ -16,17 +14,14 @@
 import type { DownstreamCall } from '../services.js'
 import { receiveSuspects, sendSuspects } from '../suspects.js'
 import { awaitReturn } from './absence.js'
+import type { AbsenceContext } from './absence.js'
 
 export const BEAT_INTERVAL_MS = 500
 /** Beats after which the position is sent again although it did not change. */
 const POSITION_BEATS = 20
 
-export interface Publisher {
-  receiver: Receiver
+export interface Publisher extends AbsenceContext {
   registry: SubscriberRegistry
-  log: Logger
-  /** Aborted when this node stops. */
-  signal: AbortSignal
 }
 
 type Item = { kind: 'message', message: Up } | { kind: 'change', change: Change } | { kind: 'beat' } | { kind: 'members' }
@@ -102,7 +97,7 @@
       ended.abort()
       if (registry.release(this.session)) dropCounts(this.replica, this.node)
       log.debug(`${this.node} unsubscribed`)
-      void awaitReturn({ ...publisher, isBack: host => registry.has(host) }, this.node)
+      void awaitReturn(publisher, this.node)
     }
   }
 
