Let a region's head look for the origin head again

Cause: a head that found no origin head when it started watched the platform for good, so its region stayed a tree of its own and no target of it was known elsewhere. tests/path.test.ts failed by this under load: 503 as not run for 5 s, `status` showing two roots.

The region's head now leaves the platform after 3 s and tries the origin head first. Not measured: what this costs during a long partition.

--- a/src/node/tasks/follow.ts
+++ b/src/node/tasks/follow.ts
@@ -14,6 +14,7 @@
 
 const BACKOFF = { baseMs: 100, maxMs: 2_000 }
 const TICK_MS = 500
+const SEEK_ORIGIN_MS = 3_000
 
 export interface FollowContext {
   receiver: Receiver
@@ -162,7 +163,17 @@
     this.noteHolder(held.val)
     const address = this.holders[0]
     if (address !== undefined && await this.followUpstream(this.makePeerUpstream(address), signal, false)) return true
-    return await this.followUpstream(this.makePlatformUpstream(), signal, true)
+    return await this.followPlatform(signal)
+  }
+
+  /** Looks for the origin head again after a while, since otherwise the region would stay a tree of its own. */
+  private async followPlatform (signal: AbortSignal): Promise<boolean> {
+    const end = new AbortController()
+    const stop = AbortSignal.any([signal, end.signal])
+    void this.context.clock.sleep(SEEK_ORIGIN_MS, stop).then(() => { end.abort() })
+    const attached = await this.followUpstream(this.makePlatformUpstream(), stop, true)
+    end.abort()
+    return attached
   }
 
   /** Neither an upstream nor the platform answers: a holder of a duty goes on as the root of what it can reach. */
