--- a/standins/layout/processes.ts
+++ b/standins/layout/processes.ts
@@ -9,6 +9,7 @@
 import { fileURLToPath } from 'node:url'
 import { setTimeout as delay } from 'node:timers/promises'
 import { request } from 'undici'
+import type { TargetOptions } from '../target/server.js'
 import type { HostLayout, Placement } from './schema.js'
 import { formatAddress, listNodeFlags, PORTS } from './schema.js'
 
@@ -60,9 +61,14 @@
     this.spawn(`node ${host.host}`, 'standins/node/main.js', [JSON.stringify(this.placement), String(host.index), ...flags, `--log-level=${this.logLevel}`])
   }
 
-  startTarget (host: HostLayout): void {
-    const options = {
-      service: host.service, target: `t-${host.index}`, address: formatAddress(host, 'target'), node: formatAddress(host, 'local'), serviceMs: host.serviceMs
+  startTarget (host: HostLayout, change: Partial<TargetOptions> = {}): void {
+    const options: TargetOptions = {
+      service: host.service,
+      target: `t-${host.index}`,
+      address: formatAddress(host, 'target'),
+      node: formatAddress(host, 'local'),
+      serviceMs: host.serviceMs,
+      ...change
     }
     this.spawn(`target ${host.host}`, 'standins/target/main.js', [JSON.stringify(options)])
   }
@@ -81,6 +87,10 @@
     this.children.get(name)?.kill(signal)
   }
 
+  getPid (name: string): number | undefined {
+    return this.children.get(name)?.pid
+  }
+
   async awaitExit (name: string): Promise<number | null> {
     const child = this.children.get(name)
     if (child === undefined || child.exitCode !== null || child.signalCode !== null) return child?.exitCode ?? null
--- a/standins/target/server.ts
+++ b/standins/target/server.ts
@@ -9,6 +9,8 @@
 import { setTimeout as delay } from 'node:timers/promises'
 import { request } from 'undici'
 import type { Announcement } from '../../src/membership/index.js'
+import { callNext, Workers } from './work.js'
+import type { NextTarget } from './work.js'
 
 const ANNOUNCE_INTERVAL_MS = 1_000
 
@@ -21,15 +23,20 @@
   node: string
   serviceMs: number
   slots?: number
+  next?: NextTarget
+  /** How many requests of /work run at a time. */
+  workers?: number
 }
 
 export class TargetServer {
   readonly runs = new Map<string, number>()
   private readonly server: Server
   private readonly stopped = new AbortController()
+  private readonly workers: Workers
   state: Announcement['state'] = 'ready'
 
   constructor (private readonly options: TargetOptions) {
+    this.workers = new Workers(options.workers ?? Infinity)
     this.server = createServer((message, response) => {
       this.handle(message, response).catch(() => { response.destroy() })
     })
@@ -71,10 +78,16 @@
       response.end(JSON.stringify(Object.fromEntries(this.runs)))
       return
     }
+    if (message.url?.startsWith('/chain/') === true && this.options.next !== undefined) {
+      response.statusCode = await callNext(this.options.next, message.url)
+      response.end('done')
+      return
+    }
+    if (message.url === '/work') await this.workers.run(this.options.serviceMs)
     const body = await buffer(message)
     const key = message.headers['idempotency-key']
     if (typeof key === 'string') this.runs.set(key, (this.runs.get(key) ?? 0) + 1)
-    if (this.options.serviceMs > 0) await delay(this.options.serviceMs)
+    if (this.options.serviceMs > 0 && message.url !== '/work') await delay(this.options.serviceMs)
     const answer = JSON.stringify({ target: this.options.target, method: message.method, path: message.url, echo: message.headers['x-echo'], bytes: body.length })
     response.writeHead(200, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(answer) })
     response.end(answer)
