--- a/src/request/tasks/inbound.ts
+++ b/src/request/tasks/inbound.ts
@@ -36,7 +36,7 @@
 
 const SHED_CODES = new Set(['queue_full', 'shed'])
 
-/** Runs a request on a target of this host. The permit is to be released when the answer has been passed on. */
+/** Runs a request on a target of this host. The permit is to be released when the answer has been passed on or cut. */
 export async function runLocal ({ local, exchanger, crashes, suspects }: InboundContext, run: LocalRun): Promise<Result<Held, Failure>> {
   const { target, routeClass, attempt, scope, outgoing, body } = run
   const { signal } = scope
@@ -57,6 +57,8 @@
   const sent = await exchanger.send({ ...outgoing, headers, address: announcement.address, body: body?.open(), signal })
   if (sent.ok) {
     followAnswer(sent.val, watched.val, announcement.address)
+    // The target is done with its last byte, which may be long before a slow caller has taken it.
+    sent.val.body.once('end', permit.release)
     return sent.map(answer => ({ answer, permit }))
   }
   permit.release()
--- a/standins/bench/main.ts
+++ b/standins/bench/main.ts
@@ -1,15 +1,20 @@
 /**
- * Measurements: `bench NAME [ARGUMENT…] [--json FILE]`. Each prints its rows and may write them to a file.
+/**
+ * Measurements: `npm run bench -- NAME [ARGUMENT…] [--json FILE]`. Each prints its rows and may write them to a file.
  */
 import { writeFile } from 'node:fs/promises'
+import { runCalls } from './calls.js'
 import { runCapacity } from './capacity.js'
 import { runConvergence } from './convergence.js'
+import { runMembers } from './members.js'
 
 type Bench = (args: readonly string[]) => Promise<unknown>
 
 const BENCHES: Readonly<Record<string, Bench>> = {
+  calls: runCalls,
   capacity: runCapacity,
-  convergence: runConvergence
+  convergence: runConvergence,
+  members: runMembers
 }
 
 const [name = '', ...rest] = process.argv.slice(2)
--- a/standins/bench/members.ts
+++ b/standins/bench/members.ts
@@ -64,20 +64,27 @@
   return bytes
 }
 
-function printRow (name: string, value: number, unit: string): void {
+export interface Row { name: string, value: number, unit: string }
+
+function addRow (rows: Row[], name: string, value: number, unit: string): void {
+  rows.push({ name, value, unit })
   process.stdout.write(`${name.padEnd(44)} ${String(Math.round(value)).padStart(10)} ${unit}\n`)
 }
 
-const count = Number(process.argv[2] ?? 2_600)
-const records = Array.from({ length: count }, (_, index) => makeRecord(index))
-const startedAt = performance.now()
-const publisher = makeReceiver(count, records)
-printRow(`taking ${count} records`, performance.now() - startedAt, 'ms')
-const full = measureMessage({ type: 'members', records })
-printRow('reconnect, full in both directions', 2 * full, 'bytes')
-printRow('first connect with an empty table', measureReconnect(makeReceiver(count + 1, []), publisher), 'bytes')
-for (const changed of CHANGED) {
-  const newer = records.slice(0, changed).map((_record, index) => makeRecord(index, 2))
-  const bytes = measureReconnect(makeReceiver(count + 1, records), makeReceiver(count, [...records.slice(changed), ...newer]))
-  printRow(`reconnect, ${changed} records newer at the publisher`, bytes, 'bytes')
+export async function runMembers ([size]: readonly string[]): Promise<Row[]> {
+  const count = Number(size ?? 2_600)
+  const rows: Row[] = []
+  const records = Array.from({ length: count }, (_, index) => makeRecord(index))
+  const startedAt = performance.now()
+  const publisher = makeReceiver(count, records)
+  addRow(rows, `taking ${count} records`, performance.now() - startedAt, 'ms')
+  const full = measureMessage({ type: 'members', records })
+  addRow(rows, 'reconnect, full in both directions', 2 * full, 'bytes')
+  addRow(rows, 'first connect with an empty table', measureReconnect(makeReceiver(count + 1, []), publisher), 'bytes')
+  for (const changed of CHANGED) {
+    const newer = records.slice(0, changed).map((_record, index) => makeRecord(index, 2))
+    const bytes = measureReconnect(makeReceiver(count + 1, records), makeReceiver(count, [...records.slice(changed), ...newer]))
+    addRow(rows, `reconnect, ${changed} records newer at the publisher`, bytes, 'bytes')
+  }
+  return rows
 }
