--- a/src/request/tasks/caller.ts
+++ b/src/request/tasks/caller.ts
@@ -3,7 +3,7 @@
  * a target answers or the failure is final.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { Err, Ok, makeFailure } from '../../core/index.js'
+import { deriveDeadline, Err, Ok, makeFailure } from '../../core/index.js'
 import type { Clock, Failure, Random, Result } from '../../core/index.js'
 import type { Target } from '../../membership/index.js'
 import type { Metrics } from '../../metrics/index.js'
@@ -94,7 +94,7 @@
   const { route, service } = resolved.val
   const deadlineMs = Math.min(route.deadlineMs, call.deadlineMs ?? route.deadlineMs)
   const endsAt = context.clock.monotonic() + deadlineMs
-  const signal = AbortSignal.any([left, AbortSignal.timeout(deadlineMs)])
+  const signal = deriveDeadline(left, deadlineMs)
   context.retry.countCall(service)
   const run = async (kept?: Buffer): Promise<Result<Won, Failure>> =>
     await attemptTargets(context, call, resolved.val, message, signal, endsAt, kept)
--- a/src/request/tasks/inbound.ts
+++ b/src/request/tasks/inbound.ts
@@ -4,7 +4,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { finished } from 'node:stream'
 import { json } from 'node:stream/consumers'
-import { Err, failureSchema, makeFailure } from '../../core/index.js'
+import { deriveDeadline, Err, failureSchema, makeFailure } from '../../core/index.js'
 import type { Failure, Result } from '../../core/index.js'
 import { routeClassSchema } from '../../document/index.js'
 import { writeAnswer, writeFailure } from '../answer.js'
@@ -62,7 +62,7 @@
   const left = new AbortController()
   response.on('close', () => { left.abort() })
   const waitMs = Number(message.headers[HEADERS.deadline] ?? 0)
-  const signal = AbortSignal.any([left.signal, AbortSignal.timeout(Math.max(1, waitMs))])
+  const signal = deriveDeadline(left.signal, Math.max(1, waitMs))
   const held = await runLocal(context, {
     target: String(message.headers[HEADERS.target] ?? ''),
     routeClass: String(message.headers[HEADERS.routeClass] ?? ''),
