--- a/standins/platform/server.ts
+++ b/standins/platform/server.ts
@@ -16,6 +16,8 @@
   down: z.boolean().default(false),
   /** Added to each call, in ms. */
   slowMs: z.number().default(0),
+  /** Between the effect of a write and its answer, in ms. */
+  lateAnswerMs: z.number().default(0),
   /** The next so many writes take effect and their connection is then cut. */
   loseAnswers: z.number().int().default(0),
   writesPerSecond: z.number().default(500),
@@ -107,6 +109,7 @@
     const body = bodySchema.safeParse(await json(message))
     if (!body.success) return answer(response, 400, { message: body.error.message })
     const written = this.objects.write({ kind, name, expected: body.data.expected, value: body.data.value })
+    if (this.switches.lateAnswerMs > 0) await delay(this.switches.lateAnswerMs)
     if (this.dropAnswer(message)) return
     if (written.ok) answer(response, 200, { version: written.val })
     else answer(response, 409, written.val)
