--- a/standins/bench/main.ts
+++ b/standins/bench/main.ts
@@ -1,4 +1,3 @@
-/**
 /**
  * Measurements: `npm run bench -- NAME [ARGUMENT…] [--json FILE]`. Each prints its rows and may write them to a file.
  */
@@ -7,6 +6,7 @@
 import { runCapacity } from './capacity.js'
 import { runConvergence } from './convergence.js'
 import { runMembers } from './members.js'
+import { measureOnce } from './once.js'
 
 type Bench = (args: readonly string[]) => Promise<unknown>
 
@@ -14,7 +14,8 @@
   calls: runCalls,
   capacity: runCapacity,
   convergence: runConvergence,
-  members: runMembers
+  members: runMembers,
+  once: measureOnce
 }
 
 const [name = '', ...rest] = process.argv.slice(2)
--- a/standins/platform/server.ts
+++ b/standins/platform/server.ts
@@ -97,23 +97,24 @@
       case 'write': {
         const body = bodySchema.safeParse(await json(message))
         if (!body.success) return answer(response, 400, { message: body.error.message })
-        this.handleChange(response, () => this.objects.write({ kind, name, expected: body.data.expected, value: body.data.value }))
+        await this.handleChange(response, () => this.objects.write({ kind, name, expected: body.data.expected, value: body.data.value }))
         break
       }
       case 'remove': {
         const expected = Number(url.searchParams.get('expected') ?? 0)
-        this.handleChange(response, () => this.objects.remove({ kind, name, expected }))
+        await this.handleChange(response, () => this.objects.remove({ kind, name, expected }))
       }
     }
   }
 
-  private handleChange (response: ServerResponse, change: () => Result<number | undefined, StoreFault>): void {
+  private async handleChange (response: ServerResponse, change: () => Result<number | undefined, StoreFault>): Promise<void> {
     if (this.switches.loseRequests > 0) {
       this.switches.loseRequests -= 1
       response.destroy()
       return
     }
     const changed = change()
+    if (this.switches.lateAnswerMs > 0) await delay(this.switches.lateAnswerMs)
     if (this.switches.loseAnswers > 0) {
       this.switches.loseAnswers -= 1
       response.destroy()
--- a/standins/platform/switches.ts
+++ b/standins/platform/switches.ts
@@ -12,6 +12,8 @@
   down: z.boolean().default(false),
   /** Added to each call, in ms. */
   slowMs: z.number().default(0),
+  /** Between the effect of a write and its answer, in ms. */
+  lateAnswerMs: z.number().default(0),
   /** Added to calls of one kind, in ms. */
   slowMsByCall: perCallSchema.default({}),
   /** The connection of the next so many writes and removals is cut before they take effect. */
