Let a node claim a duty back once it has followed its successor

The other host had held that duty shortly before, at a slow start, and a lost duty was not claimed back for 30 s. That rule is for two nodes that cannot reach each other; a successor that this node has followed was within reach, so its later silence is news. Ruled out: load (the machine was otherwise idle) and the silence check (the claim was refused by hasLost). accepted-in-force has the case with simulated time: it fails without the change and passes with it.

--- a/src/node/duties.ts
+++ b/src/node/duties.ts
@@ -27,13 +27,18 @@
 
 export class Duties {
   private readonly holding = new Map<string, { stop: AbortController, done: Promise<void> }>()
-  private readonly lostAt = new Map<string, number>()
+  private readonly lost = new Map<string, { at: number, successor: string }>()
 
   constructor (private readonly context: DutyContext) {}
 
   hasLost (duty: string): boolean {
-    const at = this.lostAt.get(duty)
-    return at !== undefined && this.context.clock.monotonic() - at < NO_RECLAIM_MS
+    const lost = this.lost.get(duty)
+    return lost !== undefined && this.context.clock.monotonic() - lost.at < NO_RECLAIM_MS
+  }
+
+  /** A successor that this node has followed can be reached; should it fall silent later, that is news. */
+  noteFollowed (peer: string): void {
+    for (const [duty, { successor }] of this.lost) if (successor === peer) this.lost.delete(duty)
   }
 
   /** False when another node was first or the platform does not answer. */
@@ -76,7 +81,7 @@
     this.holding.delete(duty)
     recorder.record('duty-lost', duty)
     if (successor === undefined) return
-    this.lostAt.set(duty, clock.monotonic())
+    this.lost.set(duty, { at: clock.monotonic(), successor: successor.peer })
     this.context.onLost(duty, successor)
   }
 }
--- a/src/node/tasks/follow.ts
+++ b/src/node/tasks/follow.ts
@@ -168,6 +168,7 @@
     if (!(upstream instanceof PeerUpstream)) this.root.start(upstream.name, upstream instanceof PlatformUpstream)
     else {
       this.root.stop()
+      this.duties.noteFollowed(upstream.name)
       // Only an origin head without the platform follows a peer: the one that took its place.
       if (this.isOrigin) void this.duties.release(this.originDuty)
     }
--- a/tests/proofs/accepted-in-force.test.ts
+++ b/tests/proofs/accepted-in-force.test.ts
@@ -119,6 +119,28 @@
     }), readProofParameters(4))
   })
 
+  /** Found by paused-holder in CI: a node that had lost a duty did not claim it for 30 s, though its successor had fallen silent since. */
+  test('when the holder is paused, wakes, and its successor is paused', async () => {
+    const { fleet, oracle } = await startFleet(1)
+    const listHolders = (): number[] =>
+      fleet.living.filter(node => !node.clock.isPaused && node.replica.duties.has('relay-b2')).map(node => node.index)
+    const first = fleet.findHolder('relay-b2')
+    const spare = fleet.living.find(node => node.zone === 'b2' && node !== first)
+    if (spare !== undefined) fleet.kill(spare.index)
+    await fleet.time.advance(REPAIR_LIMIT_MS)
+    fleet.pause(first.index)
+    await fleet.time.advance(REPAIR_LIMIT_MS)
+    const [successor = -1] = listHolders()
+    expect(successor).not.toBe(-1)
+    fleet.resume(first.index)
+    await fleet.time.advance(REPAIR_LIMIT_MS)
+    fleet.pause(successor)
+    oracle.desk = fleet.edit('desk')
+    expect(await fleet.time.advanceUntil(() => fleet.readInForce(first, 'desk') === oracle.desk, REPAIR_LIMIT_MS)).toBe(true)
+    expect(listHolders()).toEqual([first.index])
+    fleet.stop()
+  })
+
   /** Found by FC_SEED=1001: the lease named a node whose new process had found an upstream and never claimed it again. */
   test('when the holder in a lease restarted without its duty', async () => {
     const { fleet, oracle } = await startFleet(840)
