--- a/src/node/start.ts
+++ b/src/node/start.ts
@@ -20,7 +20,7 @@
   UndiciExchanger, writeFailure, ZonePicker
 } from '../request/index.js'
 import type { CallerContext, Exchanger } from '../request/index.js'
-import { EventRing, filterEvents, HybridClock, Recorder } from '../timeline/index.js'
+import { EventRing, filterEvents, Recorder } from '../timeline/index.js'
 import { startServer } from './http.js'
 import { HttpPort } from './port.js'
 import type { NodeSettings } from './settings.js'
@@ -69,7 +69,6 @@
 
   constructor (private readonly settings: NodeSettings, private readonly credentials: PeerCredentials, dialer: Dialer = new Dialer()) {
     this.createLog = prefix => createLogger(prefix, settings['log-level'])
-    this.recorder = new Recorder(this.ring, new HybridClock(this.clock), settings.host, settings.zone)
     this.replica = new Replica({
       host: settings.host,
       zone: settings.zone,
@@ -79,8 +78,14 @@
       admin: settings.admin,
       incarnation: this.clock.now()
     }, this.clock)
+    this.recorder = new Recorder(this.ring, this.replica.time, settings.host, settings.zone)
     this.crashes = new CrashWatch(settings.host, this.replica.suspects, isRefused)
-    this.receiver = { replica: this.replica, clock: this.clock, onApplied: entry => { this.noteApplied(entry) } }
+    this.receiver = {
+      replica: this.replica,
+      clock: this.clock,
+      onApplied: entry => { this.noteApplied(entry) },
+      onHeld: ({ service, version }, reason) => { this.recorder.record('document-held', reason, { service, version }) }
+    }
     this.registry = new SubscriberRegistry({ fanOut: settings['fan-out'], perSecond: settings['admit-per-second'] }, this.clock)
     this.store = new HttpObjectStore(settings.platform)
     this.countedStore = new CountingObjectStore(this.store, (call, kind) => { this.metrics.count('platform_calls_total', { call, kind }) })
--- a/src/node/tasks/observe.ts
+++ b/src/node/tasks/observe.ts
@@ -1,6 +1,6 @@
 /**
- * Records on the time line what a node learns from its peers: versions as they arrive, versions
- * held back, and what becomes of the targets of other hosts.
+ * Records on the time line what a node learns from its peers: versions as they arrive, and what
+ * becomes of the targets of other hosts.
  */
 import type { HostRecord } from '../../membership/index.js'
 import type { Change, Replica } from '../../peer/index.js'
@@ -32,10 +32,7 @@
     const entry = this.replica.table.staged.get(service)
     if (entry === undefined || this.staged.get(service) === entry.version) return
     this.staged.set(service, entry.version)
-    const detail = { service, version: entry.version }
-    this.recorder.record('document-staged', source === undefined ? 'from the platform' : `from ${source}`, detail)
-    const held = this.replica.held.find(one => one.service === service)
-    if (held !== undefined) this.recorder.record('document-held', held.reason, detail)
+    this.recorder.record('document-staged', source === undefined ? 'from the platform' : `from ${source}`, { service, version: entry.version })
   }
 
   private noteRecord (record: HostRecord): void {
--- a/src/peer/commands/receive.ts
+++ b/src/peer/commands/receive.ts
@@ -12,7 +12,10 @@
 /** Told of each version as it comes into force on this node. */
 export type OnApplied = (entry: Entry) => void
 
-export interface Receiver { replica: Replica, clock: Clock, onApplied: OnApplied }
+/** Told of each version that waits for another service. */
+export type OnHeld = (entry: Entry, reason: string) => void
+
+export interface Receiver { replica: Replica, clock: Clock, onApplied: OnApplied, onHeld?: OnHeld }
 
 /** Gives the entries that were new. */
 export function receiveEntries (receiver: Receiver, entries: readonly Entry[], source?: string): Entry[] {
@@ -20,19 +23,23 @@
   const taken = entries.filter(entry => stageEntry(replica.table, entry))
   if (taken.length === 0) return taken
   taken.forEach(entry => { replica.keepVersion(entry) })
-  promoteStaged(receiver)
   replica.changes.emit({ services: taken.map(entry => entry.service), hosts: [], ...(source === undefined ? {} : { source }) })
+  promoteStaged(receiver)
   return taken
 }
 
-function promoteStaged ({ replica, onApplied }: Receiver): void {
+const HELD_REASON = 'a service it refers to is not here yet'
+
+function promoteStaged ({ replica, onApplied, onHeld }: Receiver): void {
   const { applied, held } = promoteClosed(replica.table, replica.members.targets)
   const counts: Counts = Object.fromEntries(applied.map(entry => [entry.service, { [String(entry.version)]: 1 }]))
+  const heldBefore = new Set(replica.held.map(({ service, version }) => `${service} ${version}`))
   replica.held = held.map(entry => ({
-    node: replica.identity.host, service: entry.service, version: entry.version, reason: 'a service it refers to is not here yet'
+    node: replica.identity.host, service: entry.service, version: entry.version, reason: HELD_REASON
   }))
   replica.acks.record(replica.identity.host, { counts, lagging: replica.held })
   applied.forEach(onApplied)
+  held.filter(({ service, version }) => !heldBefore.has(`${service} ${version}`)).forEach(entry => onHeld?.(entry, HELD_REASON))
 }
 
 /** Without a source the records were made by this node. Of its own host a node takes no other record. */
--- a/src/peer/replica.ts
+++ b/src/peer/replica.ts
@@ -7,6 +7,7 @@
 import type { HostRecord } from '../membership/index.js'
 import { MemberTable, OwnHost } from '../membership/index.js'
 import type { HostIdentity } from '../membership/index.js'
+import { HybridClock } from '../timeline/index.js'
 import { SnapshotTable } from '../snapshot/index.js'
 import type { Entry } from '../snapshot/index.js'
 import { SuspectTable } from '../suspect/index.js'
@@ -52,7 +53,11 @@
   place: Place = UNROOTED
   private readonly recent = new Map<string, Entry[]>()
 
+  /** Advanced by what peers send, so that an event after a message is later than those before it. */
+  readonly time: HybridClock
+
   constructor (readonly identity: HostIdentity, clock: Clock = new SystemClock()) {
+    this.time = new HybridClock(clock)
     this.suspects = new SuspectTable(clock)
     this.own = new OwnHost(identity)
   }
--- a/src/peer/tasks/downstream.ts
+++ b/src/peer/tasks/downstream.ts
@@ -150,7 +150,7 @@
     this.beats += 1
     this.sentPosition = position
     if (!isDue) return { type: 'beat', tick, sourceUp }
-    const stamp = { wall: this.publisher.receiver.clock.now(), counter: 0 }
+    const stamp = this.replica.time.advance()
     return { type: 'beat', tick, sourceUp, position: { path: [...path], pathPeers: [...pathPeers], candidates, stamp } }
   }
 
--- a/src/peer/tasks/upstream.ts
+++ b/src/peer/tasks/upstream.ts
@@ -164,6 +164,7 @@
   private takeBeat (beat: Beat): UpstreamEnd | undefined {
     this.silence.noteTick(beat.tick, beat.sourceUp)
     this.moveUnder(beat, beat.position)
+    if (beat.position !== undefined) this.receiver.replica.time.advance(beat.position.stamp)
     return beat.position === undefined ? undefined : this.checkLoop(beat.position.path)
   }
 
