Leave the first versions of a starting node out of the convergence metric

Cause: a restarted node counted the age of documents that were accepted before it started, 16 s in a run of drain-under-load. The test of counters now waits for a hello and a beat, since it may ask a host that was restarted less than a second ago; its patterns are the same.

--- a/src/node/start.ts
+++ b/src/node/start.ts
@@ -253,7 +253,8 @@
 
   private noteApplied ({ service, version, acceptedAt }: { service: string, version: number, acceptedAt: number }): void {
     this.local.applyLimits()
-    this.metrics.observe('convergence_ms', this.clock.now() - acceptedAt)
+    // What a starting node takes first was accepted before it was there to apply it.
+    if (this.replica.ready) this.metrics.observe('convergence_ms', this.clock.now() - acceptedAt)
     this.recorder.record('document-applied', 'in force', { service, version })
   }
 }
--- a/tests/proofs/drain-under-load.test.ts
+++ b/tests/proofs/drain-under-load.test.ts
@@ -93,16 +93,16 @@
   })
 
   test('control bytes are counted by kind, link and direction', async () => {
-    // The host may just have been restarted: its hello is counted when its publisher has answered.
+    const patterns = ['control_bytes_total\\{kind="hello"', 'control_messages_total\\{kind="beat"']
+      .map(start => new RegExp(`${start},link="(zone|zones|regions)",direction="(sent|received)"\\} [1-9]`))
+    // The host may just have been restarted, and beats come twice a second.
     const endsAt = Date.now() + LOST_LIMIT_MS
-    const readText = async (): Promise<string> => {
+    let text = ''
+    while (!patterns.every(pattern => pattern.test(text)) && Date.now() < endsAt) {
       const answer = await request(`http://${formatAddress(getHost(fleet, 1), 'admin')}/metrics`)
-      return await answer.body.text()
+      text = await answer.body.text()
+      await delay(CALL_INTERVAL_MS)
     }
-    let text = await readText()
-    const hello = /control_bytes_total\{kind="hello",link="(zone|zones|regions)",direction="(sent|received)"\} [1-9]/
-    while (!hello.test(text) && Date.now() < endsAt) text = await readText()
-    expect(text).toMatch(hello)
-    expect(text).toMatch(/control_messages_total\{kind="beat",link="(zone|zones|regions)",direction="(sent|received)"\} [1-9]/)
+    for (const pattern of patterns) expect(text).toMatch(pattern)
   })
 })
