Let both ends of a metered call share one set of handlers

The client's and the server's interceptor of src/peer/meter.ts had the same three steps written twice; only the builders of gRPC differ. Behaviour is the same: path, credentials, names and drain-under-load, which checks the counters, pass.

--- a/src/peer/meter.ts
+++ b/src/peer/meter.ts
@@ -51,6 +51,10 @@
   }
 }
 
+type Pass<T> = (value: T, next: (value: T) => void) => void
+
+interface Passes { receiveMetadata: Pass<Metadata>, receiveMessage: Pass<object | null>, sendMessage: Pass<object> }
+
 /** One for each process; its codec has to be the one that the calls are encoded by. */
 export class ControlMeter {
   readonly codec: Codec
@@ -64,57 +68,50 @@
 
   get clientInterceptor (): Interceptor {
     return (options, nextCall) => {
-      const call = this.openCall(options.method_definition.path)
+      const passes = this.makePasses(options.method_definition.path)
       const listener = new ListenerBuilder()
-        .withOnReceiveMetadata((metadata, next) => {
-          call.settle(metadata)
-          next(metadata)
-        })
-        .withOnReceiveMessage((message, next) => {
-          this.noteReceived(call, message)
-          next(message)
-        })
+        .withOnReceiveMetadata(passes.receiveMetadata)
+        .withOnReceiveMessage(passes.receiveMessage)
         .build()
       return new InterceptingCall(nextCall(options), new RequesterBuilder()
         .withStart((metadata, _listener, next) => { next(this.setLocation(metadata), listener) })
-        .withSendMessage((message, next) => {
-          this.calls.set(message, call)
-          next(message)
-        })
+        .withSendMessage(passes.sendMessage)
         .build())
     }
   }
 
   get serverInterceptor (): ServerInterceptor {
     return (method, serverCall) => {
-      const call = this.openCall(method.path)
+      const passes = this.makePasses(method.path)
       const listener = new ServerListenerBuilder()
-        .withOnReceiveMetadata((metadata, next) => {
-          call.settle(metadata)
-          next(metadata)
-        })
-        .withOnReceiveMessage((message, next) => {
-          this.noteReceived(call, message)
-          next(message)
-        })
+        .withOnReceiveMetadata(passes.receiveMetadata)
+        .withOnReceiveMessage(passes.receiveMessage)
         .build()
       return new ServerInterceptingCall(serverCall, new ResponderBuilder()
         .withStart(next => { next(listener) })
         .withSendMetadata((metadata, next) => { next(this.setLocation(metadata)) })
-        .withSendMessage((message, next) => {
-          this.calls.set(message, call)
-          next(message)
-        })
+        .withSendMessage(passes.sendMessage)
         .build())
     }
   }
 
-  private openCall (path: string): CallMeter {
-    return new CallMeter(this.own, path.slice(path.lastIndexOf('/') + 1).toLowerCase(), this.count)
-  }
-
-  private noteReceived (call: CallMeter, message: object | null): void {
-    if (message !== null) call.note('received', message, this.sizes.get(message) ?? 0)
+  /** What both ends of a call do with its metadata and messages before they pass them on. */
+  private makePasses (path: string): Passes {
+    const call = new CallMeter(this.own, path.slice(path.lastIndexOf('/') + 1).toLowerCase(), this.count)
+    return {
+      receiveMetadata: (metadata, next) => {
+        call.settle(metadata)
+        next(metadata)
+      },
+      receiveMessage: (message, next) => {
+        if (message !== null) call.note('received', message, this.sizes.get(message) ?? 0)
+        next(message)
+      },
+      sendMessage: (message, next) => {
+        this.calls.set(message, call)
+        next(message)
+      }
+    }
   }
 
   private setLocation (metadata: Metadata): Metadata {
