--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import neostandard from 'neostandard'
 
 export default [
-  ...neostandard({ ts: true, ignores: ['dist/**', 'coverage/**'] }),
+  ...neostandard({ ts: true, ignores: ['dist/**', 'target/**', 'coverage/**'] }),
   {
     files: ['**/*.ts'],
     rules: {
--- a/src/core/verdict.ts
+++ b/src/core/verdict.ts
@@ -16,6 +16,8 @@
   status: z.number().int(),
   request: z.string().optional(),
   retryAfterMs: z.number().int().optional(),
+  /** The request reached a target, which refused it or may have run it. */
+  reached: z.boolean().optional(),
   /** The hops below have made the attempts that the load allows; another one from above would only add to it. */
   noRetry: z.boolean().optional()
 })
--- a/src/document/commands/apply.ts
+++ b/src/document/commands/apply.ts
@@ -5,7 +5,7 @@
 import { v7 as makeUuid } from 'uuid'
 import { Err, SystemRandom } from '../../core/index.js'
 import type { Clock, Fault, Random, Result } from '../../core/index.js'
-import type { ObjectStore } from '../../platform/index.js'
+import type { ObjectStore } from '../../store/index.js'
 import { waitBeforeRetry } from '../context.js'
 import type { EditContext } from '../context.js'
 import { findStateReferences, readState } from '../queries/read.js'
--- a/src/document/commands/remove.ts
+++ b/src/document/commands/remove.ts
@@ -6,7 +6,7 @@
 import { v7 as makeUuid } from 'uuid'
 import { Err, SystemRandom, makeFault } from '../../core/index.js'
 import type { Clock, Fault, Random, Result } from '../../core/index.js'
-import type { ObjectStore } from '../../platform/index.js'
+import type { ObjectStore } from '../../store/index.js'
 import { waitBeforeRetry } from '../context.js'
 import type { EditContext } from '../context.js'
 import { readState } from '../queries/read.js'
--- a/src/document/context.ts
+++ b/src/document/context.ts
@@ -4,7 +4,7 @@
  */
 import { Err, computeBackoff, makeFault } from '../core/index.js'
 import type { Clock, Fault, Random, Result } from '../core/index.js'
-import type { ObjectStore, StoreFault, Write } from '../platform/index.js'
+import type { ObjectStore, StoreFault, Write } from '../store/index.js'
 
 export interface EditContext { store: ObjectStore, clock: Clock, random: Random }
 
--- a/src/document/index.ts
+++ b/src/document/index.ts
@@ -1,7 +1,7 @@
 /**
  * Documents of services: schema, checks, and acceptance through the platform.
  */
-export { destinationSchema, documentSchema, nameSchema, routeClassSchema, routeKindSchema } from './schema.js'
+export { destinationSchema, documentSchema, limitsSchema, MAX_ROUTE_DEADLINE_MS, MAX_SLOTS, nameSchema, retriesSchema, routeClassSchema, routeKindSchema } from './schema.js'
 export type { Destination, Document, Limits, Retries, Route, RouteClass, RouteKind } from './schema.js'
 export { editSchema, historySchema, referrersSchema } from './stored.js'
 export type { Edit, PastEdit, Referrers } from './stored.js'
--- a/src/document/queries/edits.ts
+++ b/src/document/queries/edits.ts
@@ -3,7 +3,7 @@
  */
 import { Ok } from '../../core/index.js'
 import type { Fault, Result } from '../../core/index.js'
-import type { ObjectStore } from '../../platform/index.js'
+import type { ObjectStore } from '../../store/index.js'
 import { findEditVersion, findPastVersion } from './outcome.js'
 import { listEdits, readEdit, readPastEdits } from './read.js'
 import type { StoredEdit } from './read.js'
--- a/src/document/queries/read.ts
+++ b/src/document/queries/read.ts
@@ -3,7 +3,7 @@
  */
 import { Err, Ok, makeFault } from '../../core/index.js'
 import type { Fault, Result } from '../../core/index.js'
-import type { ObjectStore, StoredObject } from '../../platform/index.js'
+import type { ObjectStore, StoredObject } from '../../store/index.js'
 import { attemptRead, convertReadFault } from '../context.js'
 import type { EditContext } from '../context.js'
 import { editSchema, historySchema, referrersSchema } from '../stored.js'
--- a/src/document/schema.ts
+++ b/src/document/schema.ts
@@ -10,7 +10,8 @@
 export const MAX_DOCUMENT_BYTES = 500_000
 /** Bodies of `once` requests are held in memory until a target has responded. */
 export const MAX_ONCE_BODY_BYTES = 1024 ** 2
-const MAX_DEADLINE_MS = 600_000
+export const MAX_SLOTS = 10_000
+export const MAX_ROUTE_DEADLINE_MS = 600_000
 const MAX_LABELS = 16
 const MAX_NAMES = 1_000
 
@@ -49,10 +50,18 @@
 
 export const routeSchema = z.strictObject({
   methods: z.array(z.enum(['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE'])).min(1),
+  /** The name in `Host` by which callers reach the route. Absent: they name the service. */
+  host: z.string().min(1).max(253).optional(),
   path: pathSchema,
+  /** Only what is below the path matches, not the path itself. */
+  below: z.literal(true).optional(),
   kind: routeKindSchema,
   class: routeClassSchema.default('normal'),
-  deadlineMs: z.number().int().min(1).max(MAX_DEADLINE_MS),
+  deadlineMs: z.number().int().min(1).max(MAX_ROUTE_DEADLINE_MS),
+  /** Answers within this time are of full use to the caller. Absent: within the deadline. */
+  objectiveMs: z.number().int().min(1).max(MAX_ROUTE_DEADLINE_MS).optional(),
+  /** Targets that one call may be sent to. Absent: as the document's `retries` say. */
+  attempts: z.number().int().min(1).max(100).optional(),
   maxBodyBytes: z.number().int().min(0).max(MAX_BODY_BYTES).default(1024 * 1024),
   /** Of a `once` route: whether callers may give the time of a key that is no UUIDv7 in `x-comfreyspoke-key-time`. */
   keyTime: z.enum(['uuid', 'header']).default('uuid'),
@@ -62,7 +71,7 @@
 export type Route = z.infer<typeof routeSchema>
 
 export const limitsSchema = z.strictObject({
-  slots: z.number().int().min(1).max(10_000).default(6),
+  slots: z.number().int().min(1).max(MAX_SLOTS).default(6),
   connections: z.number().int().min(1).max(100_000).default(130),
   queue: z.number().int().min(0).max(10_000).default(12)
 })
--- a/src/duty/commands/claim.ts
+++ b/src/duty/commands/claim.ts
@@ -3,7 +3,7 @@
  */
 import { Err, Ok, makeFault } from '../../core/index.js'
 import type { Fault, Result } from '../../core/index.js'
-import type { ObjectStore } from '../../platform/index.js'
+import type { ObjectStore } from '../../store/index.js'
 import { readLease } from '../queries/holder.js'
 import type { Lease } from '../schema.js'
 
--- a/src/duty/queries/convert.ts
+++ b/src/duty/queries/convert.ts
@@ -6,7 +6,7 @@
 import type { Result } from '../../core/index.js'
 import { checkDocument, parseStored } from '../../document/index.js'
 import type { PastEdit } from '../../document/index.js'
-import type { StoredObject } from '../../platform/index.js'
+import type { StoredObject } from '../../store/index.js'
 import type { Entry } from '../../snapshot/index.js'
 
 /** The error is the reason why the object is refused. */
--- a/src/duty/tasks/hold.ts
+++ b/src/duty/tasks/hold.ts
@@ -3,7 +3,7 @@
  * told to stop. The root of the tree reads it often, since this also tells whether the platform answers.
  */
 import type { Clock, Logger } from '../../core/index.js'
-import type { ObjectStore } from '../../platform/index.js'
+import type { ObjectStore } from '../../store/index.js'
 import { releaseLease } from '../commands/claim.js'
 import type { LeaseGrant } from '../commands/claim.js'
 import { readLease } from '../queries/holder.js'
--- a/src/duty/tasks/source.ts
+++ b/src/duty/tasks/source.ts
@@ -8,7 +8,7 @@
 import { readPastEdits } from '../../document/index.js'
 import { receiveEntries, Upstream } from '../../peer/index.js'
 import type { Receiver, UpstreamEnd } from '../../peer/index.js'
-import type { ObjectStore, StoredObject, WatchEvent } from '../../platform/index.js'
+import type { ObjectStore, StoredObject, WatchEvent } from '../../store/index.js'
 import type { Entry } from '../../snapshot/index.js'
 import { convertObject, findGoodEntry } from '../queries/convert.js'
 
--- a/src/membership/commands/announce.ts
+++ b/src/membership/commands/announce.ts
@@ -11,9 +11,9 @@
   return own.hear(announcement, at) ? own.makeRecord() : undefined
 }
 
-/** Drops targets that have not announced themselves for ANNOUNCE_TIMEOUT_MS; gives their last announcements. */
-export function expireTargets (own: OwnHost, at: number): Announcement[] {
-  const silent = own.listHeard().filter(one => at - one.at >= ANNOUNCE_TIMEOUT_MS)
+/** Drops targets that have not announced themselves for the timeout; gives their last announcements. */
+export function expireTargets (own: OwnHost, at: number, timeoutMs = ANNOUNCE_TIMEOUT_MS): Announcement[] {
+  const silent = own.listHeard().filter(one => at - one.at >= timeoutMs)
   const last = silent.flatMap(one => own.find(one.target) ?? [])
   for (const one of silent) own.forget(one.target)
   return last
--- /dev/null
+++ b/src/mesh/state.ts
@@ -0,0 +1,47 @@
+/**
+ * What one node holds: versions, host records, marks on requests, and its own host. Tasks share it;
+ * the functions in commands/ change it.
+ */
+import type { CallerLimits, Configuration } from '../configuration/index.js'
+import { Emitter } from '../core/index.js'
+import type { Clock } from '../core/index.js'
+import { MemberTable, OwnHost } from '../membership/index.js'
+import type { HostIdentity, HostRecord } from '../membership/index.js'
+import { SnapshotTable } from '../snapshot/index.js'
+import { SuspectTable } from '../suspect/index.js'
+
+export class MeshState {
+  readonly table = new SnapshotTable()
+  readonly members = new MemberTable()
+  readonly own: OwnHost
+  readonly suspects: SuspectTable
+  /** Each record that was taken; own ones included. */
+  readonly records = new Emitter<readonly HostRecord[]>()
+  /** Records of the own host that others hold and that outrank the own one. */
+  readonly challenges = new Emitter<HostRecord>()
+  configuration: Configuration | undefined
+  /** The hosts were read from the store or from a peer at least once. */
+  knowsHosts = false
+
+  constructor (readonly identity: HostIdentity, clock: Clock) {
+    this.own = new OwnHost(identity)
+    this.suspects = new SuspectTable(clock)
+  }
+
+  get version (): number {
+    return this.configuration?.version ?? 0
+  }
+
+  get callerLimits (): CallerLimits | undefined {
+    return this.configuration?.callerLimits
+  }
+
+  /** Whether callers may be served: by a version that is the newest as far as the store or a peer said. */
+  get isReady (): boolean {
+    return this.configuration !== undefined && this.knowsHosts
+  }
+
+  listPeers (): HostRecord[] {
+    return [...this.members.list()].filter(({ host }) => host !== this.identity.host)
+  }
+}
--- /dev/null
+++ b/src/mesh/tasks/configuration.ts
@@ -0,0 +1,58 @@
+/**
+ * The task that follows the source of the configuration: reads it, then waits for changes, and reads
+ * again whenever what lies between may have been missed.
+ */
+import type { ConfigurationSource, Sighting } from '../../configuration/index.js'
+import { computeBackoff } from '../../core/index.js'
+import type { Clock, DecisionLog, Random } from '../../core/index.js'
+import type { StoreFault } from '../../store/index.js'
+
+export interface ConfigurationContext {
+  source: ConfigurationSource
+  clock: Clock
+  random: Random
+  log: DecisionLog
+  onSighting: (sighting: Sighting) => void
+}
+
+const BACKOFF = { baseMs: 100, maxMs: 1_000 }
+/** A watch that ends without a change before this time was cut off. */
+const SHORT_WATCH_MS = 1_000
+
+export async function followConfiguration (context: ConfigurationContext, signal: AbortSignal): Promise<void> {
+  const { source, clock, random, log } = context
+  let failures = 0
+  let revision: number | undefined
+  while (!signal.aborted) {
+    const startedAt = clock.monotonic()
+    const step: Step = revision === undefined ? await readOnce(source) : await watchOnce(source, revision, signal)
+    if (signal.aborted) return
+    if (step.fault !== undefined) {
+      failures += 1
+      if (failures === 1) log.note('change', 'store_lost', { code: step.fault.code, reason: step.fault.message })
+      // History that is gone, and an answer that says nothing, are mended by reading anew.
+      revision = step.fault.code === 'too-old' || step.fault.code === 'invalid' ? undefined : revision
+      await clock.sleep(computeBackoff(failures, BACKOFF, random), signal)
+      continue
+    }
+    if (failures > 0) log.note('change', 'store_back', { failures })
+    failures = 0
+    step.sightings.forEach(context.onSighting)
+    revision = step.revision
+    if (step.sightings.length === 0 && clock.monotonic() - startedAt < SHORT_WATCH_MS) await clock.sleep(computeBackoff(1, BACKOFF, random), signal)
+  }
+}
+
+interface Step { sightings: Sighting[], revision: number | undefined, fault?: StoreFault }
+
+async function readOnce (source: ConfigurationSource): Promise<Step> {
+  const read = await source.read()
+  if (read.err) return { sightings: [], revision: undefined, fault: read.val }
+  return { sightings: [read.val.sighting], revision: read.val.revision }
+}
+
+async function watchOnce (source: ConfigurationSource, from: number, signal: AbortSignal): Promise<Step> {
+  const watched = await source.watch(from, signal)
+  if (watched.err) return { sightings: [], revision: from, fault: watched.val }
+  return watched.val
+}
--- a/src/node/duties.ts
+++ b/src/node/duties.ts
@@ -5,7 +5,7 @@
 import { claimLease, holdLease } from '../duty/index.js'
 import type { HeldLease, Lease, LeaseGrant } from '../duty/index.js'
 import type { Replica } from '../peer/index.js'
-import type { ObjectStore } from '../platform/index.js'
+import type { ObjectStore } from '../store/index.js'
 import type { Recorder } from '../timeline/index.js'
 
 /** Two nodes that cannot reach each other would otherwise take a duty from one another in turns. */
--- a/src/node/port.ts
+++ b/src/node/port.ts
@@ -23,6 +23,13 @@
     }))
   }
 
+  /** Longest time for a head to come in, and for a connection to stay open without a request. */
+  setTimeouts (headMs: number, idleMs: number): void {
+    if (this.server === undefined) return
+    this.server.headersTimeout = headMs
+    this.server.keepAliveTimeout = idleMs
+  }
+
   /** From now on each answer, also to a request in flight, asks the client to close its connection. */
   announceClose (): void {
     this.isClosing = true
--- a/src/node/start.ts
+++ b/src/node/start.ts
@@ -12,11 +12,11 @@
   SubscriberRegistry
 } from '../peer/index.js'
 import type { AbsenceContext, DrainAnswer, DrainRequest, PeerCredentials, PeerHandlers, Receiver } from '../peer/index.js'
-import { CountingObjectStore, HttpObjectStore } from '../platform/index.js'
-import type { ObjectStore } from '../platform/index.js'
+import { CountingObjectStore, HttpObjectStore } from '../store/index.js'
+import type { ObjectStore } from '../store/index.js'
 import { ClaimLedger } from '../once/index.js'
 import {
-  BudgetRetryPolicy, CrashWatch, isRefused, KeptBodies, LocalTargets, matchesSecret, serveCaller, serveInbound, takeToken, TokenExchanger,
+  BudgetRetryPolicy, CrashWatch, isRefused, KeptBodies, LocalTargets, matchesSecret, OwnFront, serveCaller, serveInbound, takeToken, TokenExchanger,
   UndiciExchanger, writeFailure, ZonePicker
 } from '../request/index.js'
 import type { CallerContext, Exchanger } from '../request/index.js'
@@ -237,7 +237,15 @@
       clock,
       random,
       metrics,
-      inbound: { local: this.local, exchanger: this.targetExchanger, clock, crashes: this.crashes, suspects: replica.suspects },
+      inbound: {
+        local: this.local,
+        exchanger: this.targetExchanger,
+        clock,
+        crashes: this.crashes,
+        suspects: replica.suspects,
+        front: new OwnFront(),
+        holdBytes: 0
+      },
       suspects: replica.suspects,
       peers: this.peerExchanger,
       picker: new ZonePicker({ zone: settings.zone, region: settings.region }, clock, random),
--- a/src/node/tasks/follow.ts
+++ b/src/node/tasks/follow.ts
@@ -8,7 +8,7 @@
 import type { HeldLease, Lease } from '../../duty/index.js'
 import { DetachedUpstream, PeerUpstream, RETRY_UNROOTED_MS } from '../../peer/index.js'
 import type { OpenCall, Receiver, Replica, SubscriberRegistry, Upstream, UpstreamEnd } from '../../peer/index.js'
-import type { ObjectStore } from '../../platform/index.js'
+import type { ObjectStore } from '../../store/index.js'
 import type { Recorder } from '../../timeline/index.js'
 import { Duties } from '../duties.js'
 import { PeerFailures } from '../failures.js'
--- a/src/node/tasks/seek.ts
+++ b/src/node/tasks/seek.ts
@@ -6,7 +6,7 @@
 import { readLease } from '../../duty/index.js'
 import type { HeldLease, Lease } from '../../duty/index.js'
 import type { Replica } from '../../peer/index.js'
-import type { ObjectStore } from '../../platform/index.js'
+import type { ObjectStore } from '../../store/index.js'
 import type { Duties } from '../duties.js'
 import type { PeerFailures } from '../failures.js'
 import { findDuty, hasHead, listAnyone } from '../queries/candidates.js'
--- a/src/once/commands/claim.ts
+++ b/src/once/commands/claim.ts
@@ -4,7 +4,7 @@
 import { v4 as makeUuid } from 'uuid'
 import { Err, makeFailure, Ok } from '../../core/index.js'
 import type { Failure, Result } from '../../core/index.js'
-import type { StoreFault } from '../../platform/index.js'
+import type { StoreFault } from '../../store/index.js'
 import type { ClaimLedger } from '../ledger.js'
 import { checkKeyTime } from '../queries/key.js'
 import { formatClaimId } from '../queries/place.js'
--- a/src/once/ledger.ts
+++ b/src/once/ledger.ts
@@ -3,7 +3,7 @@
  * to be sent on. There is no lease in a claim, so a pause of this process at any point is harmless.
  */
 import type { Clock, Random } from '../core/index.js'
-import type { ObjectStore } from '../platform/index.js'
+import type { ObjectStore } from '../store/index.js'
 import { findPlace, formatShardName } from './queries/place.js'
 import { ShardTask } from './tasks/shard.js'
 import { pruneShards } from './tasks/prune.js'
--- a/src/once/tasks/prune.ts
+++ b/src/once/tasks/prune.ts
@@ -2,7 +2,7 @@
  * Removal of expired shards by whoever creates a new one. A cursor object for each shard number
  * says which buckets are done, so a pause in traffic is caught up with later, a bounded part at a time.
  */
-import type { ObjectStore } from '../../platform/index.js'
+import type { ObjectStore } from '../../store/index.js'
 import { computeFirstKept, formatCursorName, formatShardName } from '../queries/place.js'
 import type { Place } from '../queries/place.js'
 import { cursorSchema } from '../schema.js'
--- a/src/once/tasks/shard.ts
+++ b/src/once/tasks/shard.ts
@@ -4,7 +4,7 @@
  */
 import { computeBackoff, Err, Ok } from '../../core/index.js'
 import type { Clock, Random, Result } from '../../core/index.js'
-import type { ObjectStore, StoreFault } from '../../platform/index.js'
+import type { ObjectStore, StoreFault } from '../../store/index.js'
 import { findStanding, hasRoom, mergeChanges } from '../queries/merge.js'
 import type { Change } from '../queries/merge.js'
 import { formatShardName } from '../queries/place.js'
--- /dev/null
+++ b/src/request/admission.ts
@@ -0,0 +1,42 @@
+/**
+ * Whether a request may wait for a slot. Answers overload in which more work comes than a target can
+ * do in time: a request that would get its slot too late is refused while its caller can still go elsewhere.
+ */
+
+export interface Arrival {
+  /** Requests that are expected to be served first. */
+  ahead: number
+  slots: number
+  /** Moving mean of how long a request holds its slot, 0 while unknown. */
+  serviceMs: number
+  /** How long the request may wait. */
+  waitMs: number
+}
+
+export abstract class Admission {
+  /** Why the request must not wait, or nothing. */
+  abstract findReason (arrival: Arrival): string | undefined
+}
+
+/** Everything may wait until its deadline. */
+export class OpenAdmission extends Admission {
+  override findReason (): undefined {
+    return undefined
+  }
+}
+
+/** A request that would get its slot with less than this share of the usual time left is refused at once. */
+const LEAST_SERVICE_SHARE = 0.5
+
+export class TimelyAdmission extends Admission {
+  override findReason ({ ahead, slots, serviceMs, waitMs }: Arrival): string | undefined {
+    const expectedMs = computeWait(ahead, slots, serviceMs)
+    if (expectedMs + serviceMs * LEAST_SERVICE_SHARE <= waitMs) return undefined
+    return `a slot is expected in ${Math.round(expectedMs)} ms, too late for a request with ${Math.round(waitMs)} ms left`
+  }
+}
+
+/** Time until so many waiting requests and the one behind them have a slot. */
+export function computeWait (ahead: number, slots: number, serviceMs: number): number {
+  return (ahead + 1) * serviceMs / slots
+}
--- a/src/request/answer.ts
+++ b/src/request/answer.ts
@@ -4,7 +4,7 @@
 import type { ServerResponse } from 'node:http'
 import type { Failure } from '../core/index.js'
 import type { Answer } from './exchange.js'
-import { filterHeaders } from './headers.js'
+import type { FormattedFailure } from './front.js'
 import type { Headers } from './headers.js'
 import { HEADERS } from './schema.js'
 
@@ -22,28 +22,33 @@
 }
 
 export function writeFailure (response: ServerResponse, failure: Failure, request: string): void {
+  writeFormatted(response, { status: failure.status, ...formatFailure(failure, request) })
+}
+
+export function writeFormatted (response: ServerResponse, { status, headers, body }: FormattedFailure): void {
   if (response.headersSent || response.destroyed) {
     resetConnection(response)
     return
   }
-  const { headers, body } = formatFailure(failure, request)
-  response.writeHead(failure.status, headers)
+  response.writeHead(status, headers)
   response.end(body)
 }
 
 /** Has no body, whatever its content-length says; undici reports such a length as a cut answer. */
 const NOT_MODIFIED = 304
+const NO_CONTENT = 204
 
 /** `cut`: the target's answer ended early. `left`: its receiver did not wait for it. */
 export type Passed = 'whole' | 'cut' | 'left'
 
 /** A cut answer ends in a reset of the connection, so that no part of it can pass for the whole. */
-export async function writeAnswer (response: ServerResponse, answer: Answer, request: string): Promise<Passed> {
+export async function writeAnswer (response: ServerResponse, answer: Answer, headers: Headers): Promise<Passed> {
   try {
-    response.writeHead(answer.statusCode, makeAnswerHeaders(response, answer, request))
+    response.writeHead(answer.statusCode, makeAnswerHeaders(response, answer, headers))
     // An answer may begin long before its body: the sender learns of it at once.
-    if (answer.headers['content-length'] === undefined) response.flushHeaders()
-    if (answer.statusCode === NOT_MODIFIED) answer.body.on('error', () => {}).resume()
+    if (answer.kept === undefined && answer.headers['content-length'] === undefined) response.flushHeaders()
+    if (answer.kept !== undefined) response.write(answer.kept)
+    else if (answer.statusCode === NOT_MODIFIED) answer.body.on('error', () => {}).resume()
     else await passBody(response, answer)
     if (response.hasHeader('trailer')) response.addTrailers(answer.trailers)
     response.end()
@@ -64,17 +69,19 @@
   }
 }
 
-function makeAnswerHeaders (response: ServerResponse, answer: Answer, request: string): Headers {
-  const headers = filterHeaders(answer.headers)
-  // A target may pass on a failure of a call of its own; its verdict is not one on this call.
-  Reflect.deleteProperty(headers, HEADERS.verdict)
-  headers[HEADERS.request] = request
+function makeAnswerHeaders (response: ServerResponse, answer: Answer, passed: Headers): Headers {
+  const headers = answer.kept !== undefined && hasBody(response, answer) ? { ...passed, 'content-length': String(answer.kept.length) } : passed
   const { trailer } = answer.headers
   const isChunked = answer.headers['transfer-encoding'] !== undefined && response.req.httpVersion === '1.1' && response.req.method !== 'HEAD'
   if (trailer !== undefined && isChunked) response.setHeader('trailer', trailer)
   return headers
 }
 
+/** An answer to HEAD and some statuses have no body, whatever length they name. */
+function hasBody (response: ServerResponse, { statusCode }: Answer): boolean {
+  return response.req.method !== 'HEAD' && statusCode !== NO_CONTENT && statusCode !== NOT_MODIFIED
+}
+
 /** A plain close would end an answer without a length as if it were whole. */
 function resetConnection (response: ServerResponse): void {
   response.socket?.resetAndDestroy()
--- a/src/request/body.ts
+++ b/src/request/body.ts
@@ -24,6 +24,7 @@
   private reader: AsyncIterator<Buffer> | undefined
   private limit = Infinity
   private keepBytes = KEEP_BYTES
+  private collectsChunks = false
 
   constructor (private readonly message: IncomingMessage, private readonly response: ServerResponse) {}
 
@@ -31,6 +32,12 @@
     this.limit = bytes
   }
 
+  /** Bodies up to this size are read to their end before they are sent on, also those that come in chunks. */
+  keepUpTo (bytes: number): void {
+    this.keepBytes = bytes
+    this.collectsChunks = true
+  }
+
   /** Keeps the whole body, whatever its length up to the limit. */
   keepAll (): void {
     this.keepBytes = Infinity
@@ -55,13 +62,13 @@
    * False when it did not come whole before the signal.
    */
   async collect (signal: AbortSignal): Promise<boolean> {
-    const length = Number(this.message.headers['content-length'] ?? Infinity)
+    const length = Number(this.message.headers['content-length'] ?? (this.collectsChunks ? 1 : Infinity))
     if (length === 0 || length > this.keepBytes) return true
     return await new Promise(resolve => {
       const giveUp = (): void => { resolve(false) }
       if (signal.aborted) giveUp()
       signal.addEventListener('abort', giveUp, { once: true })
-      this.readAll().then(() => { resolve(true) }, giveUp)
+      this.readKept().then(() => { resolve(true) }, giveUp)
     })
   }
 
@@ -87,6 +94,10 @@
     this.readAll().catch(() => { socket.destroy() }).finally(() => { clearTimeout(timer) })
   }
 
+  private async readKept (): Promise<void> {
+    while (!this.ended && this.bytes <= this.keepBytes) await this.readMore()
+  }
+
   private async readAll (): Promise<void> {
     while (!this.ended) await this.readMore()
   }
--- a/src/request/commands/admit.ts
+++ b/src/request/commands/admit.ts
@@ -6,8 +6,10 @@
 import type { RouteClass } from '../../document/index.js'
 import type { Announcement, OwnHost } from '../../membership/index.js'
 import type { Snapshot } from '../../snapshot/index.js'
+import type { Admission } from '../admission.js'
 import { SlotGate } from '../slots.js'
 import type { GateLimits, Permit } from '../slots.js'
+import type { Load } from '../load.js'
 
 const RETRY_AFTER_MS = 50
 const DEFAULT_QUEUE = 12
@@ -19,7 +21,12 @@
 export class LocalTargets {
   private readonly gates = new Map<string, SlotGate>()
 
-  constructor (private readonly own: OwnHost, private readonly getSnapshot: () => Snapshot, private readonly clock: Clock) {}
+  constructor (
+    private readonly own: OwnHost,
+    private readonly getSnapshot: () => Snapshot,
+    private readonly clock: Clock,
+    private readonly admission?: Admission
+  ) {}
 
   async admit ({ target, routeClass, waitMs, signal }: AdmitRequest): Promise<Result<Admitted, Failure>> {
     const announcement = this.own.find(target)
@@ -36,6 +43,10 @@
     return Err(makeLeavingFailure(target))
   }
 
+  measureLoad (target: string): Load {
+    return this.gates.get(target)?.load ?? { used: 0, waiting: 0, slots: 0, freeInMs: 0 }
+  }
+
   countInUse (): number {
     return [...this.gates.values()].reduce((sum, gate) => sum + gate.inUse, 0)
   }
@@ -44,12 +55,12 @@
   applyLimits (): void {
     for (const [target, gate] of this.gates) {
       const announcement = this.own.find(target)
-      if (announcement !== undefined) {
+      if (announcement !== undefined && !this.isLeaving(target)) {
         gate.resize(this.getLimits(announcement))
         continue
       }
       gate.close()
-      if (gate.isIdle) this.gates.delete(target)
+      if (announcement === undefined && gate.isIdle) this.gates.delete(target)
     }
   }
 
@@ -64,7 +75,7 @@
       held.resize(limits)
       return held
     }
-    const gate = new SlotGate(limits, this.clock)
+    const gate = new SlotGate(limits, this.clock, this.admission)
     this.gates.set(announcement.target, gate)
     return gate
   }
--- a/src/request/connections.ts
+++ b/src/request/connections.ts
@@ -3,12 +3,12 @@
  */
 import { Client } from 'undici'
 import type { Clock } from '../core/index.js'
+import { makeConnector } from './link.js'
+import type { LinkState } from './link.js'
 
-export interface Connection { readonly client: Client, usedAt: number }
+export interface Connection { readonly client: Client, readonly link: LinkState, usedAt: number }
 
 const CONNECT_TIMEOUT_MS = 1_000
-/** Below the 5 s after which servers of Node.js close an idle connection. */
-const IDLE_MS = 4_000
 /** An idle connection can go silent unnoticed; one that carried an answer within this time is taken for alive. */
 const FRESH_MS = 1_000
 
@@ -18,7 +18,7 @@
   private readonly idle: Connection[] = []
   private readonly waiting: Array<() => void> = []
 
-  constructor (private readonly origin: string, private readonly limit: number, private readonly clock: Clock) {}
+  constructor (private readonly origin: string, private readonly limit: number, private readonly clock: Clock, private readonly idleMs: number) {}
 
   /** Gives nothing when the signal is aborted while all connections are in use. */
   async acquire (needsFresh: boolean, signal: AbortSignal): Promise<Connection | undefined> {
@@ -50,7 +50,7 @@
 
   /** Closes what has been idle for too long. True when no connection is left. */
   prune (): boolean {
-    const oldest = this.clock.monotonic() - IDLE_MS
+    const oldest = this.clock.monotonic() - this.idleMs
     while (this.idle[0] !== undefined && this.idle[0].usedAt < oldest) this.closeOldest()
     return this.idle.length + this.used.size + this.waiting.length === 0
   }
@@ -67,15 +67,16 @@
 
   private openConnection (): Connection {
     if (this.idle.length + this.used.size >= this.limit) this.closeOldest()
+    const link: LinkState = { isReset: false, isEnded: false }
     const client = new Client(this.origin, {
       pipelining: 1,
-      connectTimeout: CONNECT_TIMEOUT_MS,
-      keepAliveTimeout: IDLE_MS,
-      keepAliveMaxTimeout: IDLE_MS,
+      connect: makeConnector(link, CONNECT_TIMEOUT_MS),
+      keepAliveTimeout: this.idleMs,
+      keepAliveMaxTimeout: this.idleMs,
       headersTimeout: 0,
       bodyTimeout: 0
     })
-    return { client, usedAt: this.clock.monotonic() }
+    return { client, link, usedAt: this.clock.monotonic() }
   }
 
   private closeOldest (): void {
--- a/src/request/exchange.ts
+++ b/src/request/exchange.ts
@@ -24,8 +24,17 @@
 }
 
 /** The body ends in an error when the answer is cut. Trailers are there at its end. */
-export interface Answer { statusCode: number, headers: IncomingHttpHeaders, body: Readable, trailers: Record<string, string> }
+export interface Answer {
+  statusCode: number
+  headers: IncomingHttpHeaders
+  body: Readable
+  trailers: Record<string, string>
+  /** The whole body, when it was read before the answer is passed on. */
+  kept?: Buffer
+}
 
+/** Below the 5 s after which servers of Node.js close an idle connection. */
+const IDLE_MS = 4_000
 const RETRY_AFTER_MS = 100
 
 export abstract class Exchanger {
@@ -40,7 +49,8 @@
   constructor (
     private readonly connections: number,
     private readonly resolve: (address: string) => string = address => address,
-    private readonly clock: Clock = new SystemClock()
+    private readonly clock: Clock = new SystemClock(),
+    private readonly idleMs = IDLE_MS
   ) {
     super()
   }
@@ -49,7 +59,7 @@
     const peer = this.getPeer(outgoing.address)
     const connection = await peer.acquire(outgoing.headers[HEADERS.key] !== undefined, outgoing.signal)
     if (connection === undefined) return Err(convertEnd({ error: outgoing.signal.reason, isStarted: false }, outgoing))
-    const exchange = new Exchange(outgoing.signal, isWhole => { endExchange(peer, connection, outgoing.signal, isWhole) })
+    const exchange = new Exchange(outgoing.signal, isWhole => { endExchange(peer, connection, outgoing.signal, isWhole) }, connection.link)
     const answer = await exchange.run(connection.client, {
       path: outgoing.path,
       method: outgoing.method as Dispatcher.HttpMethod,
@@ -67,7 +77,7 @@
     const held = this.peers.get(address)
     if (held !== undefined) return held
     for (const [other, connections] of this.peers) if (connections.prune()) this.peers.delete(other)
-    const peer = new Connections(`http://${this.resolve(address)}`, this.connections, this.clock)
+    const peer = new Connections(`http://${this.resolve(address)}`, this.connections, this.clock, this.idleMs)
     this.peers.set(address, peer)
     return peer
   }
@@ -87,6 +97,6 @@
 function convertEnd ({ error, isStarted }: ExchangeEnd, { address, signal }: Outgoing): Failure {
   const verdict = isStarted ? 'may-have-run' : 'not-run'
   if (signal.aborted) return makeFailure(verdict, 504, 'deadline', `no answer from ${address} in time`)
-  if (isStarted) return makeFailure(verdict, 502, 'connection_lost', `connection to ${address} lost: ${describeError(error)}`)
+  if (isStarted) return { ...makeFailure(verdict, 502, 'connection_lost', `connection to ${address} lost: ${describeError(error)}`), reached: true }
   return makeFailure(verdict, 503, 'not_connected', `no connection to ${address}: ${describeError(error)}`, RETRY_AFTER_MS)
 }
--- a/src/request/handler.ts
+++ b/src/request/handler.ts
@@ -8,6 +8,7 @@
 import { Err, Ok } from '../core/index.js'
 import type { Result } from '../core/index.js'
 import type { Answer } from './exchange.js'
+import type { LinkState } from './link.js'
 
 export interface ExchangeEnd { error: unknown, isStarted: boolean }
 
@@ -20,10 +21,11 @@
   private body: Readable | undefined
   private readonly trailers: Record<string, string> = {}
   private isEnded = false
+  private isChunked = false
   private settle: (result: Result<Answer, ExchangeEnd>) => void = () => {}
 
   /** `onEnd` is called once, with whether the answer came whole and the connection can be used again. */
-  constructor (private readonly signal: AbortSignal, private readonly onEnd: (isWhole: boolean) => void) {}
+  constructor (private readonly signal: AbortSignal, private readonly onEnd: (isWhole: boolean) => void, private readonly link: LinkState) {}
 
   async run (client: Client, options: Dispatcher.DispatchOptions): Promise<Result<Answer, ExchangeEnd>> {
     return await new Promise(resolve => {
@@ -45,6 +47,7 @@
 
   onResponseStart (controller: Controller, statusCode: number, headers: IncomingHttpHeaders): void {
     if (statusCode < FIRST_FINAL_STATUS) return
+    this.isChunked = headers['transfer-encoding'] !== undefined
     this.body = new Readable({
       read: () => { controller.resume() },
       destroy: (error, done) => {
@@ -60,6 +63,10 @@
   }
 
   onResponseEnd (_controller: Controller, trailers: IncomingHttpHeaders): void {
+    if (this.link.isReset || (this.link.isEnded && this.isChunked)) {
+      this.endFailed(new Error('the connection ended before the answer was whole'))
+      return
+    }
     for (const [name, value] of Object.entries(trailers)) if (typeof value === 'string') this.trailers[name] = value
     this.body?.push(null)
     this.end(true)
--- a/src/request/headers.ts
+++ b/src/request/headers.ts
@@ -13,7 +13,7 @@
 
 /** Set by nodes for nodes. A caller's own values are dropped, since the last node acts on them. */
 const INTERNAL: readonly string[] = [
-  HEADERS.attempt, HEADERS.target, HEADERS.routeClass, HEADERS.verdict, HEADERS.noRetry, HEADERS.fingerprint, HEADERS.suspect
+  HEADERS.attempt, HEADERS.target, HEADERS.routeClass, HEADERS.verdict, HEADERS.noRetry, HEADERS.fingerprint, HEADERS.suspect, HEADERS.load
 ]
 
 /** Headers of which a second one is an attempt to be read in two ways. Node joins or drops repetitions silently. */
@@ -41,6 +41,15 @@
   return kept
 }
 
+/** Of a target's answer, between nodes and to callers. A target may pass on a failure of a call of its own; its verdict is not one on this call. */
+export function filterAnswerHeaders (headers: IncomingHttpHeaders, request: string): Headers {
+  const passed = filterHeaders(headers)
+  Reflect.deleteProperty(passed, HEADERS.verdict)
+  Reflect.deleteProperty(passed, HEADERS.load)
+  passed[HEADERS.request] = request
+  return passed
+}
+
 export function checkHead (message: IncomingMessage): Failure | undefined {
   const seen = new Set<string>()
   for (let index = 0; index < message.rawHeaders.length; index += 2) {
--- a/src/request/picker.ts
+++ b/src/request/picker.ts
@@ -2,6 +2,7 @@
  * The choice of a target for one attempt.
  */
 import type { Target } from '../membership/index.js'
+import type { Load } from './load.js'
 
 export interface PickRequest {
   targets: readonly Target[]
@@ -21,5 +22,8 @@
   /** Told of each attempt's start and end, which are what a picker may learn from. */
   abstract begin (target: Target): void
   /** No latency when the time was the caller's and not the target's, as in an upload. */
-  abstract end (target: Target, latencyMs: number | undefined, outcome: Outcome): void
+  abstract end (target: Target, latencyMs: number | undefined, outcome: Outcome, code?: string): void
+
+  /** Told of what the node of the target's host says of its load; a picker need not heed it. */
+  noteLoad (_target: Target, _load: Load): void {}
 }
--- a/src/request/queries/route.ts
+++ b/src/request/queries/route.ts
@@ -7,17 +7,20 @@
 import type { Target } from '../../membership/index.js'
 import type { Snapshot } from '../../snapshot/index.js'
 import type { Call } from '../schema.js'
+import { findHostRoute } from './host.js'
 
 export interface Resolved { document: Document, version: number, name: string, route: Route, service: string, targets: readonly Target[] }
 
 export function resolveRoute (snapshot: Snapshot, call: Call, random: Random): Result<Resolved, Failure> {
-  const entry = snapshot.entries.get(call.service)
+  const named = call.host === undefined ? undefined : findHostRoute(snapshot.entries, call.host, call)
+  if (call.host !== undefined && named === undefined) return Err(makeFailure('not-run', 404, 'no_route', `no route for ${call.host}${call.path}`))
+  const entry = named?.entry ?? snapshot.entries.get(call.service)
   const document = entry?.document
   if (entry === undefined || document === undefined) return Err(makeFailure('not-run', 404, 'no_service', `no service ${call.service}`))
   if (document.callers !== undefined && !document.callers.includes(call.caller ?? '')) {
     return Err(makeFailure('not-run', 403, 'caller_refused', `${call.service} does not let ${call.caller ?? 'unnamed callers'} in`))
   }
-  const found = findRoute(document, call)
+  const found = named === undefined ? findRoute(document, call) : [named.name, named.route] as const
   if (found === undefined) return Err(makeFailure('not-run', 404, 'no_route', `${call.service} has no route for ${call.method} ${call.path}`))
   const [name, route] = found
   if ((call.bodyBytes ?? 0) > route.maxBodyBytes) {
@@ -51,13 +54,14 @@
   const path = call.path.split('?')[0] ?? '/'
   let best: [string, Route] | undefined
   for (const [name, route] of Object.entries(document.routes)) {
-    if (!route.methods.some(method => method === call.method) || !matchesPath(route.path, path)) continue
+    if (route.host !== undefined || !route.methods.some(method => method === call.method) || !matchesRoute(route, path)) continue
     if (best === undefined || route.path.length > best[1].path.length) best = [name, route]
   }
   return best
 }
 
-function matchesPath (prefix: string, path: string): boolean {
+export function matchesRoute ({ path: prefix, below }: Route, path: string): boolean {
+  if (below === true && path === prefix && prefix !== '/') return false
   return path === prefix || path.startsWith(prefix.endsWith('/') ? prefix : `${prefix}/`)
 }
 
--- a/src/request/queue.ts
+++ b/src/request/queue.ts
@@ -21,6 +21,11 @@
     return this.lanes.reduce((sum, lane) => sum + lane.items.length, 0)
   }
 
+  /** Requests of this class and higher ones, which mostly go before a new one of it. */
+  countBefore (routeClass: RouteClass): number {
+    return this.lanes.slice(CLASSES.indexOf(routeClass)).reduce((sum, lane) => sum + lane.items.length, 0)
+  }
+
   push (item: T): void {
     const lane = this.getLane(item.routeClass)
     if (lane.items.length === 0) lane.turn = Math.max(lane.turn, this.now + STEPS[item.routeClass])
--- a/src/request/retry.ts
+++ b/src/request/retry.ts
@@ -11,6 +11,9 @@
   retries: Retries
   failure: Failure
   attempt: number
+  /** Attempts that reached a target, of which the route allows `attempts`. */
+  reached: number
+  attempts: number
   leftMs: number
   /** The body was not sent yet, or is kept and can be sent again. */
   canResend: boolean
--- a/src/request/schema.ts
+++ b/src/request/schema.ts
@@ -14,6 +14,7 @@
   target: 'x-comfreyspoke-target',
   routeClass: 'x-comfreyspoke-class',
   noRetry: 'x-comfreyspoke-no-retry',
+  load: 'x-comfreyspoke-load',
   key: 'idempotency-key',
   fingerprint: 'x-comfreyspoke-fingerprint',
   suspect: 'x-comfreyspoke-suspect',
@@ -26,6 +27,8 @@
 export const callSchema = z.object({
   request: z.string(),
   service: z.string(),
+  /** The name in `Host`, where routes are reached by one. */
+  host: z.string().optional(),
   caller: z.string().optional(),
   method: z.string(),
   path: z.string(),
--- a/src/request/slots.ts
+++ b/src/request/slots.ts
@@ -4,9 +4,13 @@
 import { Err, Ok, makeFailure } from '../core/index.js'
 import type { Clock, Failure, Result } from '../core/index.js'
 import type { RouteClass } from '../document/index.js'
+import { computeWait, OpenAdmission } from './admission.js'
+import type { Admission } from './admission.js'
+import type { Load } from './load.js'
 import { ClassQueue } from './queue.js'
 
 const RETRY_AFTER_MS = 100
+const SAMPLE_SHARE = 0.1
 
 export interface Permit { release: () => void }
 
@@ -16,14 +20,21 @@
 
 export class SlotGate {
   private used = 0
+  /** Moving mean of how long a request held its slot. */
+  private serviceMs = 0
   private readonly waiting = new ClassQueue<Waiter>()
 
-  constructor (private limits: GateLimits, private readonly clock: Clock) {}
+  constructor (private limits: GateLimits, private readonly clock: Clock, private readonly admission: Admission = new OpenAdmission()) {}
 
   get inUse (): number {
     return this.used
   }
 
+  get load (): Load {
+    const freeInMs = this.used < this.limits.slots ? 0 : computeWait(this.waiting.length, this.limits.slots, this.serviceMs)
+    return { used: this.used, waiting: this.waiting.length, slots: this.limits.slots, freeInMs }
+  }
+
   get isIdle (): boolean {
     return this.used === 0 && this.waiting.length === 0
   }
@@ -37,8 +48,11 @@
 
   async acquire (routeClass: RouteClass, waitMs: number, signal: AbortSignal): Promise<Result<Permit, Failure>> {
     if (this.used < this.limits.slots) return Ok(this.takeSlot())
+    const { slots } = this.limits
+    const late = this.admission.findReason({ ahead: this.waiting.countBefore(routeClass), slots, serviceMs: this.serviceMs, waitMs })
+    if (late !== undefined) return Err(makeFailure('not-run', 503, 'no_time', late, this.retryAfterMs))
     if (this.waiting.length >= this.limits.queue && !this.shedBelow(routeClass)) {
-      return Err(makeFailure('not-run', 503, 'queue_full', 'the target has no free slot and its queue is full', RETRY_AFTER_MS))
+      return Err(makeFailure('not-run', 503, 'queue_full', 'the target has no free slot and its queue is full', this.retryAfterMs))
     }
     return await this.waitForSlot(routeClass, waitMs, signal)
   }
@@ -54,13 +68,20 @@
     return shed !== undefined
   }
 
+  /** When half of the present queue will have been served. */
+  private get retryAfterMs (): number {
+    return Math.max(RETRY_AFTER_MS, computeWait(this.waiting.length, this.limits.slots, this.serviceMs) / 2)
+  }
+
   private takeSlot (): Permit {
     this.used += 1
+    const startedAt = this.clock.monotonic()
     let released = false
     return {
       release: () => {
         if (released) return
         released = true
+        this.serviceMs += SAMPLE_SHARE * (this.clock.monotonic() - startedAt - this.serviceMs)
         this.used -= 1
         this.serveNext()
       }
--- a/src/request/tasks/attempt.ts
+++ b/src/request/tasks/attempt.ts
@@ -9,6 +9,8 @@
 import type { RequestBody } from '../body.js'
 import type { SuspectCall } from '../commands/suspect.js'
 import type { Answer, Exchanger, Outgoing } from '../exchange.js'
+import { holdAnswer } from '../hold.js'
+import { parseLoad } from '../load.js'
 import type { Headers } from '../headers.js'
 import type { Outcome, Picker } from '../picker.js'
 import type { Resolved } from '../queries/route.js'
@@ -44,7 +46,7 @@
   const latencyMs = run.call.hasBody && !run.body.canResend ? undefined : clock.monotonic() - startedAt
   if (reached.err) {
     const failure = run.body.isAboveLimit ? makeLimitFailure(reached.val) : reached.val
-    picker.end(target, latencyMs, deriveFailureOutcome(failure, run))
+    picker.end(target, latencyMs, deriveFailureOutcome(failure, run), failure.code)
     return Err(failure)
   }
   const { answer, release } = reached.val
@@ -64,15 +66,19 @@
     outgoing: makeOutgoing(run, target, number),
     body: run.call.hasBody ? run.body : undefined
   })
+  context.picker.noteLoad(target, context.inbound.local.measureLoad(getName(target)))
   return held.map(({ answer, permit }) => ({ answer, release: permit.release }))
 }
 
 async function attemptRemote (context: AttemptContext, { run, target, number }: Attempt): Promise<Result<Reached, Failure>> {
   const body = run.call.hasBody ? run.body.open() : undefined
   const sent = await context.peers.send({ ...makeOutgoing(run, target, number), address: target.inbound, body, signal: run.scope.signal })
-  if (sent.err) return sent
+  if (sent.err) return sent.mapErr(failure => failure.verdict === 'not-run' ? failure : { ...failure, reached: true })
+  const load = parseLoad(sent.val.headers[HEADERS.load])
+  if (load !== undefined) context.picker.noteLoad(target, load)
   if (sent.val.headers[HEADERS.verdict] !== undefined) return Err(await readFailure(sent.val))
-  return Ok({ answer: sent.val, release: () => {} })
+  const held = await holdAnswer(sent.val, context.inbound.holdBytes)
+  return held.map(answer => ({ answer, release: () => {} }))
 }
 
 /** A failure that the last node reported, as the first node sees it. */
@@ -94,7 +100,8 @@
     [HEADERS.attempt]: String(number),
     [HEADERS.deadline]: String(scope.passedMs),
     [HEADERS.routeClass]: resolved.route.class,
-    [HEADERS.target]: getName(target)
+    [HEADERS.target]: getName(target),
+    ...call.caller === undefined ? {} : { [HEADERS.caller]: call.caller }
   }
   // Below a retry nobody retries again, or the attempts would multiply with each hop.
   if (number > 1 || call.noRetry) sent[HEADERS.noRetry] = '1'
--- a/src/request/tasks/caller.ts
+++ b/src/request/tasks/caller.ts
@@ -3,34 +3,33 @@
  * a target answers or the failure is final.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { Err, Ok, makeFailure } from '../../core/index.js'
-import type { Failure, Random, Result, Verdict } from '../../core/index.js'
+import { Err, makeFailure } from '../../core/index.js'
+import type { Failure, Random, Result } from '../../core/index.js'
 import type { Metrics } from '../../metrics/index.js'
 import type { Snapshot } from '../../snapshot/index.js'
-import { writeAnswer, writeFailure } from '../answer.js'
+import { writeAnswer, writeFormatted } from '../answer.js'
 import { SuspectCall } from '../commands/suspect.js'
 import type { SuspectTable } from '../../suspect/index.js'
 import type { Passed } from '../answer.js'
 import { RequestBody } from '../body.js'
-import { filterCallerHeaders } from '../headers.js'
-import { readCall } from '../queries/call.js'
 import { resolveRoute } from '../queries/route.js'
-import type { RetryPolicy } from '../retry.js'
 import type { Call } from '../schema.js'
 import { RequestScope } from '../scope.js'
-import { attemptTarget } from './attempt.js'
+import { Attempts } from './attempts.js'
+import type { AttemptsContext } from './attempts.js'
 import { runOnce } from './once.js'
 import type { OnceContext } from './once.js'
-import type { AttemptContext, CallRun, Won } from './attempt.js'
+import type { Won } from './attempt.js'
 
-export interface CallerContext extends AttemptContext {
+export interface CallerContext extends AttemptsContext {
   random: Random
   metrics: Metrics
-  retry: RetryPolicy
   once: OnceContext
   suspects: SuspectTable
   getSnapshot: () => Snapshot
   isReady: () => boolean
+  /** Bodies up to so many bytes are read whole before a target is chosen. Absent: those of a known, short length. */
+  keepBytes?: number
   onFailure: (call: Call, failure: Failure) => void
 }
 
@@ -38,7 +37,7 @@
 
 export async function serveCaller (context: CallerContext, message: IncomingMessage, response: ServerResponse): Promise<void> {
   const body = new RequestBody(message, response)
-  const call = readCall(message)
+  const call = context.inbound.front.readCall(message)
   if (call.err) {
     refuseCall(context, response, call.val)
   } else {
@@ -50,7 +49,7 @@
 }
 
 async function answerCall (context: CallerContext, response: ServerResponse, { answer, finish }: Won, call: Call): Promise<void> {
-  const passed = await writeAnswer(response, answer, call.request)
+  const passed = await writeAnswer(response, answer, context.inbound.front.filterAnswer(answer.headers, call.request))
   finish(passed)
   context.metrics.count('calls_total', { service: call.service, verdict: PASSED_LABELS[passed] })
   if (passed === 'cut') context.onFailure(call, makeFailure('may-have-run', 502, 'answer_cut', 'the answer ended early; the caller saw a reset connection'))
@@ -61,7 +60,7 @@
 function refuseCall (context: CallerContext, response: ServerResponse, failure: Failure, call?: Call): void {
   context.metrics.count('calls_total', { service: call?.service ?? 'unknown', verdict: failure.verdict })
   if (call !== undefined) context.onFailure(call, failure)
-  writeFailure(response, failure, call?.request ?? '')
+  writeFormatted(response, context.inbound.front.formatFailure(failure, call?.request ?? ''))
 }
 
 async function runCall (
@@ -72,11 +71,13 @@
   if (resolved.err) return resolved
   const { route, service } = resolved.val
   body.setLimit(route.maxBodyBytes)
+  if (context.keepBytes !== undefined) body.keepUpTo(context.keepBytes)
   const scope = new RequestScope(context.clock, Math.min(route.deadlineMs, call.deadlineMs ?? route.deadlineMs), response)
   context.retry.countCall(service)
   const run = async (): Promise<Result<Won, Failure>> => {
     const suspect = new SuspectCall(context.suspects, call, body.kept)
-    return await attemptTargets(context, { call, resolved: resolved.val, headers: filterCallerHeaders(message.headers), body, scope, suspect })
+    const headers = context.inbound.front.filterRequest(message.headers)
+    return await new Attempts(context, { call, resolved: resolved.val, headers, body, scope, suspect }).run()
   }
   if (route.kind === 'once') return await runOnce(context.once, { call, route, body, signal: scope.signal }, run)
   if (call.hasBody && !await body.collect(scope.signal)) {
@@ -85,46 +86,3 @@
   }
   return await run()
 }
-
-async function attemptTargets (context: CallerContext, run: CallRun): Promise<Result<Won, Failure>> {
-  const { call, resolved, body, scope, suspect } = run
-  const tried = new Set<string>()
-  let worst: Failure | undefined
-  for (let number = 1; !scope.signal.aborted; number += 1) {
-    const blocked = suspect.refuse()
-    if (blocked !== undefined) return Err(pickWorse(worst, blocked))
-    const target = context.picker.pick({ targets: resolved.targets, tried, zones: resolved.document.zones })
-    if (target === undefined) return Err(worst ?? makeFailure('not-run', 503, 'no_target', `${resolved.service} has no target that can be used`, RETRY_AFTER_MS))
-    tried.add(target.id)
-    const won = await attemptTarget(context, { run, target, number })
-    if (won.ok) return Ok({ answer: won.val.answer, finish: passed => { finishWon(won.val, suspect, passed) } })
-    suspect.noteFailure(target.id, won.val)
-    body.release()
-    worst = pickWorse(worst, won.val)
-    const decision = context.retry.decide({
-      service: resolved.service,
-      kind: resolved.route.kind,
-      retries: resolved.document.retries,
-      failure: won.val,
-      attempt: number,
-      leftMs: scope.leftMs,
-      canResend: !call.hasBody || body.canResend
-    })
-    if (call.noRetry || typeof decision === 'string') return Err(number > 1 || decision === 'spent' ? { ...worst, noRetry: true } : worst)
-    await context.clock.sleep(decision, scope.signal)
-  }
-  return Err(worst ?? makeFailure('not-run', 504, 'deadline', 'the deadline passed before the request was sent'))
-}
-
-function finishWon (won: Won, suspect: SuspectCall, passed: Passed): void {
-  if (passed === 'whole') suspect.noteWhole()
-  won.finish(passed)
-}
-
-const VERDICT_ORDER: readonly Verdict[] = ['not-run', 'may-have-run', 'ran']
-
-/** The failure over all attempts: one that may have run outweighs any that did not. */
-function pickWorse (before: Failure | undefined, now: Failure): Failure {
-  if (before === undefined) return now
-  return VERDICT_ORDER.indexOf(before.verdict) > VERDICT_ORDER.indexOf(now.verdict) ? before : now
-}
--- a/src/request/tasks/inbound.ts
+++ b/src/request/tasks/inbound.ts
@@ -7,6 +7,9 @@
 import type { Clock, Failure, Result } from '../../core/index.js'
 import type { RouteClass } from '../../document/index.js'
 import { writeAnswer, writeFailure } from '../answer.js'
+import type { Front } from '../front.js'
+import { holdAnswer } from '../hold.js'
+import { formatLoad } from '../load.js'
 import { RequestBody } from '../body.js'
 import type { SuspectTable } from '../../suspect/index.js'
 import { TARGET_CRASHED } from '../commands/crash.js'
@@ -14,6 +17,7 @@
 import { receiveFingerprint } from '../commands/suspect.js'
 import type { LocalTargets } from '../commands/admit.js'
 import type { Answer, Exchanger, Outgoing } from '../exchange.js'
+import { filterAnswerHeaders } from '../headers.js'
 import type { Headers } from '../headers.js'
 import { readInbound } from '../queries/inbound.js'
 import type { Inbound } from '../queries/inbound.js'
@@ -30,14 +34,24 @@
   body: RequestBody | undefined
 }
 
-export interface InboundContext { local: LocalTargets, exchanger: Exchanger, clock: Clock, crashes: CrashWatch, suspects: SuspectTable }
+export interface InboundContext {
+  local: LocalTargets
+  exchanger: Exchanger
+  clock: Clock
+  crashes: CrashWatch
+  suspects: SuspectTable
+  front: Front
+  /** Answers up to so many bytes are passed on only when they are whole. */
+  holdBytes: number
+}
 
 export interface Held { answer: Answer, permit: Permit }
 
 const SHED_CODES = new Set(['queue_full', 'shed'])
 
 /** Runs a request on a target of this host. The permit is to be released when the answer has been passed on or cut. */
-export async function runLocal ({ local, exchanger, crashes, suspects }: InboundContext, run: LocalRun): Promise<Result<Held, Failure>> {
+export async function runLocal (context: InboundContext, run: LocalRun): Promise<Result<Held, Failure>> {
+  const { local, exchanger, crashes, suspects, front } = context
   const { target, routeClass, attempt, scope, outgoing, body } = run
   const { signal } = scope
   if (body !== undefined && !await body.collect(signal)) return Err(makeFailure('not-run', 504, 'deadline', 'the body did not come in time'))
@@ -53,29 +67,35 @@
     permit.release()
     return watched
   }
-  const headers = makeTargetHeaders(outgoing.headers, scope)
+  const headers = front.makeTargetHeaders({ headers: outgoing.headers, target, leftMs: scope.passedMs })
   const sent = await exchanger.send({ ...outgoing, headers, address: announcement.address, body: body?.open(), signal })
-  if (sent.ok) {
-    followAnswer(sent.val, watched.val, announcement.address)
+  const checked = sent.ok ? await checkAnswer(context, headers, sent.val) : sent
+  if (checked.ok) {
+    followAnswer(checked.val, watched.val, announcement.address)
     // The target is done with its last byte, which may be long before a slow caller has taken it.
-    sent.val.body.once('end', permit.release)
-    return sent.map(answer => ({ answer, permit }))
+    if (checked.val.kept === undefined) checked.val.body.once('end', permit.release)
+    else permit.release()
+    return checked.map(answer => ({ answer, permit }))
   }
   permit.release()
-  return Err(await watchFailure(sent.val, watched.val, run.target, announcement.address))
+  return Err(await watchFailure(checked.val, watched.val, run.target, announcement.address))
 }
 
-/** Headers that nodes set for the last node end there. */
-const LAST_NODE_HEADERS = [HEADERS.target, HEADERS.routeClass, HEADERS.fingerprint, HEADERS.suspect] as const
-
-function makeTargetHeaders (received: Headers, scope: RequestScope): Headers {
-  const headers = { ...received, [HEADERS.deadline]: String(scope.passedMs) }
-  for (const name of LAST_NODE_HEADERS) Reflect.deleteProperty(headers, name)
-  return headers
+/** An answer that the front refuses ends its connection, since more of the same may follow on it. */
+async function checkAnswer ({ front, holdBytes }: InboundContext, sent: Headers, answer: Answer): Promise<Result<Answer, Failure>> {
+  const refused = front.checkAnswer(sent, answer)
+  if (refused === undefined) return await holdAnswer(answer, holdBytes)
+  if (refused.verdict === 'not-run') answer.body.resume()
+  else answer.body.destroy()
+  return Err(refused)
 }
 
 /** A target can crash in the middle of its answer. */
-function followAnswer ({ body }: Answer, run: Run, address: string): void {
+function followAnswer ({ body, kept }: Answer, run: Run, address: string): void {
+  if (kept !== undefined) {
+    run.finish()
+    return
+  }
   finished(body, error => {
     if (error === undefined || error === null) run.finish()
     else void run.lose(address)
@@ -111,10 +131,12 @@
   try {
     const held = await runLocal(context, { target, routeClass, attempt, scope, outgoing, body: inbound.hasBody ? body : undefined })
     if (held.err) {
+      response.setHeader(HEADERS.load, formatLoad(context.local.measureLoad(target)))
       writeFailure(response, held.val, request)
       return
     }
-    await writeAnswer(response, held.val.answer, request)
+    response.setHeader(HEADERS.load, formatLoad(context.local.measureLoad(target)))
+    await writeAnswer(response, held.val.answer, filterAnswerHeaders(held.val.answer.headers, request))
     held.val.permit.release()
   } finally {
     scope.end()
--- a/src/platform/counting.ts
+++ b/src/store/counting.ts
@@ -3,6 +3,7 @@
  */
 import type { Result } from '../core/index.js'
 import type { Kind, ObjectList, Removal, StoredObject, StoreFault, WatchEvent, Write } from './schema.js'
+import type { Freshness } from './store.js'
 import { ObjectStore, StoreCommands, StoreQueries } from './store.js'
 
 export type CountCall = (call: 'get' | 'list' | 'watch' | 'write' | 'remove', kind: Kind) => void
@@ -17,9 +18,9 @@
     return await this.inner.get(kind, name)
   }
 
-  override async list (kind: Kind): Promise<Result<ObjectList, StoreFault>> {
+  override async list (kind: Kind, freshness?: Freshness): Promise<Result<ObjectList, StoreFault>> {
     this.count('list', kind)
-    return await this.inner.list(kind)
+    return await this.inner.list(kind, freshness)
   }
 
   override watch (kind: Kind, from: number, signal: AbortSignal): AsyncIterable<Result<WatchEvent, StoreFault>> {
--- a/src/platform/index.ts
+++ b/src/store/index.ts
@@ -4,6 +4,7 @@
 export { kindSchema, MAX_VALUE_BYTES, objectListSchema, removalSchema, storedObjectSchema, storeFaultSchema, watchEventSchema, writeSchema } from './schema.js'
 export type { Kind, ObjectList, Removal, StoredObject, StoreFault, WatchEvent, Write } from './schema.js'
 export { ObjectStore, StoreCommands, StoreQueries } from './store.js'
+export type { Freshness } from './store.js'
 export { HttpObjectStore } from './http.js'
 export { CountingObjectStore } from './counting.js'
 export type { CountCall } from './counting.js'
--- a/src/platform/store.ts
+++ b/src/store/store.ts
@@ -5,9 +5,12 @@
 import type { Result } from '../core/index.js'
 import type { Kind, ObjectList, Removal, StoredObject, StoreFault, WatchEvent, Write } from './schema.js'
 
+export type Freshness = 'current' | 'stale'
+
 export abstract class StoreQueries {
   abstract get (kind: Kind, name: string): Promise<Result<StoredObject | undefined, StoreFault>>
-  abstract list (kind: Kind): Promise<Result<ObjectList, StoreFault>>
+  /** `stale`: the list may be seconds old, and costs the store little. */
+  abstract list (kind: Kind, freshness?: Freshness): Promise<Result<ObjectList, StoreFault>>
   /** Yields an error at most once, as the last item. Ends when the signal is aborted. */
   abstract watch (kind: Kind, from: number, signal: AbortSignal): AsyncIterable<Result<WatchEvent, StoreFault>>
 }
--- a/src/tool/flags.ts
+++ b/src/tool/flags.ts
@@ -5,7 +5,7 @@
 import { Err, Ok, makeFault } from '../core/index.js'
 import type { Fault, Result } from '../core/index.js'
 import { Dialer, loadCredentials, MsgpackCodec, PeerClient } from '../peer/index.js'
-import { HttpObjectStore } from '../platform/index.js'
+import { HttpObjectStore } from '../store/index.js'
 import { EXIT } from './exit.js'
 
 export const PLATFORM_FLAG = {
--- a/src/tool/heads.ts
+++ b/src/tool/heads.ts
@@ -6,7 +6,7 @@
 import { leaseSchema } from '../duty/index.js'
 import type { HostRecord } from '../membership/index.js'
 import type { PeerClient } from '../peer/index.js'
-import type { ObjectStore } from '../platform/index.js'
+import type { ObjectStore } from '../store/index.js'
 
 export async function listHeadPeers (store: ObjectStore): Promise<Result<string[], Fault>> {
   const found = await store.queries.list('duty')
--- a/src/tool/queries/get.ts
+++ b/src/tool/queries/get.ts
@@ -7,7 +7,7 @@
 import type { Fault, Result } from '../../core/index.js'
 import { findEdit, readEdit, readPastEdits } from '../../document/index.js'
 import type { PastEdit } from '../../document/index.js'
-import type { ObjectStore } from '../../platform/index.js'
+import type { ObjectStore } from '../../store/index.js'
 import { COMMON_FLAGS, openPlatform, parseVersion } from '../flags.js'
 import { printResult, reportFaults } from '../output.js'
 
--- a/standins/bench/once.ts
+++ b/standins/bench/once.ts
@@ -6,7 +6,7 @@
 import { v7 as makeUuid } from 'uuid'
 import { SystemClock, SystemRandom } from '../../src/core/index.js'
 import { claimKey, ClaimLedger, settleClaim } from '../../src/once/index.js'
-import { CountingObjectStore, HttpObjectStore } from '../../src/platform/index.js'
+import { CountingObjectStore, HttpObjectStore } from '../../src/store/index.js'
 import { PlatformServer } from '../platform/server.js'
 
 interface Case { nodes: number, perSecond: number }
--- a/standins/platform/store.ts
+++ b/standins/platform/store.ts
@@ -3,8 +3,8 @@
  */
 import { Err, Ok } from '../../src/core/index.js'
 import type { Result } from '../../src/core/index.js'
-import { MAX_VALUE_BYTES } from '../../src/platform/index.js'
-import type { Kind, ObjectList, Removal, StoredObject, StoreFault, WatchEvent, Write } from '../../src/platform/index.js'
+import { MAX_VALUE_BYTES } from '../../src/store/index.js'
+import type { Kind, ObjectList, Removal, StoredObject, StoreFault, WatchEvent, Write } from '../../src/store/index.js'
 
 const KEPT_EVENTS = 10_000
 
--- a/tests/proofs/overload.test.ts
+++ b/tests/proofs/overload.test.ts
@@ -193,7 +193,7 @@
         for (let number = 0; number < failures; number += 1) {
           const failure = { verdict: 'not-run', status: 503, code: 'x', message: '' } as const
           const decision = policy.decide({
-            service: 'desk', kind: 'plain', retries: { attempts: 3, budgetPercent, minPerSecond }, failure, attempt: 1, leftMs: 1000, canResend: true
+            service: 'desk', kind: 'plain', retries: { attempts: 3, budgetPercent, minPerSecond }, failure, attempt: 1, reached: 0, attempts: 3, leftMs: 1000, canResend: true
           })
           if (typeof decision !== 'number') continue
           retries.push(clock.monotonic())
