--- a/src/request/handler.ts
+++ b/src/request/handler.ts
@@ -55,6 +55,8 @@
         done(error)
       }
     })
+    // Whoever reads the body gets its error; one that nobody reads, of a refusal, must not end the process.
+    this.body.on('error', () => {})
     this.settle(Ok({ statusCode, headers, body: this.body, trailers: this.trailers }))
   }
 
--- /dev/null
+++ b/tests/unread.test.ts
@@ -0,0 +1,28 @@
+/**
+ * Guards against a process that ends because a target breaks off an answer that nobody reads any more.
+ */
+import { once } from 'node:events'
+import { createServer } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { setTimeout as delay } from 'node:timers/promises'
+import { expect, test } from '@jest/globals'
+import { UndiciExchanger } from '../src/request/index.js'
+
+test('an answer that is cut while nobody reads it harms nothing', async () => {
+  const server = createServer((_message, response) => {
+    response.writeHead(503, { 'content-length': 100 })
+    response.write('part')
+    setTimeout(() => { response.socket?.resetAndDestroy() }, 20)
+  })
+  server.listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  const exchanger = new UndiciExchanger(1)
+  const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
+  const sent = await exchanger.send({ address, method: 'GET', path: '/', headers: {}, body: undefined, signal: new AbortController().signal })
+  if (sent.err) throw new Error(sent.val.message)
+  sent.val.body.resume()
+  await delay(100)
+  expect(sent.val.body.errored).toBeInstanceOf(Error)
+  await exchanger.close()
+  server.close()
+})
