Send whole milliseconds in refusals, and refuse waiting requests in time for the first node

Ruled out: lost connections (30). A queued request now also leaves the queue while its first node still waits.

--- a/src/request/admission.ts
+++ b/src/request/admission.ts
@@ -16,6 +16,8 @@
 export abstract class Admission {
   /** Why the request must not wait, or nothing. */
   abstract findReason (arrival: Arrival): string | undefined
+  /** How long a request with so much time left may wait. */
+  abstract limitWait (leftMs: number, serviceMs: number): number
 }
 
 /** Everything may wait until its deadline. */
@@ -23,16 +25,26 @@
   override findReason (): undefined {
     return undefined
   }
+
+  override limitWait (leftMs: number): number {
+    return leftMs
+  }
 }
 
-/** A request that would get its slot with less than this share of the usual time left is refused at once. */
+/** A request that would get its slot with less than this share of the usual time left is refused. */
 const LEAST_SERVICE_SHARE = 0.5
+/** A refusal has to reach the first node, perhaps in another region, before that gives up on the answer. */
+const LEAST_MARGIN_MS = 60
 
 export class TimelyAdmission extends Admission {
   override findReason ({ ahead, slots, serviceMs, waitMs }: Arrival): string | undefined {
     const expectedMs = computeWait(ahead, slots, serviceMs)
-    if (expectedMs + serviceMs * LEAST_SERVICE_SHARE <= waitMs) return undefined
-    return `a slot is expected in ${Math.round(expectedMs)} ms, too late for a request with ${Math.round(waitMs)} ms left`
+    if (expectedMs <= waitMs) return undefined
+    return `a slot is expected in ${Math.round(expectedMs)} ms, too late for a request that may wait ${Math.round(waitMs)} ms`
+  }
+
+  override limitWait (leftMs: number, serviceMs: number): number {
+    return leftMs - Math.max(LEAST_MARGIN_MS, serviceMs * LEAST_SERVICE_SHARE)
   }
 }
 
--- a/src/request/slots.ts
+++ b/src/request/slots.ts
@@ -46,8 +46,9 @@
     this.serveNext()
   }
 
-  async acquire (routeClass: RouteClass, waitMs: number, signal: AbortSignal): Promise<Result<Permit, Failure>> {
+  async acquire (routeClass: RouteClass, leftMs: number, signal: AbortSignal): Promise<Result<Permit, Failure>> {
     if (this.used < this.limits.slots) return Ok(this.takeSlot())
+    const waitMs = this.admission.limitWait(leftMs, this.serviceMs)
     const { slots } = this.limits
     const late = this.admission.findReason({ ahead: this.waiting.countBefore(routeClass), slots, serviceMs: this.serviceMs, waitMs })
     if (late !== undefined) return Err(makeFailure('not-run', 503, 'no_time', late, this.retryAfterMs))
@@ -70,7 +71,7 @@
 
   /** When half of the present queue will have been served. */
   private get retryAfterMs (): number {
-    return Math.max(RETRY_AFTER_MS, computeWait(this.waiting.length, this.limits.slots, this.serviceMs) / 2)
+    return Math.round(Math.max(RETRY_AFTER_MS, computeWait(this.waiting.length, this.limits.slots, this.serviceMs) / 2))
   }
 
   private takeSlot (): Permit {
