Tell a reset from an end after an answer without a length

A write on a connection that was reset fails, on one that ended it does not; the end is held back until an empty line was written. tests/link.test.ts fails without it.

--- a/src/request/connections.ts
+++ b/src/request/connections.ts
@@ -67,7 +67,7 @@
 
   private openConnection (): Connection {
     if (this.idle.length + this.used.size >= this.limit) this.closeOldest()
-    const link: LinkState = { isReset: false, isEnded: false }
+    const link: LinkState = { isReset: false, endsAnswer: false }
     const client = new Client(this.origin, {
       pipelining: 1,
       connect: makeConnector(link, CONNECT_TIMEOUT_MS),
--- a/src/request/handler.ts
+++ b/src/request/handler.ts
@@ -21,7 +21,6 @@
   private body: Readable | undefined
   private readonly trailers: Record<string, string> = {}
   private isEnded = false
-  private isChunked = false
   private settle: (result: Result<Answer, ExchangeEnd>) => void = () => {}
 
   /** `onEnd` is called once, with whether the answer came whole and the connection can be used again. */
@@ -47,7 +46,7 @@
 
   onResponseStart (controller: Controller, statusCode: number, headers: IncomingHttpHeaders): void {
     if (statusCode < FIRST_FINAL_STATUS) return
-    this.isChunked = headers['transfer-encoding'] !== undefined
+    this.link.endsAnswer = headers['transfer-encoding'] === undefined && headers['content-length'] === undefined
     this.body = new Readable({
       read: () => { controller.resume() },
       destroy: (error, done) => {
@@ -65,7 +64,7 @@
   }
 
   onResponseEnd (_controller: Controller, trailers: IncomingHttpHeaders): void {
-    if (this.link.isReset || (this.link.isEnded && this.isChunked)) {
+    if (this.link.isReset) {
       this.endFailed(new Error('the connection ended before the answer was whole'))
       return
     }
@@ -91,6 +90,7 @@
 
   private end (isWhole: boolean): void {
     this.isEnded = true
+    this.link.endsAnswer = false
     this.signal.removeEventListener('abort', this.abort)
     this.onEnd(isWhole)
   }
--- a/src/request/link.ts
+++ b/src/request/link.ts
@@ -1,18 +1,36 @@
 /**
- * Connections for undici that remember how their peer ended them. Undici takes an answer whose end is
- * the end of its connection as whole, also after a reset or in the middle of chunks.
+ * Connections for undici that tell a reset from an end. Libuv reports the end of the stream when a
+ * reset arrives together with the last data, and undici takes an answer without a length as whole at
+ * the end of its connection. A write on a connection that was reset fails, on one that ended it does not.
  */
-import { connect } from 'node:net'
-import type { Socket } from 'node:net'
+import { Socket } from 'node:net'
 import type { buildConnector } from 'undici'
 
-/** `isReset`: the connection broke. `isEnded`: the peer sent its end. */
-export interface LinkState { isReset: boolean, isEnded: boolean }
+/** Servers pass over an empty line before a request. */
+const EMPTY_LINE = '\r\n'
+
+/** `isReset`: the connection broke. `endsAnswer`: the answer that is being received ends with its connection. */
+export interface LinkState { isReset: boolean, endsAnswer: boolean }
+
+class CheckedSocket extends Socket {
+  constructor (private readonly state: LinkState) {
+    super()
+  }
+
+  /** Holds the end of an answer back until a write has shown that it is no reset; a failed write ends the socket in an error. */
+  override push (chunk: unknown, encoding?: BufferEncoding): boolean {
+    if (chunk !== null || !this.state.endsAnswer) return super.push(chunk, encoding)
+    this.write(EMPTY_LINE, error => {
+      if (error === undefined || error === null) super.push(null)
+    })
+    return false
+  }
+}
 
 /** `state` is set before undici hears of the same event, since its listeners are added later. */
 export function makeConnector (state: LinkState, timeoutMs: number): buildConnector.connector {
   return ({ hostname, port }, callback) => {
-    const socket: Socket = connect({ host: hostname, port: Number(port), noDelay: true, keepAlive: true })
+    const socket = new CheckedSocket(state)
     const timer = setTimeout(() => { socket.destroy(makeTimeout(hostname, port)) }, timeoutMs)
     const fail = (error: Error): void => {
       clearTimeout(timer)
@@ -24,9 +42,10 @@
       socket.off('error', fail)
       // Undici ends a connection with errors of its own, which have no error number.
       socket.on('error', error => { state.isReset ||= (error as NodeJS.ErrnoException).errno !== undefined })
-      socket.on('end', () => { state.isEnded = true })
       callback(null, socket)
     })
+    socket.setNoDelay(true)
+    socket.connect({ host: hostname, port: Number(port) })
   }
 }
 
--- a/tests/link.test.ts
+++ b/tests/link.test.ts
@@ -42,6 +42,17 @@
   })).rejects.toThrow()
 })
 
+test('an answer without a length is cut when its connection is reset together with the last data', async () => {
+  await expect(receive(socket => {
+    socket.write(UNFRAMED, () => {
+      socket.resetAndDestroy()
+      // Both arrive before the receiver is asked for data again.
+      const endsAt = Date.now() + 50
+      while (Date.now() < endsAt);
+    })
+  })).rejects.toThrow()
+})
+
 test('an answer in chunks is cut when its connection ends before the last one', async () => {
   await expect(receive(socket => { socket.end(CHUNKED) })).rejects.toThrow()
 })
