Order heartbeats of successive targets, read settings again, and test the adapter

A target that started later takes its place also against later heartbeats of the earlier one (tests/platform/control.test.ts failed: both stayed known). Sends to a target that reports no load no longer count against it for ever (tests/delaypicker.test.ts failed: a target that had failed was not tried again after 20 s).

--- a/src/membership/commands/heartbeat.ts
+++ b/src/membership/commands/heartbeat.ts
@@ -35,7 +35,7 @@
     const life = this.lives.get(target)
     const isNew = life === undefined || startedAt > life.startedAt || (startedAt === 0 && sequence < life.sequence && at - life.heardAt > SILENT_MS)
     if (!isNew && startedAt < life.startedAt) return { as: 'earlier' }
-    if (isNew && this.hasSuccessor(target, startedAt)) return { as: 'earlier' }
+    if (this.hasSuccessor(target, startedAt)) return { as: 'earlier' }
     const isLeaving = announcement.state === 'leaving' || (!isNew && life.hasLeft)
     if (!isNew && sequence <= life.sequence && !isLeaving) return { as: 'late' }
     this.lives.set(target, { startedAt, sequence: isNew ? sequence : Math.max(sequence, life.sequence), hasLeft: isLeaving, heardAt: at })
@@ -56,7 +56,9 @@
 
   /** A host has one target at a time: one that started later has taken the place. */
   private hasSuccessor (target: string, startedAt: number): boolean {
-    return startedAt !== 0 && [...this.lives].some(([other, life]) => other !== target && life.startedAt > startedAt)
+    if (startedAt === 0) return false
+    const isLater = ([other, life]: [string, Life]): boolean => other !== target && life.startedAt > startedAt
+    return [...this.lives].some(one => isLater(one) && this.own.find(one[0]) !== undefined)
   }
 
   private forgetOthers (target: string): void {
--- a/src/mesh/start.ts
+++ b/src/mesh/start.ts
@@ -5,7 +5,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Configuration, ConfigurationSource, Sighting } from '../configuration/index.js'
 import { JsonDecisionLog, SystemClock, SystemRandom } from '../core/index.js'
-import type { DecisionLog, Failure } from '../core/index.js'
+import type { DecisionLog, Failure, Fault, Result } from '../core/index.js'
 import { answerRecord, expireTargets, leaveHost, TargetLives } from '../membership/index.js'
 import type { Heard, Heartbeat, HostRecord } from '../membership/index.js'
 import { formatProcess, Metrics } from '../metrics/index.js'
@@ -69,9 +69,11 @@
   private readonly stopped = new AbortController()
   private isStopping = false
   private answeredAt = -Infinity
+  private settings: MeshSettings
 
   constructor (private readonly parts: MeshParts) {
     const { settings, store } = parts
+    this.settings = settings
     const { clock, random } = this
     this.log = new JsonDecisionLog(settings.host, clock)
     this.state = new MeshState({
@@ -127,6 +129,22 @@
     return this.state.isReady && !this.isStopping
   }
 
+  /** Takes changed settings; addresses and names stay as they were until the next start. A fault keeps those in force. */
+  reload (read: Result<MeshSettings, Fault>): void {
+    if (read.err) {
+      this.log.note('change', 'settings_kept', { reason: read.val.message })
+      return
+    }
+    if (JSON.stringify(read.val) === JSON.stringify(this.settings)) return
+    this.settings = read.val
+    this.log.note('change', 'settings_applied', { service: read.val.service, heartbeatMs: read.val.heartbeat, graceMs: read.val.grace })
+  }
+
+  /** The service in whose name callers of this host call. */
+  get service (): string {
+    return this.settings.service
+  }
+
   /** A heartbeat of the target on this host. */
   hear (heartbeat: Heartbeat): Heard {
     return this.takeHeard(heartbeat.target, heartbeat.state, this.lives.hear(heartbeat, this.clock.monotonic()))
@@ -142,7 +160,7 @@
     if (this.isStopping) return
     this.isStopping = true
     const { callerPort: caller, inboundPort: inbound, clock, log } = this
-    const { grace } = this.parts.settings
+    const { grace } = this.settings
     log.note('change', 'node_stopping', { callers: caller.inFlight.size, inbound: inbound.inFlight.size, graceMs: grace })
     const record = leaveHost(this.state.own)
     if (record !== undefined) this.announce(record)
@@ -195,8 +213,8 @@
 
   private async expireSilent (signal: AbortSignal): Promise<void> {
     const { own } = this.state
-    const timeoutMs = this.parts.settings.heartbeat * MISSED_HEARTBEATS
     while (!signal.aborted) {
+      const timeoutMs = this.settings.heartbeat * MISSED_HEARTBEATS
       const sleptAt = this.clock.monotonic()
       await this.clock.sleep(EXPIRY_CHECK_MS, signal)
       // After a pause of this process the heartbeats sent meanwhile wait unread.
--- a/src/request/delaypicker.ts
+++ b/src/request/delaypicker.ts
@@ -115,12 +115,17 @@
   }
 
   private measureWait (at: number, slots: number, serviceMs: number): number {
-    const ageMs = at - this.loadAt
-    const used = this.load === undefined ? 0 : Math.max(0, this.load.used + this.load.waiting - ageMs * slots / Math.max(1, serviceMs))
-    const ahead = Math.max(this.inFlight, used + this.sentSinceLoad) + 1 - slots
+    const ahead = Math.max(this.inFlight, this.computeUsed(at, slots, serviceMs)) + 1 - slots
     return ahead > 0 ? ahead * serviceMs / slots : 0
   }
 
+  /** Requests that the target has by its last report and what was sent since, less what it has done in the meantime. */
+  private computeUsed (at: number, slots: number, serviceMs: number): number {
+    if (this.load === undefined) return 0
+    const done = (at - this.loadAt) * slots / Math.max(1, serviceMs)
+    return Math.max(0, this.load.used + this.load.waiting + this.sentSinceLoad - done)
+  }
+
   private getFailures (at: number): number {
     return this.failures * 0.5 ** ((at - this.failedAt) / FAILURE_HALF_LIFE_MS)
   }
--- /dev/null
+++ b/tests/platform/path.test.ts
@@ -0,0 +1,108 @@
+/**
+ * Guards against a built program that does not serve: store, target, caller and node as separate
+ * ends, from the first heartbeat to the end of the process.
+ */
+import { spawn } from 'node:child_process'
+import type { ChildProcess } from 'node:child_process'
+import { once } from 'node:events'
+import { mkdtempSync, writeFileSync } from 'node:fs'
+import { createServer } from 'node:http'
+import type { IncomingMessage, Server } from 'node:http'
+import { createServer as createTcpServer } from 'node:net'
+import type { AddressInfo } from 'node:net'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { setTimeout as delay } from 'node:timers/promises'
+import { afterEach, beforeEach, expect, test } from '@jest/globals'
+import { Agent, request } from 'undici'
+import { makeHeartbeat, makePlatformConfiguration, makeStoreFixture } from '../fixtures/platform.js'
+import type { StoreFixture } from '../fixtures/platform.js'
+
+const PORTS = ['caller', 'inbound', 'ready', 'control', 'peer', 'admin'] as const
+
+let store: StoreFixture
+let target: Server
+let seen: IncomingMessage[]
+let node: ChildProcess
+let output: string
+let addresses: Record<string, string>
+let agent: Agent
+
+async function findAddress (): Promise<string> {
+  const server = createTcpServer()
+  server.listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  const { port } = server.address() as AddressInfo
+  server.close()
+  return `127.0.0.1:${port}`
+}
+
+async function send (address: string, path: string, options: { method?: 'GET' | 'POST', headers?: Record<string, string>, body?: string } = {}) {
+  const { method = 'GET', headers = {}, body = null } = options
+  const answer = await request(`http://${address}${path}`, { method, headers, body, dispatcher: agent })
+  return { status: answer.statusCode, headers: answer.headers, text: await answer.body.text() }
+}
+
+async function awaitReady (): Promise<void> {
+  for (let round = 0; round < 200; round += 1) {
+    const answer = await send(addresses.ready ?? '', '/-/readyz').catch(() => undefined)
+    if (answer?.status === 200) return
+    await delay(50)
+  }
+  throw new Error(`the node is not ready: ${output}`)
+}
+
+beforeEach(async () => {
+  agent = new Agent()
+  store = await makeStoreFixture()
+  seen = []
+  target = createServer((message, response) => {
+    seen.push(message)
+    message.resume()
+    response.writeHead(200, { 'x-attempt-id': String(message.headers['x-attempt-id']), 'x-response-signature': 's1' })
+    response.end('whole')
+  })
+  target.listen(0, '127.0.0.1')
+  await once(target, 'listening')
+  addresses = { target: `127.0.0.1:${(target.address() as AddressInfo).port}`, store: store.address }
+  for (const name of PORTS) addresses[name] = await findAddress()
+  const values = {
+    host: 'h1', zone: 'a', region: 'r', service: 'gallery', heartbeat: '1500ms', grace: '4s', 'retry-ratio': '0.2', 'retry-extra': '64', 'retry-window': '10s', ...addresses
+  }
+  const file = join(mkdtempSync(join(tmpdir(), 'node-')), 'node.settings')
+  writeFileSync(file, Object.entries(values).map(([name, value]) => `${name}=${value}`).join('\n'))
+  node = spawn(process.execPath, ['target/node.cjs'], { env: { ...process.env, NODE_OPTIONS: '', COMFREYSPOKE_SETTINGS: file } })
+  output = ''
+  for (const stream of [node.stdout, node.stderr]) stream?.on('data', chunk => { output += String(chunk) })
+})
+
+afterEach(async () => {
+  if (node.exitCode === null) node.kill('SIGKILL')
+  target.close()
+  target.closeAllConnections()
+  await agent.destroy()
+  await store.close()
+})
+
+test('a node serves its callers by the store and its target, and ends when told to', async () => {
+  await delay(300)
+  const early = await send(addresses.caller ?? '', '/read/a', { headers: { host: 'shop.example', 'x-attempt-id': 'a0' } }).catch(() => undefined)
+  if (early !== undefined) expect([early.status, early.headers['retry-after'] !== undefined]).toEqual([503, true])
+  store.server.writeObject('config', 'main', makePlatformConfiguration(3))
+  await awaitReady()
+  const beat = JSON.stringify(makeHeartbeat({ address: addresses.target ?? '', born: 5 }))
+  expect((await send(addresses.control ?? '', '/-/Instances.Heartbeat/i-1', { method: 'POST', body: beat })).status).toBe(200)
+  const headers = { host: 'shop.example', 'x-attempt-id': 'a1', 'x-timeout-ms': '900', 'x-caller-service': 'admin' }
+  const answer = await send(addresses.caller ?? '', '/read/a?b=1', { headers })
+  expect(answer).toMatchObject({ status: 200, text: 'whole', headers: { 'x-response-signature': 's1' } })
+  const passed = seen.at(-1)?.headers ?? {}
+  expect([seen.at(-1)?.url, passed['x-target-instance'], passed['x-caller-service'], passed.host]).toEqual(['/read/a?b=1', 'i-1', 'gallery', 'shop.example'])
+  expect(Number(passed['x-timeout-ms'])).toBeLessThanOrEqual(900)
+  expect((await send(addresses.caller ?? '', '/other/a', { headers })).status).toBe(404)
+  expect(store.server.find('comfreyspoke-host', 'h1')).toBeDefined()
+  node.kill('SIGTERM')
+  await delay(50)
+  expect((await send(addresses.ready ?? '', '/-/readyz')).status).toBe(503)
+  const [code] = await once(node, 'exit')
+  expect(code).toBe(0)
+})
