--- a/src/mesh/start.ts
+++ b/src/mesh/start.ts
@@ -69,6 +69,7 @@
   private readonly stopped = new AbortController()
   private isStopping = false
   private answeredAt = -Infinity
+  private stoppingAt = Infinity
   private settings: MeshSettings
 
   constructor (private readonly parts: MeshParts) {
@@ -159,6 +160,7 @@
   async stop (): Promise<void> {
     if (this.isStopping) return
     this.isStopping = true
+    this.stoppingAt = this.clock.monotonic()
     const { callerPort: caller, inboundPort: inbound, clock, log } = this
     const { grace } = this.settings
     log.note('change', 'node_stopping', { callers: caller.inFlight.size, inbound: inbound.inFlight.size, graceMs: grace })
@@ -252,10 +254,16 @@
       getSnapshot: () => state.table.current,
       isReady: () => state.isReady,
       keepBytes: KEEP_BYTES,
+      getEndsInMs: () => this.getEndsInMs(),
       onFailure: (call, failure) => { this.noteFailure(call, failure) }
     }
   }
 
+  private getEndsInMs (): number | undefined {
+    const sinceMs = this.clock.monotonic() - this.stoppingAt
+    return !this.isStopping || sinceMs < SPREAD_MS ? undefined : this.settings.grace - EXIT_MS - sinceMs
+  }
+
   private noteFailure (call: Call, { verdict, code, message, status, retryAfterMs }: Failure): void {
     this.log.note('failure', 'request_failed', {
       request: call.request,
--- a/src/request/tasks/caller.ts
+++ b/src/request/tasks/caller.ts
@@ -28,6 +28,8 @@
   suspects: SuspectTable
   getSnapshot: () => Snapshot
   isReady: () => boolean
+  /** Time after which this node ends, once callers have had time to see that it stops; a request that may take longer is refused. */
+  getEndsInMs?: () => number | undefined
   /** Bodies up to so many bytes are read whole before a target is chosen. Absent: those of a known, short length. */
   keepBytes?: number
   onFailure: (call: Call, failure: Failure) => void
@@ -72,7 +74,9 @@
   const { route, service } = resolved.val
   body.setLimit(route.maxBodyBytes)
   if (context.keepBytes !== undefined) body.keepUpTo(context.keepBytes)
-  const scope = new RequestScope(context.clock, Math.min(route.deadlineMs, call.deadlineMs ?? route.deadlineMs), response)
+  const deadlineMs = Math.min(route.deadlineMs, call.deadlineMs ?? route.deadlineMs)
+  if (deadlineMs > (context.getEndsInMs?.() ?? Infinity)) return Err(makeFailure('not-run', 503, 'stopping', 'this node ends before the request would', RETRY_AFTER_MS))
+  const scope = new RequestScope(context.clock, deadlineMs, response)
   await scope.noticeLeave()
   context.retry.countCall(service)
   const run = async (): Promise<Result<Won, Failure>> => {
