--- a/src/mesh/start.ts
+++ b/src/mesh/start.ts
@@ -15,7 +15,7 @@
 import { ClaimLedger } from '../once/index.js'
 import { MsgpackCodec } from '../peer/codec.js'
 import { CrashWatch, DelayPicker, isRefused, KeptBodies, LocalTargets, serveCaller, serveInbound, SharedBudgetPolicy, TimelyAdmission, UndiciExchanger } from '../request/index.js'
-import type { Call, CallerContext, Front } from '../request/index.js'
+import type { Call, CallerContext, FailedAttempt, Front } from '../request/index.js'
 import type { ObjectStore } from '../store/index.js'
 import { applyConfiguration } from './commands/apply.js'
 import { announceRecord } from './commands/take.js'
@@ -255,7 +255,8 @@
       isReady: () => state.isReady,
       keepBytes: KEEP_BYTES,
       getEndsInMs: () => this.getEndsInMs(),
-      onFailure: (call, failure) => { this.noteFailure(call, failure) }
+      onFailure: (call, failure) => { this.noteFailure(call, failure) },
+      onAttemptFailed: failed => { this.noteAttempt(failed) }
     }
   }
 
@@ -264,6 +265,21 @@
     return !this.isStopping || sinceMs < SPREAD_MS ? undefined : this.settings.grace - EXIT_MS - sinceMs
   }
 
+  private noteAttempt ({ call, service, target, number, failure, decision, leftMs }: FailedAttempt): void {
+    this.log.note('detail', 'attempt_failed', {
+      request: call.request,
+      service,
+      target: target.id,
+      attempt: number,
+      verdict: failure.verdict,
+      code: failure.code,
+      reached: failure.reached ?? false,
+      message: failure.message,
+      leftMs: Math.round(leftMs),
+      next: typeof decision === 'number' ? 'another target' : decision
+    })
+  }
+
   private noteFailure (call: Call, { verdict, code, message, status, retryAfterMs }: Failure): void {
     this.log.note('failure', 'request_failed', {
       request: call.request,
--- a/src/mesh/tasks/configuration.ts
+++ b/src/mesh/tasks/configuration.ts
@@ -16,6 +16,8 @@
 }
 
 const BACKOFF = { baseMs: 100, maxMs: 1_000 }
+/** Changes that follow each other within this time are fetched together, so that a burst of them does not cost each node a call each. */
+const SETTLE_MS = 300
 /** A watch that ends without a change before this time was cut off. */
 const SHORT_WATCH_MS = 1_000
 
@@ -39,7 +41,8 @@
     failures = 0
     step.sightings.forEach(context.onSighting)
     revision = step.revision
-    if (step.sightings.length === 0 && clock.monotonic() - startedAt < SHORT_WATCH_MS) await clock.sleep(computeBackoff(1, BACKOFF, random), signal)
+    if (step.sightings.length > 0) await clock.sleep(SETTLE_MS, signal)
+    else if (clock.monotonic() - startedAt < SHORT_WATCH_MS) await clock.sleep(computeBackoff(1, BACKOFF, random), signal)
   }
 }
 
--- a/src/request/tasks/attempts.ts
+++ b/src/request/tasks/attempts.ts
@@ -7,10 +7,25 @@
 import type { Passed } from '../answer.js'
 import type { Answer } from '../exchange.js'
 import type { RetryDecision, RetryPolicy } from '../retry.js'
+import type { Call } from '../schema.js'
 import { attemptTarget } from './attempt.js'
 import type { AttemptContext, CallRun, Won } from './attempt.js'
 
-export interface AttemptsContext extends AttemptContext { retry: RetryPolicy }
+/** One attempt that gave no answer to pass on, and what was decided on it. */
+export interface FailedAttempt {
+  call: Call
+  service: string
+  target: Target
+  number: number
+  failure: Failure
+  decision: RetryDecision
+  leftMs: number
+}
+
+export interface AttemptsContext extends AttemptContext {
+  retry: RetryPolicy
+  onAttemptFailed?: (failed: FailedAttempt) => void
+}
 
 const RETRY_AFTER_MS = 200
 const FIRST_FAILED_STATUS = 500
@@ -39,6 +54,7 @@
       if (failure === undefined) return won.map(answer => this.makeWon(answer))
       body.release()
       const decision = this.decide(failure)
+      this.report(target, failure, decision)
       if (typeof decision === 'string') return this.finish(this.makeLast(decision))
       await this.context.clock.sleep(decision, scope.signal)
     }
@@ -93,6 +109,11 @@
     })
   }
 
+  private report (target: Target, failure: Failure, decision: RetryDecision): void {
+    const { call, resolved: { service }, scope: { leftMs } } = this.callRun
+    this.context.onAttemptFailed?.({ call, service, target, number: this.number, failure, decision, leftMs })
+  }
+
   private makeLast (decision: 'final' | 'spent'): Failure | undefined {
     if (this.worst === undefined) return undefined
     return this.number > 1 || decision === 'spent' ? { ...this.worst, noRetry: true } : this.worst
