--- a/src/mesh/start.ts
+++ b/src/mesh/start.ts
@@ -111,8 +111,9 @@
     const { signal } = this.stopped
     const { clock, random, log } = this
     this.log.note('change', 'node_started', { zone: settings.zone, region: settings.region, service: settings.service, pid: process.pid })
+    const onSource = (isAnswering: boolean): void => { this.peers.hasSource = isAnswering }
     const tasks = [
-      followConfiguration({ source, clock, random, log, onSighting: sighting => { this.noteSighting(sighting) } }, signal),
+      followConfiguration({ source, clock, random, log, onSighting: sighting => { this.noteSighting(sighting) }, onSource }, signal),
       this.directory.run(signal)
     ]
     await this.callerPort.listen(settings.caller)
--- a/src/mesh/tasks/configuration.ts
+++ b/src/mesh/tasks/configuration.ts
@@ -13,6 +13,8 @@
   random: Random
   log: DecisionLog
   onSighting: (sighting: Sighting) => void
+  /** Told when the source stops and begins to answer. */
+  onSource: (isAnswering: boolean) => void
 }
 
 const BACKOFF = { baseMs: 100, maxMs: 1_000 }
@@ -31,13 +33,19 @@
     if (signal.aborted) return
     if (step.fault !== undefined) {
       failures += 1
-      if (failures === 1) log.note('change', 'store_lost', { code: step.fault.code, reason: step.fault.message })
+      if (failures === 1) {
+        log.note('change', 'store_lost', { code: step.fault.code, reason: step.fault.message })
+        context.onSource(false)
+      }
       // History that is gone, and an answer that says nothing, are mended by reading anew.
       revision = step.fault.code === 'too-old' || step.fault.code === 'invalid' ? undefined : revision
       await clock.sleep(computeBackoff(failures, BACKOFF, random), signal)
       continue
     }
-    if (failures > 0) log.note('change', 'store_back', { failures })
+    if (failures > 0) {
+      log.note('change', 'store_back', { failures })
+      context.onSource(true)
+    }
     failures = 0
     step.sightings.forEach(context.onSighting)
     revision = step.revision
--- a/src/mesh/tasks/peers.ts
+++ b/src/mesh/tasks/peers.ts
@@ -24,17 +24,23 @@
 }
 
 const COMPARE_MS = 1_000
+/** While the store does not answer this node, peers are all that brings it a new version. */
+const COMPARE_LOST_MS = 300
 /** A change is told to so many peers by the node where it happened; in larger fleets comparing carries it on. */
 const TOLD_PEERS = 32
 /** Comparing with another zone or region costs billed bytes, so most comparisons are near. */
-const ANY_ZONE_SHARE = 0.1
-const REGION_SHARE = 0.3
+const ANY_ZONE_SHARE = 0.05
+const REGION_SHARE = 0.2
+const LOST_ANY_ZONE_SHARE = 0.5
 
 type Told = Pick<ExchangeRequest, 'records' | 'marks' | 'cleared'>
 
 const NOTHING: Told = { records: [], marks: [], cleared: [] }
 
 export class Peers {
+  /** Whether the source of the configuration answers this node. */
+  hasSource = true
+
   constructor (private readonly context: PeersContext) {}
 
   /** What this node answers to a peer's call. */
@@ -57,7 +63,7 @@
   async compareInTurn (signal: AbortSignal): Promise<void> {
     const { clock, random } = this.context
     while (!signal.aborted) {
-      await clock.sleep(COMPARE_MS * (0.5 + random.next()), signal)
+      await clock.sleep((this.hasSource ? COMPARE_MS : COMPARE_LOST_MS) * (0.5 + random.next()), signal)
       const peer = this.pickPeer()
       if (peer !== undefined && !signal.aborted) await this.exchange(peer, NOTHING)
     }
@@ -104,7 +110,8 @@
     const { zone, region } = state.identity
     const all = state.listPeers()
     const draw = random.next()
-    const near = all.filter(peer => draw < ANY_ZONE_SHARE || (draw < REGION_SHARE ? peer.region === region : peer.zone === zone))
+    const anyShare = this.hasSource ? ANY_ZONE_SHARE : LOST_ANY_ZONE_SHARE
+    const near = all.filter(peer => draw < anyShare || (draw < REGION_SHARE ? peer.region === region : peer.zone === zone))
     const list = near.length > 0 ? near : all
     return list[random.pickIndex(list.length)]
   }
--- a/src/request/delaypicker.ts
+++ b/src/request/delaypicker.ts
@@ -14,8 +14,8 @@
 
 /** What distance counts in milliseconds of delay. It counts for more than it takes, since bytes between zones and regions are billed. */
 const ZONE_MS = 2
-const REGION_MS = 40
-const FAR_MS = 200
+const REGION_MS = 120
+const FAR_MS = 320
 const REGION_MS_PER_KB = 1
 const FAR_MS_PER_KB = 4
 const KB = 1_024
