--- a/tests/meshpeers.test.ts
+++ b/tests/meshpeers.test.ts
@@ -1,9 +1,6 @@
 /**
  * Guards against a node that stays behind because the store refuses it while it serves others.
  */
-import { once } from 'node:events'
-import { createServer } from 'node:net'
-import type { AddressInfo } from 'node:net'
 import { setTimeout as delay } from 'node:timers/promises'
 import { afterEach, expect, test } from '@jest/globals'
 import type { Server } from '@grpc/grpc-js'
@@ -14,6 +11,7 @@
 import { MeshState } from '../src/mesh/state.js'
 import { Peers } from '../src/mesh/tasks/peers.js'
 import { MsgpackCodec } from '../src/peer/index.js'
+import { findAddress } from './fixtures/address.js'
 import { makeDocument } from './fixtures/document.js'
 
 class SilentLog extends DecisionLog {
@@ -27,15 +25,6 @@
 const stop = new AbortController()
 const nodes: TestNode[] = []
 
-async function findAddress (): Promise<string> {
-  const server = createServer()
-  server.listen(0, '127.0.0.1')
-  await once(server, 'listening')
-  const { port } = server.address() as AddressInfo
-  server.close()
-  return `127.0.0.1:${port}`
-}
-
 async function startNode (host: string, zone: string): Promise<TestNode> {
   const peer = await findAddress()
   const state = new MeshState({ host, zone, region: zone, inbound: '', peer, admin: '', incarnation: 1 }, clock)
--- a/tests/platform/path.test.ts
+++ b/tests/platform/path.test.ts
@@ -8,13 +8,13 @@
 import { mkdtempSync, writeFileSync } from 'node:fs'
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server } from 'node:http'
-import { createServer as createTcpServer } from 'node:net'
 import type { AddressInfo } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { setTimeout as delay } from 'node:timers/promises'
 import { afterEach, beforeEach, expect, test } from '@jest/globals'
 import { Agent, request } from 'undici'
+import { findAddress } from '../fixtures/address.js'
 import { makeHeartbeat, makePlatformConfiguration, makeStoreFixture } from '../fixtures/platform.js'
 import type { StoreFixture } from '../fixtures/platform.js'
 
@@ -28,15 +28,6 @@
 let addresses: Record<string, string>
 let agent: Agent
 
-async function findAddress (): Promise<string> {
-  const server = createTcpServer()
-  server.listen(0, '127.0.0.1')
-  await once(server, 'listening')
-  const { port } = server.address() as AddressInfo
-  server.close()
-  return `127.0.0.1:${port}`
-}
-
 async function send (address: string, path: string, options: { method?: 'GET' | 'POST', headers?: Record<string, string>, body?: string } = {}) {
   const { method = 'GET', headers = {}, body = null } = options
   const answer = await request(`http://${address}${path}`, { method, headers, body, dispatcher: agent })
