Remove route kind once and its claims of idempotency keys

Cause: the users' platform calls each send of a caller a new request, so a request that must run once needs no shared record: it is enough not to send it to a second target unless the first certainly did not run it, which plain routes do already. No route of the platform was of kind once.

The proofs of not-run-is-true and silent-connection go on showing that no request is sent twice.

Ruled out: keeping it for the project's own deployment.

--- a/src/document/queries/check.ts
+++ b/src/document/queries/check.ts
@@ -3,7 +3,7 @@
  */
 import { Err, Ok, formatCanonical, makeFault } from '../../core/index.js'
 import type { Fault, Result } from '../../core/index.js'
-import { documentSchema, MAX_DOCUMENT_BYTES, MAX_ONCE_BODY_BYTES } from '../schema.js'
+import { documentSchema, MAX_DOCUMENT_BYTES } from '../schema.js'
 import type { Document, Route } from '../schema.js'
 import { convertIssue, formatFound } from './issues.js'
 
@@ -25,8 +25,7 @@
   return Object.entries(document.routes).flatMap(([name, route]) => [
     ...checkRepeats(['routes', name, 'methods'], route.methods),
     ...checkMatches(name, route, seen),
-    ...checkWeights(name, route),
-    ...checkOnce(name, route)
+    ...checkWeights(name, route)
   ])
 }
 
@@ -53,13 +52,6 @@
   })]
 }
 
-function checkOnce (name: string, { kind, maxBodyBytes }: Route): Fault[] {
-  if (kind !== 'once' || maxBodyBytes <= MAX_ONCE_BODY_BYTES) return []
-  return [makeFault('once_body_too_large', 'bodies of once routes are held in memory', {
-    path: ['routes', name, 'maxBodyBytes'], expected: `at most ${MAX_ONCE_BODY_BYTES}`, found: String(maxBodyBytes)
-  })]
-}
-
 function checkNeeds (document: Document): Fault[] {
   const faults = checkRepeats(['needs'], document.needs)
   const index = document.needs.indexOf(document.service)
--- a/src/document/schema.ts
+++ b/src/document/schema.ts
@@ -8,8 +8,6 @@
 export const MAX_BODY_BYTES = 1024 ** 3
 /** Of the canonical text. The history object of a service, 512 KiB, has to hold the newest edit whole. */
 export const MAX_DOCUMENT_BYTES = 500_000
-/** Bodies of `once` requests are held in memory until a target has responded. */
-export const MAX_ONCE_BODY_BYTES = 1024 ** 2
 export const MAX_SLOTS = 10_000
 export const MAX_ROUTE_DEADLINE_MS = 600_000
 const MAX_LABELS = 16
@@ -38,10 +36,10 @@
 export type Destination = z.infer<typeof destinationSchema>
 
 /**
- * `idempotent`: may be sent again at any time. `once`: runs at most once per idempotency key.
- * `plain`: has no key; sent again only after it was certainly not run.
+ * `idempotent`: may be sent again at any time. `plain`: runs at most once; sent again only after it
+ * was certainly not run.
  */
-export const routeKindSchema = z.enum(['idempotent', 'once', 'plain'])
+export const routeKindSchema = z.enum(['idempotent', 'plain'])
 export type RouteKind = z.infer<typeof routeKindSchema>
 
 /** Decides who is served first when slots are scarce. */
@@ -63,8 +61,6 @@
   /** Targets that one call may be sent to. Absent: as the document's `retries` say. */
   attempts: z.number().int().min(1).max(100).optional(),
   maxBodyBytes: z.number().int().min(0).max(MAX_BODY_BYTES).default(1024 * 1024),
-  /** Of a `once` route: whether callers may give the time of a key that is no UUIDv7 in `x-comfreyspoke-key-time`. */
-  keyTime: z.enum(['uuid', 'header']).default('uuid'),
   /** Destinations by name. Empty means the document's own service. */
   to: z.record(nameSchema, destinationSchema).default({})
 })
--- a/src/mesh/start.ts
+++ b/src/mesh/start.ts
@@ -12,9 +12,8 @@
 import { startServer } from '../node/http.js'
 import { HttpPort } from '../node/port.js'
 import { drainPorts } from '../node/shutdown.js'
-import { ClaimLedger } from '../once/index.js'
 import { MsgpackCodec } from '../peer/codec.js'
-import { CrashWatch, DelayPicker, isRefused, KeptBodies, LocalTargets, serveCaller, serveInbound, SharedBudgetPolicy, TimelyAdmission, UndiciExchanger } from '../request/index.js'
+import { CrashWatch, DelayPicker, isRefused, LocalTargets, serveCaller, serveInbound, SharedBudgetPolicy, TimelyAdmission, UndiciExchanger } from '../request/index.js'
 import type { Call, CallerContext, FailedAttempt, Front } from '../request/index.js'
 import type { ObjectStore } from '../store/index.js'
 import { applyConfiguration } from './commands/apply.js'
@@ -237,7 +236,7 @@
   }
 
   private makeCallerContext (): CallerContext {
-    const { settings, store, front } = this.parts
+    const { settings, front } = this.parts
     const { clock, random, metrics, state } = this
     const { suspects } = state
     const budget = { ratio: settings['retry-ratio'], extra: settings['retry-extra'], windowMs: settings['retry-window'] }
@@ -251,7 +250,6 @@
       peers: this.peerExchanger,
       picker: new DelayPicker({ host: settings.host, zone: settings.zone, region: settings.region }, clock, random),
       retry: new SharedBudgetPolicy(budget, () => state.members.size, clock),
-      once: { ledger: new ClaimLedger({ node: settings.host, store, clock, random }), bodies: new KeptBodies(), clock },
       getSnapshot: () => state.table.current,
       isReady: () => state.isReady,
       keepBytes: KEEP_BYTES,
--- a/src/node/start.ts
+++ b/src/node/start.ts
@@ -14,9 +14,8 @@
 import type { AbsenceContext, DrainAnswer, DrainRequest, PeerCredentials, PeerHandlers, Receiver } from '../peer/index.js'
 import { CountingObjectStore, HttpObjectStore } from '../store/index.js'
 import type { ObjectStore } from '../store/index.js'
-import { ClaimLedger } from '../once/index.js'
 import {
-  BudgetRetryPolicy, CrashWatch, isRefused, KeptBodies, LocalTargets, matchesSecret, OwnFront, serveCaller, serveInbound, takeToken, TokenExchanger,
+  BudgetRetryPolicy, CrashWatch, isRefused, LocalTargets, matchesSecret, OwnFront, serveCaller, serveInbound, takeToken, TokenExchanger,
   UndiciExchanger, writeFailure, ZonePicker
 } from '../request/index.js'
 import type { CallerContext, Exchanger } from '../request/index.js'
@@ -250,7 +249,6 @@
       peers: this.peerExchanger,
       picker: new ZonePicker({ zone: settings.zone, region: settings.region }, clock, random),
       retry: new BudgetRetryPolicy(clock, random),
-      once: { ledger: new ClaimLedger({ node: settings.host, store: this.countedStore, clock, random }), bodies: new KeptBodies(), clock },
       getSnapshot: () => replica.table.current,
       isReady: () => replica.ready,
       onFailure: (call, failure) => {
--- a/src/peer/codec.ts
+++ b/src/peer/codec.ts
@@ -18,7 +18,7 @@
 
 /** Field names and values that occur in documents and records; both ends must have the same text. */
 const WORDS = [
-  'idempotent', 'once', 'plain', 'critical', 'normal', 'bulk', 'maxBodyBytes', 'deadlineMs', 'methods', 'GET', 'POST',
+  'idempotent', 'plain', 'critical', 'normal', 'bulk', 'maxBodyBytes', 'deadlineMs', 'methods', 'GET', 'POST',
   'labels', 'weight', 'connections', 'slots', 'queue', 'attempts', 'budgetPercent', 'minPerSecond', 'same-first',
   'incarnation', 'sequence', 'inbound', 'region', 'targets', 'announcement', 'address', '127.0.', 'starting', 'leaving',
   'serving', 'ready', 'lost', 'members', 'records', 'acceptedAt', 'version', 'service', 'update', 'patch', 'hash', 'type'
--- a/src/request/queries/call.ts
+++ b/src/request/queries/call.ts
@@ -34,7 +34,6 @@
     hops: hops ?? 0,
     deadlineMs,
     key: readHeader(message, HEADERS.key),
-    keyTime: readHeader(message, HEADERS.keyTime),
     noRetry: message.headers[HEADERS.noRetry] !== undefined,
     bodyBytes: length === undefined ? undefined : Number(length),
     hasBody: hasBody(message)
--- a/src/request/schema.ts
+++ b/src/request/schema.ts
@@ -18,9 +18,7 @@
   objective: 'x-comfreyspoke-objective-ms',
   key: 'idempotency-key',
   fingerprint: 'x-comfreyspoke-fingerprint',
-  suspect: 'x-comfreyspoke-suspect',
-  keyTime: 'x-comfreyspoke-key-time',
-  replayed: 'x-comfreyspoke-replayed'
+  suspect: 'x-comfreyspoke-suspect'
 } as const
 
 export const MAX_HOPS = 8
@@ -37,7 +35,6 @@
   /** What the caller allows, in milliseconds; the route's own deadline caps it. */
   deadlineMs: z.number().optional(),
   key: z.string().optional(),
-  keyTime: z.string().optional(),
   /** A caller that is itself serving a retry asks for no further ones. */
   noRetry: z.boolean(),
   bodyBytes: z.number().int().optional(),
--- a/src/request/tasks/caller.ts
+++ b/src/request/tasks/caller.ts
@@ -17,14 +17,11 @@
 import { RequestScope } from '../scope.js'
 import { Attempts } from './attempts.js'
 import type { AttemptsContext } from './attempts.js'
-import { runOnce } from './once.js'
-import type { OnceContext } from './once.js'
 import type { Won } from './attempt.js'
 
 export interface CallerContext extends AttemptsContext {
   random: Random
   metrics: Metrics
-  once: OnceContext
   suspects: SuspectTable
   getSnapshot: () => Snapshot
   isReady: () => boolean
@@ -84,7 +81,6 @@
     const headers = context.inbound.front.filterRequest(message.headers)
     return await new Attempts(context, { call, resolved: resolved.val, headers, body, scope, suspect }).run()
   }
-  if (route.kind === 'once') return await runOnce(context.once, { call, route, body, signal: scope.signal }, run)
   if (call.hasBody && !await body.collect(scope.signal)) {
     scope.end()
     return Err(makeFailure('not-run', 504, 'deadline', 'the body did not come in time'))
--- a/standins/caller/load.ts
+++ b/standins/caller/load.ts
@@ -7,7 +7,7 @@
 import type { Verdict } from '../../src/core/index.js'
 import { HEADERS } from '../../src/request/index.js'
 
-export interface CallKind { service: string, method: 'GET' | 'POST' | 'PUT', path: string, once: boolean, bodyBytes: number }
+export interface CallKind { service: string, method: 'GET' | 'POST' | 'PUT', path: string, keyed: boolean, bodyBytes: number }
 
 export interface CallResult { key: string | undefined, verdict: Verdict | 'lost' | 'wrong', status: number, ms: number }
 
@@ -15,7 +15,7 @@
 
 /** `wrong` is an answer to another request, or one that is not whole. */
 export async function sendCall (node: string, kind: CallKind): Promise<CallResult> {
-  const key = kind.once ? makeUuid() : undefined
+  const key = kind.keyed ? makeUuid() : undefined
   const echo = makeUuid()
   const startedAt = performance.now()
   const finish = (verdict: CallResult['verdict'], status: number): CallResult => ({ key, verdict, status, ms: performance.now() - startedAt })
--- a/standins/demo/main.ts
+++ b/standins/demo/main.ts
@@ -28,17 +28,17 @@
 const SETTLE_MS = 2_000
 
 const MANDAP_CALLS: CallKind[] = [
-  { service: 'counter-desk', method: 'GET', path: '/availability?day=fri', once: false, bodyBytes: 0 },
-  { service: 'counter-desk', method: 'POST', path: '/bookings', once: true, bodyBytes: 200 },
-  { service: 'design-gallery', method: 'GET', path: '/designs', once: false, bodyBytes: 0 },
-  { service: 'design-gallery', method: 'PUT', path: '/photos/1', once: false, bodyBytes: 100_000 }
+  { service: 'counter-desk', method: 'GET', path: '/availability?day=fri', keyed: false, bodyBytes: 0 },
+  { service: 'counter-desk', method: 'POST', path: '/bookings', keyed: true, bodyBytes: 200 },
+  { service: 'design-gallery', method: 'GET', path: '/designs', keyed: false, bodyBytes: 0 },
+  { service: 'design-gallery', method: 'PUT', path: '/photos/1', keyed: false, bodyBytes: 100_000 }
 ]
 
 const KAMISORI_CALLS: CallKind[] = [
-  { service: 'booking', method: 'GET', path: '/calendar?week=12', once: false, bodyBytes: 0 },
-  { service: 'booking', method: 'POST', path: '/bookings', once: true, bodyBytes: 200 },
-  { service: 'gallery', method: 'GET', path: '/history', once: false, bodyBytes: 0 },
-  { service: 'gallery', method: 'PUT', path: '/photos/1', once: false, bodyBytes: 100_000 }
+  { service: 'booking', method: 'GET', path: '/calendar?week=12', keyed: false, bodyBytes: 0 },
+  { service: 'booking', method: 'POST', path: '/bookings', keyed: true, bodyBytes: 200 },
+  { service: 'gallery', method: 'GET', path: '/history', keyed: false, bodyBytes: 0 },
+  { service: 'gallery', method: 'PUT', path: '/photos/1', keyed: false, bodyBytes: 100_000 }
 ]
 
 const isKamisori = process.argv.includes('--kamisori')
