--- /dev/null
+++ b/src/configuration/documents.ts
@@ -0,0 +1,102 @@
+/**
+ * The documents that operators put in the store with the tool, as a source of the configuration.
+ * What was written past the tool may be anything: an object without a valid document is refused
+ * whole, and the last good version from the history takes its place. The version of the whole follows
+ * the store's revision.
+ */
+import { Err, Ok } from '../core/index.js'
+import type { Clock, Result } from '../core/index.js'
+import { convertObject, findGoodEntry, readPastEdits } from '../document/index.js'
+import type { Entry } from '../snapshot/index.js'
+import type { ObjectStore, StoredObject, StoreFault, WatchEvent } from '../store/index.js'
+import type { Configuration, Refusal } from './schema.js'
+import { ConfigurationSource } from './source.js'
+import type { Sighting, Watched } from './source.js'
+
+/** A connection that has gone silent looks like a store without edits, so each watch is opened anew after this time. */
+const WATCH_MS = 2_000
+const MAX_REASON_CHARACTERS = 300
+
+export class DocumentSource extends ConfigurationSource {
+  private readonly entries = new Map<string, Entry>()
+  private readonly refused = new Map<string, Refusal>()
+
+  constructor (private readonly store: ObjectStore, private readonly clock: Clock) {
+    super()
+  }
+
+  override async read (): Promise<Result<{ sighting: Sighting, revision: number }, StoreFault>> {
+    const listed = await this.store.queries.list('service')
+    if (listed.err) return listed
+    const { revision, objects } = listed.val
+    const taken = await this.takeObjects(objects)
+    return taken.err ? taken : Ok({ sighting: this.makeSighting(revision), revision })
+  }
+
+  override async watch (revision: number, signal: AbortSignal): Promise<Result<Watched, StoreFault>> {
+    const end = new AbortController()
+    const ended = AbortSignal.any([signal, end.signal])
+    void this.clock.sleep(WATCH_MS, ended).then(() => { end.abort() })
+    const events: WatchEvent[] = []
+    for await (const event of this.store.queries.watch('service', revision, ended)) {
+      end.abort()
+      if (event.err) return event
+      events.push(event.val)
+    }
+    return await this.takeEvents(events, revision)
+  }
+
+  /** An object that was removed past the tool changes nothing: the version held stays in force. */
+  private async takeEvents (events: readonly WatchEvent[], from: number): Promise<Result<Watched, StoreFault>> {
+    const last = events.at(-1)
+    if (last === undefined) return Ok({ sightings: [], revision: from })
+    const taken = await this.takeObjects(events.filter(({ removed }) => !removed).map(({ object }) => object))
+    return taken.err ? taken : Ok({ sightings: [this.makeSighting(last.revision)], revision: last.revision })
+  }
+
+  /** Revisions begin at 0, versions above it. */
+  private makeSighting (revision: number): Sighting {
+    const configuration: Configuration = {
+      version: revision + 1, entries: [...this.entries.values()], replacesAll: false, refused: [...this.refused.values()]
+    }
+    return { kind: 'configuration', configuration }
+  }
+
+  /** Fails only when the history of a refused object cannot be read. */
+  private async takeObjects (objects: readonly StoredObject[]): Promise<Result<undefined, StoreFault>> {
+    for (const object of objects) {
+      const entry = await this.readObject(object)
+      if (entry.err) return entry
+      if (entry.val !== undefined) this.takeEntry(entry.val)
+    }
+    return Ok(undefined)
+  }
+
+  private takeEntry (entry: Entry): void {
+    if ((this.entries.get(entry.service)?.version ?? 0) < entry.version) this.entries.set(entry.service, entry)
+  }
+
+  private async readObject (object: StoredObject): Promise<Result<Entry | undefined, StoreFault>> {
+    const { name, version } = object
+    const converted = convertObject(object)
+    if (converted.ok) {
+      if ((this.refused.get(name)?.version ?? 0) <= version) this.refused.delete(name)
+      return Ok(converted.val)
+    }
+    this.noteRefusal(object, converted.val)
+    return await this.findLastGood(object)
+  }
+
+  private noteRefusal ({ name, version }: StoredObject, reason: string): void {
+    const known = Math.max(this.refused.get(name)?.version ?? 0, this.entries.get(name)?.version ?? 0)
+    if (known < version) this.refused.set(name, { service: name, version, reason: reason.slice(0, MAX_REASON_CHARACTERS) })
+  }
+
+  /** The last good version may never have been seen here, since a list shows only the newest. */
+  private async findLastGood ({ name, version }: StoredObject): Promise<Result<Entry | undefined, StoreFault>> {
+    if ((this.entries.get(name)?.version ?? 0) > version) return Ok(undefined)
+    const history = await readPastEdits(this.store, name)
+    if (history.err) return Err({ code: 'unreachable', message: history.val.message })
+    return Ok(findGoodEntry(name, version, history.val))
+  }
+}
--- a/src/configuration/queries/entries.ts
+++ b/src/configuration/queries/entries.ts
@@ -4,13 +4,10 @@
 import type { Entry } from '../../snapshot/index.js'
 import type { Configuration } from '../schema.js'
 
-/** Services that the version does not have are deleted at that version. `at` is wall-clock milliseconds. */
-export function makeEntries ({ version, documents }: Configuration, held: Iterable<string>, at: number): Entry[] {
-  const hash = `configuration-${version}`
-  const present = new Set(documents.map(document => document.service))
+/** Where a version replaces all, services that it does not have are deleted at that version. */
+export function makeEntries ({ version, entries, replacesAll }: Configuration, held: Iterable<string>): Entry[] {
+  if (!replacesAll) return entries
+  const present = new Set(entries.map(entry => entry.service))
   const deleted = [...held].filter(service => !present.has(service))
-  return [
-    ...documents.map(document => ({ service: document.service, version, acceptedAt: at, hash, document })),
-    ...deleted.map(service => ({ service, version, acceptedAt: at, hash }))
-  ]
+  return [...entries, ...deleted.map(service => ({ service, version, acceptedAt: 0, hash: '' }))]
 }
--- a/src/configuration/schema.ts
+++ b/src/configuration/schema.ts
@@ -3,7 +3,7 @@
  * callers. It is applied as one; versions rise, in steps of any size.
  */
 import { z } from 'zod'
-import { documentSchema } from '../document/index.js'
+import { entrySchema } from '../snapshot/index.js'
 
 /** Bounds of what a caller may send. Times are in milliseconds, sizes in bytes. */
 export const callerLimitsSchema = z.object({
@@ -15,9 +15,16 @@
 })
 export type CallerLimits = z.infer<typeof callerLimitsSchema>
 
+/** A version of a service that is not applied; the one before it stays. */
+export const refusalSchema = z.object({ service: z.string(), version: z.number().int(), reason: z.string() })
+export type Refusal = z.infer<typeof refusalSchema>
+
 export const configurationSchema = z.object({
   version: z.number().int().positive(),
-  documents: z.array(documentSchema),
-  callerLimits: callerLimitsSchema
+  entries: z.array(entrySchema),
+  /** A service without an entry is deleted. Else what is held of it stays, and deletions are entries. */
+  replacesAll: z.boolean(),
+  callerLimits: callerLimitsSchema.optional(),
+  refused: z.array(refusalSchema).optional()
 })
 export type Configuration = z.infer<typeof configurationSchema>
--- a/src/core/hash.ts
+++ b/src/core/hash.ts
@@ -21,8 +21,3 @@
 export function hashValue (value: unknown): string {
   return hashText(formatCanonical(value))
 }
-
-/** A non-negative 32-bit number for spreading keys over shards. */
-export function hashIndex (text: string, buckets: number): number {
-  return createHash('sha256').update(text).digest().readUInt32BE(0) % buckets
-}
--- a/src/duty/queries/convert.ts
+++ b/src/document/queries/convert.ts
@@ -4,13 +4,17 @@
  */
 import { Err, Ok, formatFault, hashValue } from '../../core/index.js'
 import type { Result } from '../../core/index.js'
-import { checkDocument, parseStored } from '../../document/index.js'
-import type { PastEdit } from '../../document/index.js'
 import type { StoredObject } from '../../store/index.js'
-import type { Entry } from '../../snapshot/index.js'
+import type { Document } from '../schema.js'
+import type { PastEdit } from '../stored.js'
+import { checkDocument } from './check.js'
+import { parseStored } from './read.js'
+
+/** What an object says of its service at one version. Without a document the service is deleted. */
+export interface DocumentVersion { service: string, version: number, acceptedAt: number, hash: string, document?: Document }
 
 /** The error is the reason why the object is refused. */
-export function convertObject (object: StoredObject): Result<Entry, string> {
+export function convertObject (object: StoredObject): Result<DocumentVersion, string> {
   const stored = parseStored(object)
   if (stored.err) return Err(stored.val.message)
   const { edit, version } = stored.val
@@ -18,7 +22,7 @@
   return converted.ok ? Ok({ ...converted.val, acceptedAt: edit.fencedAt ?? edit.acceptedAt }) : converted
 }
 
-export function convertEdit (service: string, { version, acceptedAt, document: value, deleted }: PastEdit): Result<Entry, string> {
+export function convertEdit (service: string, { version, acceptedAt, document: value, deleted }: PastEdit): Result<DocumentVersion, string> {
   if (deleted) return Ok({ service, version, acceptedAt, hash: '' })
   const document = checkDocument(value)
   if (document.err) return Err(document.val.map(formatFault).join('; '))
@@ -27,7 +31,7 @@
 }
 
 /** The newest version below a refused one that a node could take. */
-export function findGoodEntry (service: string, below: number, history: readonly PastEdit[]): Entry | undefined {
+export function findGoodEntry (service: string, below: number, history: readonly PastEdit[]): DocumentVersion | undefined {
   const older = history.filter(past => past.version < below).sort((left, right) => right.version - left.version)
   for (const past of older) {
     const converted = convertEdit(service, past)
--- a/src/membership/own.ts
+++ b/src/membership/own.ts
@@ -73,8 +73,7 @@
       incarnation: this.incarnation,
       sequence: this.sequence,
       state: this.leaving ? 'leaving' : 'serving',
-      targets: [...this.heard.values()].map(one => one.announcement),
-      lost: false
+      targets: [...this.heard.values()].map(one => one.announcement)
     }
     return this.made
   }
--- a/src/membership/queries/order.ts
+++ b/src/membership/queries/order.ts
@@ -1,6 +1,6 @@
 /**
- * Order of two records of one host. `lost` and `gone` are overlays: each outranks the record it
- * was put on, and any later record of the owner outranks both.
+ * Order of two records of one host. `gone` is an overlay: it outranks the record it was put on, and
+ * any later record of the owner outranks it.
  */
 import { formatCanonical } from '../../core/index.js'
 import type { HostRecord, Stamp } from '../schema.js'
@@ -24,9 +24,8 @@
   return getOverlayRank(left) - getOverlayRank(right)
 }
 
-function getOverlayRank ({ lost, gone }: Stamp): number {
-  if (gone === true) return 2
-  return lost ? 1 : 0
+function getOverlayRank ({ gone }: Stamp): number {
+  return gone === true ? 1 : 0
 }
 
 /** The stamp as text, equal exactly for records that rank the same. */
--- a/src/membership/queries/targets.ts
+++ b/src/membership/queries/targets.ts
@@ -15,7 +15,6 @@
     slots: one.slots,
     connections: one.connections,
     labels: one.labels,
-    state: record.state === 'leaving' ? 'leaving' : one.state,
-    lost: record.lost
+    state: record.state === 'leaving' ? 'leaving' : one.state
   }))
 }
--- a/src/membership/schema.ts
+++ b/src/membership/schema.ts
@@ -32,15 +32,13 @@
   sequence: z.number().int(),
   state: z.enum(['serving', 'leaving']),
   targets: z.array(announcementSchema),
-  /** Set by the node that saw the host go silent; any later record of the owner clears it. */
-  lost: z.boolean().default(false),
-  /** Set by the relay of the host's zone when the host had been lost for REMOVE_AFTER_MS. */
+  /** Set by a node that could not reach the host for REMOVE_AFTER_MS; any later record of the owner clears it. */
   gone: z.literal(true).optional()
 })
 export type HostRecord = z.infer<typeof hostRecordSchema>
 
 /** What orders the records of one host. */
-export type Stamp = Pick<HostRecord, 'incarnation' | 'sequence' | 'lost'> & { gone?: true | undefined }
+export type Stamp = Pick<HostRecord, 'incarnation' | 'sequence'> & { gone?: true | undefined }
 
 /** A target as routing sees it. */
 export interface Target {
@@ -55,5 +53,4 @@
   readonly connections: number
   readonly labels: Readonly<Record<string, string>>
   readonly state: TargetState
-  readonly lost: boolean
 }
--- a/src/membership/table.ts
+++ b/src/membership/table.ts
@@ -14,7 +14,6 @@
   private readonly records = new Map<string, HostRecord>()
   /** Kept for a while, so that a node that was cut off cannot bring a removed record back. */
   private readonly removed = new Map<string, Removed>()
-  private readonly lostSince = new Map<string, number>()
   private readonly byService = new Map<string, Map<string, readonly Target[]>>()
   private index: ReadonlyMap<string, readonly Target[]> = new Map()
 
@@ -35,11 +34,6 @@
     return [...this.removed.values()]
   }
 
-  /** Hosts that are marked lost, with the local monotonic time at which this node learned of it. */
-  listLost (): Array<{ host: string, at: number }> {
-    return [...this.lostSince].map(([host, at]) => ({ host, at }))
-  }
-
   get size (): number {
     return this.records.size
   }
@@ -66,15 +60,12 @@
     if (record.gone === true) {
       this.records.delete(host)
       this.digests.remove(host)
-      this.lostSince.delete(host)
       this.removed.set(host, { record, at })
       return
     }
     this.removed.delete(host)
     this.records.set(host, record)
     this.digests.replace(record)
-    if (!record.lost) this.lostSince.delete(host)
-    else if (!this.lostSince.has(host)) this.lostSince.set(host, at)
     this.setTargets(record, changed)
   }
 
--- a/src/node/command.ts
+++ b/src/node/command.ts
@@ -1,21 +1,45 @@
 /**
- * The command line of the node program.
+ * The node program with the project's own interface: documents from the store, announcements of
+ * targets on the local port.
  */
 import { defineCommand } from 'citty'
 import type { ArgsDef, CommandDef } from 'citty'
+import { z } from 'zod'
+import { DocumentSource } from '../configuration/index.js'
+import { formatVariable, readSettings, SystemClock } from '../core/index.js'
+import { ANNOUNCE_TIMEOUT_MS } from '../membership/index.js'
 import { loadCredentials } from '../peer/index.js'
-import type { Dialer } from '../peer/index.js'
-import { formatVariable, nodeSettingsSchema, readSettings } from './settings.js'
+import type { Dialer, PeerCredentials } from '../peer/index.js'
+import { BudgetRetryPolicy, OpenAdmission, OwnFront, ZonePicker } from '../request/index.js'
+import { HttpObjectStore } from '../store/index.js'
+import { startServer } from './http.js'
+import { addressSchema, nodeSettingsSchema } from './settings.js'
 import { Node } from './start.js'
+import type { Policies } from './start.js'
+import { serveLocal } from './tasks/local.js'
+
+export const ownSettingsSchema = nodeSettingsSchema.extend({
+  platform: z.url().describe('URL of the platform\'s object API'),
+  local: addressSchema.default('127.0.0.1:7403').describe('address for announcements of this host\'s targets'),
+  'drain-timeout': z.coerce.number().int().min(0).max(600_000).default(30_000).describe('longest wait for requests in flight at shutdown, ms'),
+  'operator-token': z.string().optional().describe('secret that operators\' commands must carry'),
+  'peer-token': z.string().optional().describe('secret that nodes show each other on the inbound port'),
+  'tls-ca': z.string().optional().describe('PEM file of the authority of all nodes\' and operators\' certificates'),
+  'tls-cert': z.string().optional().describe('PEM file of this node\'s certificate'),
+  'tls-key': z.string().optional().describe('PEM file of this node\'s private key')
+})
+export type OwnSettings = z.infer<typeof ownSettingsSchema>
 
 /** Exit codes of the node program; 0 means that every request in flight ended. */
 const EXIT = { failed: 1, badSetting: 2, cut: 3 } as const
+/** Below the 5 s after which servers of Node.js close an idle connection. */
+const TARGET_IDLE_MS = 4_000
 
 function defineFlags (): ArgsDef {
   const flags: ArgsDef = {}
-  for (const [name, schema] of Object.entries(nodeSettingsSchema.shape)) {
+  for (const [name, schema] of Object.entries(ownSettingsSchema.shape)) {
     const fallback: unknown = schema.safeParse(undefined).data
-    const shown = fallback === undefined ? '' : ` (default: ${Array.isArray(fallback) ? 'none' : String(fallback)})`
+    const shown = fallback === undefined ? '' : ` (default: ${String(fallback)})`
     flags[name] = { type: 'string', description: `${schema.description ?? ''}${shown} [${formatVariable(name)}]` }
   }
   return flags
@@ -24,14 +48,14 @@
 /** `makeDialer` lets a test bench put slow links between nodes. */
 export function defineNodeCommand (makeDialer?: () => Promise<Dialer>): CommandDef {
   return defineCommand({
-    meta: { name: 'comfreyspoke-node', description: 'The node of one target host: distributes documents and carries calls.' },
+    meta: { name: 'comfreyspoke-node', description: 'The node of one target host: follows the documents and carries calls.' },
     args: defineFlags(),
     run: async ({ args }) => { await runNode(args, await makeDialer?.()) }
   })
 }
 
 async function runNode (flags: Record<string, unknown>, dialer: Dialer | undefined): Promise<void> {
-  const settings = readSettings(flags, process.env)
+  const settings = readSettings(ownSettingsSchema, { flags, env: process.env })
   if (settings.err) {
     process.stderr.write(`comfreyspoke-node: ${settings.val.message}\n`)
     process.exit(EXIT.badSetting)
@@ -41,10 +65,33 @@
     process.stderr.write(`comfreyspoke-node: ${credentials.val.message}\n`)
     process.exit(EXIT.badSetting)
   }
-  const node = new Node(settings.val, credentials.val, dialer)
+  const node = await startOwnNode(settings.val, credentials.val, dialer)
   for (const signal of ['SIGTERM', 'SIGINT'] as const) {
     // Stays installed: without a listener a second signal would end the process in the middle of its drain.
     process.on(signal, () => { node.stop().then(result => { process.exit(result === 'cut' ? EXIT.cut : 0) }, () => { process.exit(EXIT.failed) }) })
   }
+}
+
+export async function startOwnNode (settings: OwnSettings, credentials: PeerCredentials, dialer?: Dialer): Promise<Node> {
+  const store = new HttpObjectStore(settings.platform)
+  const { zone, region } = settings
+  const node = new Node({
+    settings,
+    times: { silenceMs: ANNOUNCE_TIMEOUT_MS, drainMs: settings['drain-timeout'] },
+    store,
+    source: new DocumentSource(store, new SystemClock()),
+    front: new OwnFront(),
+    makePolicies: (clock, random): Policies => ({
+      picker: new ZonePicker({ zone, region }, clock, random),
+      retry: new BudgetRetryPolicy(clock, random),
+      admission: new OpenAdmission(),
+      holdBytes: 0,
+      targetIdleMs: TARGET_IDLE_MS
+    }),
+    access: { credentials, peerToken: settings['peer-token'], operatorToken: settings['operator-token'], ...dialer === undefined ? {} : { dialer } }
+  })
   await node.start()
+  const local = { announce: node.announceTarget.bind(node), isLeaving: () => node.isLeaving }
+  await startServer(settings.local, async (message, response) => { await serveLocal(local, message, response) })
+  return node
 }
--- a/src/mesh/commands/take.ts
+++ b/src/node/commands/take.ts
@@ -1,31 +1,30 @@
 /**
- * Takes host records that other nodes made, and puts their targets in force.
+ * Takes host records, and puts their targets in force.
  */
 import type { Clock } from '../../core/index.js'
 import { compareRecords, mergeRecords } from '../../membership/index.js'
 import type { HostRecord } from '../../membership/index.js'
 import { replaceTargets } from '../../snapshot/index.js'
-import type { MeshState } from '../state.js'
+import type { NodeState, TakenRecords } from '../state.js'
 
-/** Gives the records that were new. Of its own host a node takes no other record, and answers one that outranks its own. */
-export function takeRecords (state: MeshState, records: readonly HostRecord[], clock: Clock): HostRecord[] {
+/** Of its own host a node takes no record that another made; one that outranks its own is a challenge. */
+export function takeRecords (state: NodeState, { records, from }: TakenRecords, clock: Clock): void {
   const { own, identity } = state
   const others = records.filter(({ host }) => host !== identity.host)
   for (const record of records) {
     if (record.host === identity.host && (own.newest === undefined || compareRecords(record, own.newest) > 0)) state.challenges.emit(record)
   }
-  return mergeTaken(state, others, clock)
+  mergeTaken(state, others, clock, from)
 }
 
 /** Spreads a record that this node made. */
-export function announceRecord (state: MeshState, record: HostRecord, clock: Clock): void {
-  mergeTaken(state, [record], clock)
+export function announceRecord (state: NodeState, record: HostRecord, clock: Clock): void {
+  mergeTaken(state, [record], clock, undefined)
 }
 
-function mergeTaken (state: MeshState, records: readonly HostRecord[], clock: Clock): HostRecord[] {
+function mergeTaken (state: NodeState, records: readonly HostRecord[], clock: Clock, from: string | undefined): void {
   const taken = mergeRecords(state.members, records, clock.monotonic())
-  if (taken.length === 0) return taken
+  if (taken.length === 0) return
   replaceTargets(state.table, state.members.targets)
-  state.records.emit(taken)
-  return taken
+  state.taken.emit(from === undefined ? { records: taken } : { records: taken, from })
 }
--- a/src/node/index.ts
+++ b/src/node/index.ts
@@ -1,8 +1,10 @@
 /**
- * One node process.
+ * One node process, assembled from its parts, and the node program with the project's own interface.
  */
 export { Node } from './start.js'
-export { defineNodeCommand } from './command.js'
-export { ENV_PREFIX, formatVariable, nodeSettingsSchema, readSettings } from './settings.js'
-export type { NodeSettings } from './settings.js'
-export { splitAddress, startServer, writeJson } from './http.js'
+export type { Access, NodeParts, Policies, StopResult } from './start.js'
+export { addressSchema, nodeSettingsSchema } from './settings.js'
+export type { NodeSettings, NodeTimes } from './settings.js'
+export { defineNodeCommand, ownSettingsSchema, startOwnNode } from './command.js'
+export type { OwnSettings } from './command.js'
+export { startServer, writeJson } from './http.js'
--- /dev/null
+++ b/src/node/journal.ts
@@ -0,0 +1,115 @@
+/**
+ * What a node writes down of itself: lines of the log, events of the time line and metrics, for the
+ * decisions on requests and the changes of what it believes.
+ */
+import type { Configuration } from '../configuration/index.js'
+import { JsonDecisionLog } from '../core/index.js'
+import type { Clock, DecisionLog, Failure } from '../core/index.js'
+import type { Announcement, Heard, HostRecord } from '../membership/index.js'
+import { Metrics } from '../metrics/index.js'
+import type { Call, FailedAttempt } from '../request/index.js'
+import type { Entry } from '../snapshot/index.js'
+import { EventRing, Recorder } from '../timeline/index.js'
+import type { EventDetail } from '../timeline/index.js'
+import type { Application } from './commands/apply.js'
+import type { NodeState } from './state.js'
+
+export class Journal {
+  readonly log: DecisionLog
+  readonly metrics = new Metrics()
+  readonly ring = new EventRing()
+  readonly recorder: Recorder
+  private hasApplied = false
+
+  constructor (private readonly state: NodeState, private readonly clock: Clock) {
+    const { host, zone } = state.identity
+    this.log = new JsonDecisionLog(host, clock)
+    this.recorder = new Recorder(this.ring, state.time, host, zone)
+  }
+
+  noteStart (): void {
+    const { zone, region } = this.state.identity
+    this.log.note('change', 'node_started', { zone, region, pid: process.pid })
+    this.recorder.record('node-started', `zone ${zone}`)
+  }
+
+  noteStopping (inFlight: number, drainMs: number): void {
+    this.log.note('change', 'node_stopping', { inFlight, drainMs })
+    this.recorder.record('node-stopping', 'draining')
+  }
+
+  noteSource (isAnswering: boolean): void {
+    if (isAnswering) this.recorder.record('source-back', 'the store answers')
+    else this.recorder.record('source-lost', 'the store does not answer')
+  }
+
+  noteConfiguration ({ version, entries }: Configuration, { staged, applied, held }: Application, from: string): void {
+    this.log.note('change', 'configuration_applied', { version, from, services: entries.length, changed: applied.length, held: held.length })
+    for (const entry of staged) this.recorder.record('document-staged', `from ${from}`, getDetail(entry))
+    for (const entry of applied) {
+      this.recorder.record('document-applied', 'in force', getDetail(entry))
+      // What a starting node takes first was accepted before it was there to apply it.
+      if (entry.acceptedAt > 0 && this.hasApplied) this.metrics.observe('convergence_ms', this.clock.now() - entry.acceptedAt)
+    }
+    this.hasApplied = true
+    for (const entry of held.filter(one => staged.includes(one))) {
+      this.recorder.record('document-held', 'it refers to a service that is not here', getDetail(entry))
+    }
+  }
+
+  noteFaulty (reason: string): void {
+    this.log.note('change', 'configuration_faulty', { reason, kept: this.state.version })
+    this.recorder.record('document-refused', reason)
+  }
+
+  noteHeard (target: string, state: string, { as, record }: Heard): void {
+    if (record === undefined && as === 'taken') return
+    this.log.note('change', 'target_heard', { target, state, as, sequence: record?.sequence })
+    if (record !== undefined) this.recorder.record(state === 'ready' ? 'target-joined' : 'target-leaving', target, { host: record.host })
+  }
+
+  noteSilent ({ target, service }: Announcement, silenceMs: number): void {
+    this.log.note('change', 'target_silent', { target, silenceMs })
+    this.recorder.record('target-gone', target, { service, host: this.state.identity.host })
+  }
+
+  noteOutranked ({ incarnation, sequence, gone, peer }: HostRecord): void {
+    this.log.note('change', 'own_record_outranked', { incarnation, sequence, gone: gone ?? false, peer })
+    this.recorder.record('target-joined', 'announced again: another record of this host was ahead', { host: this.state.identity.host })
+  }
+
+  noteAttempt ({ call, service, target, number, failure, decision, leftMs }: FailedAttempt): void {
+    this.log.note('detail', 'attempt_failed', {
+      request: call.request,
+      service,
+      target: target.id,
+      attempt: number,
+      verdict: failure.verdict,
+      code: failure.code,
+      reached: failure.reached ?? false,
+      message: failure.message,
+      leftMs: Math.round(leftMs),
+      next: typeof decision === 'number' ? 'another target' : decision
+    })
+  }
+
+  noteFailure (call: Call, { verdict, code, message, status, retryAfterMs }: Failure): void {
+    this.recorder.record('call-failed', `${verdict} ${code}: ${message}`, { service: call.service, request: call.request })
+    this.log.note('failure', 'request_failed', {
+      request: call.request,
+      method: call.method,
+      path: call.path,
+      verdict,
+      code,
+      status,
+      message,
+      retryAfterMs,
+      deadlineMs: call.deadlineMs,
+      version: this.state.version
+    })
+  }
+}
+
+function getDetail ({ service, version }: Entry): EventDetail {
+  return { service, version }
+}
--- /dev/null
+++ b/src/node/queries/status.ts
@@ -0,0 +1,21 @@
+/**
+ * What a node reports of itself to the operator's tool.
+ */
+import type { StatusAnswer } from '../../peer/index.js'
+import type { NodeState } from '../state.js'
+
+export function makeStatus (state: NodeState): StatusAnswer {
+  const { identity, table } = state
+  const inForce = [...table.current.entries.values()]
+  return {
+    node: identity.host,
+    zone: identity.zone,
+    region: identity.region,
+    ready: state.isReady,
+    source: state.hasSource,
+    version: state.version,
+    versions: Object.fromEntries(inForce.map(({ service, version }) => [service, version])),
+    refused: [...state.refused],
+    records: [...state.members.list()]
+  }
+}
--- a/src/node/shutdown.ts
+++ b/src/node/shutdown.ts
@@ -5,7 +5,7 @@
 import type { HttpPort } from './port.js'
 
 /** Time after which no reachable node picks a target of a host that announced leaving. */
-export const SPREAD_MS = 3_000
+export const SPREAD_MS = 2_500
 
 export interface DrainedPorts { caller: HttpPort, inbound: HttpPort, clock: Clock }
 
--- a/src/node/start.ts
+++ b/src/node/start.ts
@@ -1,266 +1,323 @@
 /**
- * Assembles one node from its settings: state, servers and tasks.
+ * Assembles one node: state, ports and tasks. The store, the source of the configuration, the front
+ * and the policies come from outside, so that the node knows no platform.
  */
-import type { IncomingMessage, Server as HttpServer, ServerResponse } from 'node:http'
-import type { Server as PeerServer } from '@grpc/grpc-js'
-import { createLogger, makeFailure, SystemClock, SystemRandom } from '../core/index.js'
-import type { LogFactory } from '../core/index.js'
-import { leaveHost } from '../membership/index.js'
-import { Metrics } from '../metrics/index.js'
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Configuration, ConfigurationSource, Sighting } from '../configuration/index.js'
+import { makeFailure, SystemClock, SystemRandom } from '../core/index.js'
+import { announceTarget, answerRecord, leaveHost, TargetLives } from '../membership/index.js'
+import type { Announcement, Heard, Heartbeat, HostRecord } from '../membership/index.js'
+import { ControlMeter, Dialer, MsgpackCodec, PeerClient, startPeerServer } from '../peer/index.js'
+import type { DrainAnswer, DrainRequest, PeerCredentials, PeerHandlers } from '../peer/index.js'
 import {
-  awaitReturn, ControlMeter, Dialer, makeFetchAnswer, makeStatus, MsgpackCodec, PeerClient, receiveRecords, Replica, serveSubscriber, startPeerServer,
-  SubscriberRegistry
-} from '../peer/index.js'
-import type { AbsenceContext, DrainAnswer, DrainRequest, PeerCredentials, PeerHandlers, Receiver } from '../peer/index.js'
-import { CountingObjectStore, HttpObjectStore } from '../store/index.js'
-import type { ObjectStore } from '../store/index.js'
-import {
-  BudgetRetryPolicy, CrashWatch, isRefused, LocalTargets, matchesSecret, OwnFront, serveCaller, serveInbound, takeToken, TokenExchanger,
-  UndiciExchanger, writeFailure, ZonePicker
+  CrashWatch, isRefused, LocalTargets, matchesSecret, serveCaller, serveInbound, takeToken, TokenExchanger, UndiciExchanger, writeFailure
 } from '../request/index.js'
-import type { CallerContext, Exchanger } from '../request/index.js'
-import { EventRing, filterEvents, Recorder } from '../timeline/index.js'
+import type { Admission, CallerContext, Exchanger, Front, Picker, RetryPolicy } from '../request/index.js'
+import { CountingObjectStore } from '../store/index.js'
+import type { ObjectStore } from '../store/index.js'
+import { filterEvents } from '../timeline/index.js'
+import { applyConfiguration } from './commands/apply.js'
+import { announceRecord } from './commands/take.js'
 import { startServer } from './http.js'
+import { Journal } from './journal.js'
 import { HttpPort } from './port.js'
-import type { NodeSettings } from './settings.js'
+import { makeStatus } from './queries/status.js'
+import type { NodeSettings, NodeTimes } from './settings.js'
 import { drainPorts, SPREAD_MS } from './shutdown.js'
+import { NodeState } from './state.js'
 import { serveAdmin } from './tasks/admin.js'
-import { fetchState } from './tasks/fetch.js'
-import { Follower } from './tasks/follow.js'
-import { recordChanges } from './tasks/observe.js'
-import { expireSilent, serveLocal } from './tasks/local.js'
-import { answerChallenges, pruneMembers } from './tasks/members.js'
+import { followConfiguration } from './tasks/configuration.js'
+import { Directory } from './tasks/directory.js'
+import { expireSilent } from './tasks/expire.js'
+import { observeHosts } from './tasks/observe.js'
+import { Peers } from './tasks/peers.js'
 
 const TARGET_CONNECTIONS = 130
 const PEER_CONNECTIONS = 256
-/** Releasing a duty takes two calls to the platform; one that does not answer must not hold up the exit. */
-const RELEASE_LIMIT_MS = 2_000
+const PEER_IDLE_MS = 10_000
+/** Above the time after which peers close a connection themselves, so that no request crosses its end. */
+const INBOUND_IDLE_MS = 60_000
+const INBOUND_HEAD_MS = 10_000
+/** Two nodes with the same host name outrank each other for ever; this bounds what that costs the fleet. */
+const CHALLENGE_MS = 500
+/** Longest wait for the removal of the own object from the store at the end. */
+const REMOVE_LIMIT_MS = 200
+
+/** How requests are carried. */
+export interface Policies {
+  picker: Picker
+  retry: RetryPolicy
+  admission: Admission
+  /** Bodies up to so many bytes are read whole before a target is chosen. Absent: those of a known, short length. */
+  keepBytes?: number
+  /** Answers up to so many bytes are passed on only when they are whole. */
+  holdBytes: number
+  /** An idle connection to a target is closed after this time. */
+  targetIdleMs: number
+}
+
+/** What the rest of the fleet shows to this node and this node to it. */
+export interface Access { credentials?: PeerCredentials, dialer?: Dialer, peerToken?: string | undefined, operatorToken?: string | undefined }
 
-/** `cut` when the drain timeout passed with requests in flight. */
+export interface NodeParts {
+  settings: NodeSettings
+  times: NodeTimes
+  store: ObjectStore
+  source: ConfigurationSource
+  front: Front
+  /** `countNodes`: how many nodes the fleet has, as far as this one knows. */
+  makePolicies: (clock: SystemClock, random: SystemRandom, countNodes: () => number) => Policies
+  access?: Access
+}
+
+/** `cut` when requests were still in flight after the drain time. */
 export type StopResult = 'whole' | 'cut'
 
 export class Node {
-  readonly metrics = new Metrics()
-  readonly ring = new EventRing()
+  readonly journal: Journal
   private readonly clock = new SystemClock()
   private readonly random = new SystemRandom()
-  private readonly createLog: LogFactory
-  private readonly recorder: Recorder
-  private readonly replica: Replica
-  private readonly receiver: Receiver
-  private readonly registry: SubscriberRegistry
-  private readonly store: HttpObjectStore
-  private readonly client: PeerClient
-  private readonly targetExchanger = new UndiciExchanger(TARGET_CONNECTIONS)
-  private readonly peerExchanger: Exchanger
+  private readonly state: NodeState
+  private readonly lives: TargetLives
+  private readonly policies: Policies
   private readonly local: LocalTargets
   private readonly crashes: CrashWatch
-  private readonly countedStore: ObjectStore
-  private readonly stopped = new AbortController()
+  private readonly meter: ControlMeter
+  private readonly client: PeerClient
+  private readonly peers: Peers
+  private readonly directory: Directory
+  private readonly targetExchanger: UndiciExchanger
+  private readonly peerExchanger: Exchanger
   private readonly callerPort: HttpPort
   private readonly inboundPort: HttpPort
-  private readonly meter: ControlMeter
-  private readonly https: HttpServer[] = []
-  private peerServer: PeerServer | undefined
-  private following: Promise<void> = Promise.resolve()
+  private readonly stopped = new AbortController()
+  private times: NodeTimes
+  private answeredAt = -Infinity
   private leftAt: number | undefined
   private stopping: Promise<StopResult> | undefined
 
-  constructor (private readonly settings: NodeSettings, private readonly credentials: PeerCredentials, dialer: Dialer = new Dialer()) {
-    this.createLog = prefix => createLogger(prefix, settings['log-level'])
-    this.replica = new Replica({
-      host: settings.host,
-      zone: settings.zone,
-      region: settings.region,
-      inbound: settings.inbound,
-      peer: settings.peer,
-      admin: settings.admin,
-      incarnation: this.clock.now()
-    }, this.clock)
-    this.recorder = new Recorder(this.ring, this.replica.time, settings.host, settings.zone)
-    this.crashes = new CrashWatch(settings.host, this.replica.suspects, isRefused)
-    this.receiver = {
-      replica: this.replica,
-      clock: this.clock,
-      onApplied: entry => { this.noteApplied(entry) },
-      onHeld: ({ service, version }, reason) => { this.recorder.record('document-held', reason, { service, version }) }
-    }
-    this.registry = new SubscriberRegistry({ fanOut: settings['fan-out'], perSecond: settings['admit-per-second'] }, this.clock)
-    this.store = new HttpObjectStore(settings.platform)
-    this.countedStore = new CountingObjectStore(this.store, (call, kind) => { this.metrics.count('platform_calls_total', { call, kind }) })
+  constructor (private readonly parts: NodeParts) {
+    const { settings, access = {} } = parts
+    const { clock, random } = this
+    this.times = parts.times
+    const { host, zone, region, inbound, peer, admin } = settings
+    this.state = new NodeState({ host, zone, region, inbound, peer, admin, incarnation: clock.now() }, clock)
+    this.journal = new Journal(this.state, clock)
+    const { log, metrics } = this.journal
+    this.lives = new TargetLives(this.state.own)
+    this.policies = parts.makePolicies(clock, random, () => this.state.members.size)
+    this.local = new LocalTargets(this.state.own, () => this.state.table.current, clock, this.policies.admission)
+    this.crashes = new CrashWatch(host, this.state.suspects, isRefused)
     this.meter = new ControlMeter(new MsgpackCodec(), settings, ({ kind, link, direction, bytes }) => {
       const labels = { kind, link, direction }
-      this.metrics.count('control_messages_total', labels)
-      this.metrics.count('control_bytes_total', labels, bytes)
+      metrics.count('control_messages_total', labels)
+      metrics.count('control_bytes_total', labels, bytes)
     })
-    this.client = new PeerClient(this.meter.codec, dialer, credentials.client, [this.meter.clientInterceptor])
-    const plain = new UndiciExchanger(PEER_CONNECTIONS, address => dialer.resolve(address))
-    const token = settings['peer-token']
-    this.peerExchanger = token === undefined ? plain : new TokenExchanger(plain, token)
-    this.local = new LocalTargets(this.replica.own, () => this.replica.table.current, this.clock)
-    const callerContext = this.makeCallerContext()
-    this.callerPort = new HttpPort(async (message, response) => { await serveCaller(callerContext, message, response) })
-    this.inboundPort = new HttpPort(async (message, response) => { await this.serveNode(callerContext, message, response) })
+    const dialer = access.dialer ?? new Dialer()
+    this.client = new PeerClient(this.meter.codec, dialer, access.credentials?.client, [this.meter.clientInterceptor])
+    const onConfiguration = (configuration: Configuration, from: string): void => { this.applyVersion(configuration, from) }
+    this.peers = new Peers({ state: this.state, calls: this.client, clock, random, log, onConfiguration })
+    const store = new CountingObjectStore(parts.store, (call, kind) => { metrics.count('store_calls_total', { call, kind }) })
+    this.directory = new Directory({ state: this.state, store, clock, random, log })
+    this.targetExchanger = new UndiciExchanger(TARGET_CONNECTIONS, undefined, clock, this.policies.targetIdleMs)
+    const toPeers = new UndiciExchanger(PEER_CONNECTIONS, address => dialer.resolve(address), clock, PEER_IDLE_MS)
+    this.peerExchanger = access.peerToken === undefined ? toPeers : new TokenExchanger(toPeers, access.peerToken)
+    const context = this.makeCallerContext()
+    this.callerPort = new HttpPort(async (message, response) => { await serveCaller(context, message, response) })
+    this.inboundPort = new HttpPort(async (message, response) => { await this.serveNode(context, message, response) })
   }
 
+  /** Resolves when the ports are open; the tasks run until the node stops. */
   async start (): Promise<void> {
-    const { settings, replica, receiver, clock, recorder, meter, stopped: { signal } } = this
-    recorder.record('node-started', `zone ${settings.zone}`)
-    receiveRecords(receiver, [replica.own.makeRecord()])
-    this.peerServer = await startPeerServer(settings.peer, meter.codec, this.makePeerHandlers(), this.credentials.server, [meter.serverInterceptor])
-    const memberContext = { receiver, clock, recorder, log: this.createLog('member'), crashes: this.crashes }
-    const adminContext = { replica, metrics: this.metrics, countInFlight: () => this.callerPort.inFlight.size + this.inboundPort.inFlight.size }
+    const { settings, source, access } = this.parts
+    const { clock, random, state, journal, peers, stopped: { signal } } = this
+    journal.noteStart()
+    observeHosts({ state, log: journal.log, recorder: journal.recorder }, signal)
+    state.challenges.stream.observe(record => { this.answerChallenge(record) }).catch(error => { throw error })
+    this.announce(state.own.makeRecord())
+    const onSighting = (sighting: Sighting): void => { this.noteSighting(sighting) }
+    const onSource = (isAnswering: boolean): void => {
+      state.hasSource = isAnswering
+      journal.noteSource(isAnswering)
+    }
+    const onSilent = (silent: readonly Announcement[]): void => { this.dropSilent(silent) }
+    const tasks = [
+      followConfiguration({ source, clock, random, log: journal.log, onSighting, onSource }, signal),
+      this.directory.run(signal),
+      expireSilent({ own: state.own, clock, getSilenceMs: () => this.times.silenceMs, onSilent }, signal),
+      peers.compareInTurn(signal),
+      peers.sendMarks(signal),
+      peers.removeSilent(host => { void this.directory.remove(host) }, signal)
+    ]
+    Promise.all(tasks).catch(error => { throw error })
     await this.callerPort.listen(settings.caller)
     await this.inboundPort.listen(settings.inbound)
-    this.https.push(
-      await startServer(settings.local, async (message, response) => {
-        await serveLocal(memberContext, message, response)
-        this.local.applyLimits()
-      }),
-      await startServer(settings.admin, async (message, response) => { await serveAdmin(adminContext, message, response) })
-    )
-    void expireSilent(memberContext, signal)
-    void answerChallenges(memberContext, signal)
-    void pruneMembers(memberContext, signal)
-    recordChanges(replica, recorder, signal)
-    this.following = this.followTree()
-    this.createLog('node').info(`${settings.host} in ${settings.zone} serves callers on ${settings.caller}`)
+    this.inboundPort.setTimeouts(INBOUND_HEAD_MS, INBOUND_IDLE_MS)
+    await startPeerServer(settings.peer, this.meter.codec, this.makePeerHandlers(), access?.credentials?.server, [this.meter.serverInterceptor])
+    const admin = { state, metrics: journal.metrics, countInFlight: () => this.countInFlight() }
+    await startServer(settings.admin, async (message, response) => { await serveAdmin(admin, message, response) })
+  }
+
+  /** Whether this host is to get new work from its callers. */
+  get isServing (): boolean {
+    return this.state.isReady && this.stopping === undefined
+  }
+
+  get isLeaving (): boolean {
+    return this.state.own.isLeaving
+  }
+
+  setTimes (times: NodeTimes): void {
+    this.times = times
+  }
+
+  /** A target of this host announces itself. */
+  announceTarget (announcement: Announcement): void {
+    const record = announceTarget(this.state.own, announcement, this.clock.monotonic())
+    this.takeHeard(announcement.target, announcement.state, record === undefined ? { as: 'taken' } : { as: 'taken', record })
+  }
+
+  /** A heartbeat of the target on this host, which has one target at a time. */
+  hear (heartbeat: Heartbeat): Heard {
+    return this.takeHeard(heartbeat.target, heartbeat.state, this.lives.hear(heartbeat, this.clock.monotonic()))
+  }
+
+  /** The target on this host goes. */
+  leaveTarget (target: string, startedAt: number): Heard {
+    return this.takeHeard(target, 'deregistered', this.lives.leave(target, startedAt, this.clock.monotonic()))
   }
 
-  /** Announces leaving, lets requests in flight end, releases duties. Safe to call again. */
+  /** Takes no new work, lets requests in flight end, and tells the peers. Safe to call again. */
   async stop (): Promise<StopResult> {
     this.stopping ??= this.shutDown()
     return await this.stopping
   }
 
   private async shutDown (): Promise<StopResult> {
-    const { clock, settings, callerPort: caller, inboundPort: inbound } = this
-    this.recorder.record('node-stopping', 'draining')
+    const { callerPort: caller, inboundPort: inbound, clock, journal, state } = this
+    const { drainMs } = this.times
+    journal.noteStopping(this.countInFlight(), drainMs)
     const sinceLeftMs = clock.monotonic() - this.leave()
-    const whole = await drainPorts({ caller, inbound, clock }, Math.max(0, SPREAD_MS - sinceLeftMs), settings['drain-timeout'])
-    if (!whole) this.createLog('node').warn(`drain timeout passed; cut ${caller.inFlight.size + inbound.inFlight.size} requests in flight`)
-    await this.close()
+    const whole = await drainPorts({ caller, inbound, clock }, Math.max(0, SPREAD_MS - sinceLeftMs), drainMs)
+    this.stopped.abort()
+    journal.log.note('change', 'node_stopped', { whole, inFlight: this.countInFlight() })
+    if (state.own.listHeard().length === 0) await Promise.race([this.directory.remove(state.identity.host), clock.sleep(REMOVE_LIMIT_MS)])
     return whole ? 'whole' : 'cut'
   }
 
-  /** Spreads that this host is leaving, once. Gives the monotonic time at which it began to. */
+  /** Tells the peers that this host leaves, once. Gives the monotonic time at which it began to. */
   private leave (): number {
-    const record = leaveHost(this.replica.own)
+    const record = leaveHost(this.state.own)
     if (record !== undefined) {
-      receiveRecords(this.receiver, [record])
-      this.recorder.record('target-leaving', 'the host leaves with all its targets', { host: record.host })
+      this.announce(record)
+      this.local.applyLimits()
     }
     this.leftAt ??= this.clock.monotonic()
     return this.leftAt
   }
 
-  /** Subscribers are served until the duties are released, so that one of them can claim at once. */
-  private async close (): Promise<void> {
-    this.stopped.abort()
-    const released = new AbortController()
-    await Promise.race([this.following, this.clock.sleep(RELEASE_LIMIT_MS, released.signal)])
-    released.abort()
-    this.peerServer?.forceShutdown()
-    this.client.close()
-    for (const port of [this.callerPort, this.inboundPort]) port.shut()
-    for (const server of this.https) {
-      server.close()
-      server.closeAllConnections()
+  private takeHeard (target: string, state: string, heard: Heard): Heard {
+    if (heard.record !== undefined) {
+      this.announce(heard.record)
+      this.local.applyLimits()
     }
-    await Promise.all([this.targetExchanger.close(), this.peerExchanger.close(), this.store.close()])
+    this.journal.noteHeard(target, state, heard)
+    return heard
   }
 
-  private async serveNode ({ inbound }: CallerContext, message: IncomingMessage, response: ServerResponse): Promise<void> {
-    if (takeToken(message, this.settings['peer-token'])) await serveInbound(inbound, message, response)
-    else writeFailure(response, makeFailure('not-run', 403, 'bad_token', 'wrong or missing peer token'), '')
+  private announce (record: HostRecord): void {
+    announceRecord(this.state, record, this.clock)
+    this.directory.wakeUp()
+    void this.peers.send({ records: [record] })
   }
 
-  private async followTree (): Promise<void> {
-    await fetchState(this.receiver, this.client, this.settings.peers, this.createLog('peer'))
-    await this.makeFollower().run(this.stopped.signal)
+  /** Another node holds a record of this host above its own: of an earlier process, or one that marks it as gone. */
+  private answerChallenge (seen: HostRecord): void {
+    const at = this.clock.monotonic()
+    if (at - this.answeredAt < CHALLENGE_MS) return
+    this.answeredAt = at
+    const record = answerRecord(this.state.own, seen)
+    if (record === undefined) return
+    this.journal.noteOutranked(seen)
+    this.announce(record)
   }
 
-  private makeFollower (): Follower {
-    const { receiver, registry, client, clock, random, recorder, settings } = this
-    return new Follower({
-      receiver,
-      registry,
-      open: address => client.openSubscription(address),
-      clock,
-      random,
-      recorder,
-      store: this.countedStore,
-      peerLog: this.createLog('peer'),
-      dutyLog: this.createLog('duty'),
-      bootstrap: settings.peers,
-      platformRegion: settings['platform-region'],
-      onGone: peer => { this.watchPeer(peer) }
-    })
+  private noteSighting (sighting: Sighting): void {
+    if (sighting.kind === 'configuration') this.applyVersion(sighting.configuration, 'store')
+    else if (sighting.kind === 'faulty') this.journal.noteFaulty(sighting.reason)
+  }
+
+  private applyVersion (configuration: Configuration, from: string): void {
+    const promotion = applyConfiguration(this.state, configuration)
+    if (promotion === undefined) return
+    const { callerLimits } = configuration
+    if (callerLimits !== undefined) this.callerPort.setTimeouts(callerLimits.headerTimeoutMs, callerLimits.idleTimeoutMs)
+    this.local.applyLimits()
+    this.journal.noteConfiguration(configuration, promotion, from)
   }
 
-  private makeAbsenceContext (): AbsenceContext {
-    const { receiver, registry, stopped: { signal } } = this
-    const isBack = (host: string): boolean => registry.has(host) || receiver.replica.place.path.includes(host)
-    return { receiver, isBack, log: this.createLog('peer'), signal }
+  private dropSilent (silent: readonly Announcement[]): void {
+    for (const announcement of silent) {
+      this.crashes.markCrashed(announcement.target)
+      this.journal.noteSilent(announcement, this.times.silenceMs)
+    }
+    this.announce(this.state.own.makeRecord())
+    this.local.applyLimits()
   }
 
-  /** A relay is subscribed in another zone, where nobody may mark it, so its subscribers and its successor watch for its return. */
-  private watchPeer (peer: string): void {
-    const record = this.replica.listRecords().find(one => one.peer === peer)
-    if (record !== undefined) void awaitReturn(this.makeAbsenceContext(), record.host)
+  private async serveNode ({ inbound }: CallerContext, message: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (takeToken(message, this.parts.access?.peerToken)) await serveInbound(inbound, message, response)
+    else writeFailure(response, makeFailure('not-run', 403, 'bad_token', 'wrong or missing peer token'), '')
   }
 
   private makePeerHandlers (): PeerHandlers {
-    const { replica, registry } = this
-    const publisher = { ...this.makeAbsenceContext(), registry }
     return {
-      subscribe: async call => { await serveSubscriber(publisher, call) },
-      fetch: () => makeFetchAnswer(replica),
-      status: () => makeStatus(replica),
-      timeline: ({ filter }) => ({ events: filterEvents(this.ring.list(), filter) }),
+      exchange: request => this.peers.answer(request),
+      status: () => makeStatus(this.state),
+      timeline: ({ filter }) => ({ events: filterEvents(this.journal.ring.list(), filter) }),
       drain: request => this.acceptDrain(request)
     }
   }
 
   private acceptDrain ({ token }: DrainRequest): DrainAnswer {
-    const expected = this.settings['operator-token']
+    const expected = this.parts.access?.operatorToken
     if (expected !== undefined && !matchesSecret(token, expected)) return { accepted: false, message: 'wrong or missing operator token' }
     this.leave()
-    return { accepted: true, message: `${this.settings.host} gets no new work` }
+    return { accepted: true, message: `${this.state.identity.host} gets no new work` }
   }
 
   private makeCallerContext (): CallerContext {
-    const { settings, clock, random, metrics, replica } = this
+    const { settings, front } = this.parts
+    const { clock, random, state, journal, policies } = this
+    const { suspects } = state
+    const { picker, retry, keepBytes, holdBytes } = policies
     return {
       host: settings.host,
       clock,
       random,
-      metrics,
-      inbound: {
-        local: this.local,
-        exchanger: this.targetExchanger,
-        clock,
-        crashes: this.crashes,
-        suspects: replica.suspects,
-        front: new OwnFront(),
-        holdBytes: 0
-      },
-      suspects: replica.suspects,
+      metrics: journal.metrics,
+      inbound: { local: this.local, exchanger: this.targetExchanger, clock, crashes: this.crashes, suspects, front, holdBytes },
+      suspects,
       peers: this.peerExchanger,
-      picker: new ZonePicker({ zone: settings.zone, region: settings.region }, clock, random),
-      retry: new BudgetRetryPolicy(clock, random),
-      getSnapshot: () => replica.table.current,
-      isReady: () => replica.ready,
-      onFailure: (call, failure) => {
-        this.recorder.record('call-failed', `${failure.verdict} ${failure.code}: ${failure.message}`, { service: call.service, request: call.request })
-      }
+      picker,
+      retry,
+      getSnapshot: () => state.table.current,
+      isReady: () => state.isReady,
+      ...keepBytes === undefined ? {} : { keepBytes },
+      getEndsInMs: () => this.getEndsInMs(),
+      onFailure: (call, failure) => { journal.noteFailure(call, failure) },
+      onAttemptFailed: failed => { journal.noteAttempt(failed) }
     }
   }
 
-  private noteApplied ({ service, version, acceptedAt }: { service: string, version: number, acceptedAt: number }): void {
-    this.local.applyLimits()
-    // What a starting node takes first was accepted before it was there to apply it.
-    if (this.replica.ready) this.metrics.observe('convergence_ms', this.clock.now() - acceptedAt)
-    this.recorder.record('document-applied', 'in force', { service, version })
+  /** Once callers have had time to see that this node stops. */
+  private getEndsInMs (): number | undefined {
+    if (this.stopping === undefined || this.leftAt === undefined) return undefined
+    const sinceMs = this.clock.monotonic() - this.leftAt
+    return sinceMs < SPREAD_MS ? undefined : this.times.drainMs - sinceMs
+  }
+
+  private countInFlight (): number {
+    return this.callerPort.inFlight.size + this.inboundPort.inFlight.size
   }
 }
--- a/src/mesh/state.ts
+++ b/src/node/state.ts
@@ -2,38 +2,46 @@
  * What one node holds: versions, host records, marks on requests, and its own host. Tasks share it;
  * the functions in commands/ change it.
  */
-import type { CallerLimits, Configuration } from '../configuration/index.js'
+import type { Configuration, Refusal } from '../configuration/index.js'
 import { Emitter } from '../core/index.js'
 import type { Clock } from '../core/index.js'
 import { MemberTable, OwnHost } from '../membership/index.js'
 import type { HostIdentity, HostRecord } from '../membership/index.js'
 import { SnapshotTable } from '../snapshot/index.js'
 import { SuspectTable } from '../suspect/index.js'
+import { HybridClock } from '../timeline/index.js'
 
-export class MeshState {
+/** Records that a node took, and the peer that sent them; absent for the store and for own ones. */
+export interface TakenRecords { records: readonly HostRecord[], from?: string }
+
+export class NodeState {
   readonly table = new SnapshotTable()
   readonly members = new MemberTable()
   readonly own: OwnHost
   readonly suspects: SuspectTable
-  /** Each record that was taken; own ones included. */
-  readonly records = new Emitter<readonly HostRecord[]>()
+  /** Advanced by what peers send, so that an event after a message is later than those before it. */
+  readonly time: HybridClock
+  readonly taken = new Emitter<TakenRecords>()
   /** Records of the own host that others hold and that outrank the own one. */
   readonly challenges = new Emitter<HostRecord>()
   configuration: Configuration | undefined
   /** The hosts were read from the store or from a peer at least once. */
   knowsHosts = false
+  /** Whether the source of the configuration answers this node. */
+  hasSource = true
 
   constructor (readonly identity: HostIdentity, clock: Clock) {
     this.own = new OwnHost(identity)
     this.suspects = new SuspectTable(clock)
+    this.time = new HybridClock(clock)
   }
 
   get version (): number {
     return this.configuration?.version ?? 0
   }
 
-  get callerLimits (): CallerLimits | undefined {
-    return this.configuration?.callerLimits
+  get refused (): readonly Refusal[] {
+    return this.configuration?.refused ?? []
   }
 
   /** Whether callers may be served: by a version that is the newest as far as the store or a peer said. */
--- a/src/node/tasks/admin.ts
+++ b/src/node/tasks/admin.ts
@@ -4,25 +4,25 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { formatProcess } from '../../metrics/index.js'
 import type { Metrics } from '../../metrics/index.js'
-import type { Replica } from '../../peer/index.js'
 import { writeJson } from '../http.js'
+import type { NodeState } from '../state.js'
 
 /** `countInFlight` gives the requests that this node serves as first and last node. */
-export interface AdminContext { replica: Replica, metrics: Metrics, countInFlight: () => number }
+export interface AdminContext { state: NodeState, metrics: Metrics, countInFlight: () => number }
 
 export async function serveAdmin (context: AdminContext, message: IncomingMessage, response: ServerResponse): Promise<void> {
-  const { replica, metrics } = context
+  const { state, metrics, countInFlight } = context
   switch (message.url) {
     case '/healthz':
       writeJson(response, 200, { status: 'ok' })
       return
     case '/readyz':
-      writeJson(response, replica.ready && !replica.own.isLeaving ? 200 : 503, {
-        ready: replica.ready,
-        leaving: replica.own.isLeaving,
-        inFlight: context.countInFlight(),
-        upstream: replica.place.upstream,
-        duties: [...replica.duties]
+      writeJson(response, state.isReady && !state.own.isLeaving ? 200 : 503, {
+        ready: state.isReady,
+        leaving: state.own.isLeaving,
+        inFlight: countInFlight(),
+        version: state.version,
+        source: state.hasSource
       })
       return
     case '/metrics':
--- a/src/mesh/tasks/configuration.ts
+++ b/src/node/tasks/configuration.ts
@@ -64,6 +64,5 @@
 
 async function watchOnce (source: ConfigurationSource, from: number, signal: AbortSignal): Promise<Step> {
   const watched = await source.watch(from, signal)
-  if (watched.err) return { sightings: [], revision: from, fault: watched.val }
-  return watched.val
+  return watched.ok ? watched.val : { sightings: [], revision: from, fault: watched.val }
 }
--- a/src/mesh/tasks/directory.ts
+++ b/src/node/tasks/directory.ts
@@ -9,17 +9,23 @@
 import type { HostRecord } from '../../membership/index.js'
 import type { ObjectStore, StoredObject, StoreFault } from '../../store/index.js'
 import { takeRecords } from '../commands/take.js'
-import type { MeshState } from '../state.js'
+import type { NodeState } from '../state.js'
 
-export interface DirectoryContext { state: MeshState, store: ObjectStore, clock: Clock, random: Random, log: DecisionLog }
+export interface DirectoryContext { state: NodeState, store: ObjectStore, clock: Clock, random: Random, log: DecisionLog }
 
+/** Hosts that start together do not find each other in their first lists, so the next ones follow soon. */
+const FIRST_REFRESH_MS = 500
 const REFRESH_MS = 5_000
+/** Lists without the own object after which it counts as removed. */
+const LISTS_TO_MISS = 2
 const BACKOFF = { baseMs: 100, maxMs: 2_000 }
 
 export class Directory {
-  /** Version of the own object, as far as it is known. */
-  private version = 0
+  /** Versions of the hosts' objects, as far as they are known. */
+  private readonly versions = new Map<string, number>()
   private written = ''
+  /** Lists in a row that did not have the own object. */
+  private missed = 0
   private wake: (() => void) | undefined
 
   constructor (private readonly context: DirectoryContext) {}
@@ -28,13 +34,15 @@
     const { random, log } = this.context
     let failures = 0
     let hasRead = false
+    let refreshMs = FIRST_REFRESH_MS
     while (!signal.aborted) {
       const fault: StoreFault | undefined = await this.fetchHosts(hasRead) ?? await this.writeOwn()
       hasRead ||= fault === undefined
       failures = fault === undefined ? 0 : failures + 1
       if (failures === 1) log.note('change', 'directory_failed', { code: fault?.code, reason: fault?.message })
       if (fault === undefined && this.hasChanged) continue
-      await this.waitForChange(failures === 0 ? REFRESH_MS * (0.8 + 0.4 * random.next()) : computeBackoff(failures, BACKOFF, random), signal)
+      await this.waitForChange(failures === 0 ? refreshMs * (0.8 + 0.4 * random.next()) : computeBackoff(failures, BACKOFF, random), signal)
+      if (failures === 0) refreshMs = Math.min(REFRESH_MS, refreshMs * 2)
     }
   }
 
@@ -43,27 +51,41 @@
     this.wake?.()
   }
 
-  /** Takes this host out of the store, when it leaves for good. */
-  async removeOwn (): Promise<void> {
-    const { state, store, log } = this.context
-    if (this.version === 0) return
-    const removed = await store.commands.remove({ kind: 'host', name: state.identity.host, expected: this.version })
-    if (removed.err) log.note('change', 'own_record_kept', { code: removed.val.code, reason: removed.val.message })
+  /** Takes a host out of the store: this one when it leaves for good, or one that is gone. */
+  async remove (host: string): Promise<void> {
+    const { store, log } = this.context
+    const expected = this.versions.get(host)
+    if (expected === undefined) return
+    const removed = await store.commands.remove({ kind: 'host', name: host, expected })
+    if (removed.err) log.note('change', 'host_object_kept', { peer: host, code: removed.val.code, reason: removed.val.message })
   }
 
   private async fetchHosts (hasRead: boolean): Promise<StoreFault | undefined> {
     const { state, store, clock } = this.context
     const listed = await store.queries.list('host', hasRead ? 'stale' : 'current')
     if (listed.err) return listed.val
-    takeRecords(state, listed.val.objects.flatMap(object => this.readRecord(object)), clock)
+    const { objects } = listed.val
+    takeRecords(state, { records: objects.flatMap(object => this.readRecord(object)) }, clock)
     state.knowsHosts = true
+    const names = new Set(objects.map(object => object.name))
+    for (const name of this.versions.keys()) if (name !== state.identity.host && !names.has(name)) this.versions.delete(name)
+    this.checkOwn(names)
     return undefined
   }
 
+  /** A peer that could not reach this host for long removes its object. One list may be older than the own write. */
+  private checkOwn (names: ReadonlySet<string>): void {
+    const { host } = this.context.state.identity
+    this.missed = names.has(host) ? 0 : this.missed + 1
+    if (this.missed < LISTS_TO_MISS || !this.versions.delete(host)) return
+    this.written = ''
+    this.context.log.note('change', 'own_object_missing', { lists: this.missed })
+  }
+
   /** An entry that cannot be read names no host, and does no harm to the others. */
   private readRecord ({ name, version, value }: StoredObject): HostRecord[] {
-    const { state, log } = this.context
-    if (name === state.identity.host) this.version = Math.max(this.version, version)
+    const { log } = this.context
+    this.versions.set(name, Math.max(this.versions.get(name) ?? 0, version))
     const parsed = hostRecordSchema.safeParse(value)
     if (parsed.success && parsed.data.host === name) return [parsed.data]
     log.note('detail', 'host_record_unreadable', { name, version })
@@ -71,16 +93,16 @@
   }
 
   private async writeOwn (): Promise<StoreFault | undefined> {
-    const { state: { own, identity }, store } = this.context
+    const { state: { own, identity: { host } }, store } = this.context
     const record = own.newest
     if (record === undefined || !this.hasChanged) return undefined
-    const written = await store.commands.write({ kind: 'host', name: identity.host, expected: this.version, value: record })
+    const written = await store.commands.write({ kind: 'host', name: host, expected: this.versions.get(host) ?? 0, value: record })
     if (written.ok) {
-      this.version = written.val
+      this.versions.set(host, written.val)
       this.written = formatStamp(record)
       return undefined
     }
-    if (written.val.version !== undefined) this.version = written.val.version
+    if (written.val.version !== undefined) this.versions.set(host, written.val.version)
     return written.val
   }
 
--- /dev/null
+++ b/src/node/tasks/expire.ts
@@ -0,0 +1,27 @@
+/**
+ * The task that drops targets of this host whose heartbeats stopped.
+ */
+import type { Clock } from '../../core/index.js'
+import { expireTargets } from '../../membership/index.js'
+import type { Announcement, OwnHost } from '../../membership/index.js'
+
+export interface ExpiryContext {
+  own: OwnHost
+  clock: Clock
+  getSilenceMs: () => number
+  onSilent: (silent: readonly Announcement[]) => void
+}
+
+const CHECK_MS = 500
+/** Sleeping so much longer than asked means that this process was paused, and its targets' heartbeats wait unread. */
+const PAUSE_MS = 500
+
+export async function expireSilent ({ own, clock, getSilenceMs, onSilent }: ExpiryContext, signal: AbortSignal): Promise<void> {
+  while (!signal.aborted) {
+    const sleptAt = clock.monotonic()
+    await clock.sleep(CHECK_MS, signal)
+    if (clock.monotonic() - sleptAt > CHECK_MS + PAUSE_MS) continue
+    const silent = expireTargets(own, clock.monotonic(), getSilenceMs())
+    if (silent.length > 0) onSilent(silent)
+  }
+}
--- a/src/mesh/tasks/peers.ts
+++ b/src/node/tasks/peers.ts
@@ -5,18 +5,18 @@
 import type { Configuration } from '../../configuration/index.js'
 import { Channel, drainStream } from '../../core/index.js'
 import type { Clock, DecisionLog, Random } from '../../core/index.js'
+import { forgetRemoved, makeGone, REMOVE_AFTER_MS } from '../../membership/index.js'
 import type { HostRecord } from '../../membership/index.js'
+import type { ExchangeAnswer, ExchangeRequest, PeerCalls } from '../../peer/index.js'
 import { clearSuspects, markSuspects } from '../../suspect/index.js'
 import type { SuspectChange } from '../../suspect/index.js'
 import { takeRecords } from '../commands/take.js'
-import type { PeerLinks } from '../link.js'
-import type { ExchangeAnswer, ExchangeRequest } from '../messages.js'
-import { listZoneRecords, makeAnswer, makeDigests } from '../queries/difference.js'
-import type { MeshState } from '../state.js'
+import { findDifferingBuckets, listBucketRecords, listNewer, listZoneHosts, makeAnswer, makeDigests } from '../queries/difference.js'
+import type { NodeState } from '../state.js'
 
 export interface PeersContext {
-  state: MeshState
-  links: PeerLinks
+  state: NodeState
+  calls: PeerCalls
   clock: Clock
   random: Random
   log: DecisionLog
@@ -32,23 +32,25 @@
 const ANY_ZONE_SHARE = 0.05
 const REGION_SHARE = 0.2
 const LOST_ANY_ZONE_SHARE = 0.5
+const REMOVAL_CHECK_MS = 10_000
 
-type Told = Pick<ExchangeRequest, 'records' | 'marks' | 'cleared'>
+type Told = Pick<ExchangeRequest, 'records' | 'marks' | 'cleared' | 'complete'>
 
 const NOTHING: Told = { records: [], marks: [], cleared: [] }
 
 export class Peers {
-  /** Whether the source of the configuration answers this node. */
-  hasSource = true
+  /** Since when a host has not answered this node, on the monotonic clock. */
+  private readonly silentSince = new Map<string, number>()
 
   constructor (private readonly context: PeersContext) {}
 
   /** What this node answers to a peer's call. */
   answer (request: ExchangeRequest): ExchangeAnswer {
     const { state, clock, log } = this.context
+    state.time.advance(request.stamp)
+    this.silentSince.delete(request.host)
     const answer = makeAnswer(state, request)
-    const taken = takeRecords(state, request.records, clock)
-    this.noteTaken(taken, request.host)
+    takeRecords(state, { records: request.records, from: request.host }, clock)
     markSuspects(state.suspects, request.marks, request.host)
     clearSuspects(state.suspects, request.cleared, request.host)
     if (request.version > state.version) {
@@ -61,9 +63,9 @@
 
   /** Compares with one peer at a time until the signal. */
   async compareInTurn (signal: AbortSignal): Promise<void> {
-    const { clock, random } = this.context
+    const { clock, random, state } = this.context
     while (!signal.aborted) {
-      await clock.sleep((this.hasSource ? COMPARE_MS : COMPARE_LOST_MS) * (0.5 + random.next()), signal)
+      await clock.sleep((state.hasSource ? COMPARE_MS : COMPARE_LOST_MS) * (0.5 + random.next()), signal)
       const peer = this.pickPeer()
       if (peer !== undefined && !signal.aborted) await this.exchange(peer, NOTHING)
     }
@@ -75,7 +77,22 @@
     drainStream(this.context.state.suspects.changes.stream, changes, signal)
     signal.addEventListener('abort', () => { changes.close() }, { once: true })
     for await (const { marks, cleared, source } of changes) {
-      if (source === undefined) await this.send({ ...NOTHING, marks: [...marks], cleared: [...cleared] })
+      if (source === undefined) await this.send({ marks: [...marks], cleared: [...cleared] })
+    }
+  }
+
+  /** Removes hosts that have not answered for long. `onRemoved` is told of each one. */
+  async removeSilent (onRemoved: (host: string) => void, signal: AbortSignal): Promise<void> {
+    const { state, clock } = this.context
+    while (!signal.aborted) {
+      await clock.sleep(REMOVAL_CHECK_MS, signal)
+      const now = clock.monotonic()
+      forgetRemoved(state.members, now)
+      for (const [host, since] of this.silentSince) {
+        const record = state.members.get(host)
+        if (record === undefined) this.silentSince.delete(host)
+        else if (now - since >= REMOVE_AFTER_MS) this.removeHost(record, onRemoved)
+      }
     }
   }
 
@@ -87,22 +104,39 @@
   }
 
   async exchange (peer: HostRecord, told: Told): Promise<void> {
-    const { state, links, clock } = this.context
-    const answered = await links.exchange(peer.peer, { host: state.identity.host, version: state.version, zones: makeDigests(state), ...told })
-    if (answered.err) return
-    const { configuration, records, differing } = answered.val
+    const { state, calls, clock } = this.context
+    const request = { host: state.identity.host, version: state.version, zones: makeDigests(state), stamp: state.time.advance(), ...told }
+    const answered = await calls.exchange(peer.peer, request)
+    if (answered.err) {
+      if (!this.silentSince.has(peer.host)) this.silentSince.set(peer.host, clock.monotonic())
+      return
+    }
+    this.silentSince.delete(peer.host)
+    const { configuration, records, stamp } = answered.val
+    state.time.advance(stamp)
     if (configuration !== undefined) this.context.onConfiguration(configuration, peer.host)
-    this.noteTaken(takeRecords(state, records, clock), peer.host)
+    takeRecords(state, { records, from: peer.host }, clock)
     state.knowsHosts = true
-    const missing = listMissing(listZoneRecords(state, differing), [...records, ...told.records])
-    if (missing.length > 0 && told.records.length === 0) await this.exchange(peer, { ...NOTHING, records: missing })
+    if (told.records.length === 0 && told.complete === undefined) await this.sendMissing(peer, answered.val)
   }
 
-  private noteTaken (taken: readonly HostRecord[], from: string): void {
-    for (const { host, state, targets, incarnation, sequence } of taken) {
-      const described = targets.map(target => `${target.target} ${target.service} ${target.state}`).join(', ')
-      this.context.log.note('change', 'host_changed', { peer: host, state, targets: described, incarnation, sequence, from })
-    }
+  /** Sends what the peer's answer showed it to lack. */
+  private async sendMissing (peer: HostRecord, { records, differing, buckets }: ExchangeAnswer): Promise<void> {
+    const { state } = this.context
+    const missing = listNewer(state, listZoneHosts(state, differing), records)
+    if (missing.length > 0) await this.exchange(peer, { ...NOTHING, records: missing })
+    const complete = findDifferingBuckets(state, buckets)
+    if (Object.keys(complete).length > 0) await this.exchange(peer, { ...NOTHING, complete, records: listBucketRecords(state, complete) })
+  }
+
+  private removeHost (record: HostRecord, onRemoved: (host: string) => void): void {
+    const { state, clock, log } = this.context
+    log.note('change', 'host_removed', { peer: record.host, silentMs: REMOVE_AFTER_MS })
+    this.silentSince.delete(record.host)
+    const gone = makeGone(record)
+    takeRecords(state, { records: [gone] }, clock)
+    onRemoved(record.host)
+    void this.send({ records: [gone] })
   }
 
   private pickPeer (): HostRecord | undefined {
@@ -110,15 +144,9 @@
     const { zone, region } = state.identity
     const all = state.listPeers()
     const draw = random.next()
-    const anyShare = this.hasSource ? ANY_ZONE_SHARE : LOST_ANY_ZONE_SHARE
+    const anyShare = state.hasSource ? ANY_ZONE_SHARE : LOST_ANY_ZONE_SHARE
     const near = all.filter(peer => draw < anyShare || (draw < REGION_SHARE ? peer.region === region : peer.zone === zone))
     const list = near.length > 0 ? near : all
     return list[random.pickIndex(list.length)]
   }
 }
-
-/** Records that this node holds and the peer did not send the same of. */
-function listMissing (held: readonly HostRecord[], theirs: readonly HostRecord[]): HostRecord[] {
-  const known = new Set(theirs.map(record => JSON.stringify([record.host, record.incarnation, record.sequence, record.lost])))
-  return held.filter(record => !known.has(JSON.stringify([record.host, record.incarnation, record.sequence, record.lost])))
-}
--- a/src/peer/codec.ts
+++ b/src/peer/codec.ts
@@ -21,7 +21,7 @@
   'idempotent', 'plain', 'critical', 'normal', 'bulk', 'maxBodyBytes', 'deadlineMs', 'methods', 'GET', 'POST',
   'labels', 'weight', 'connections', 'slots', 'queue', 'attempts', 'budgetPercent', 'minPerSecond', 'same-first',
   'incarnation', 'sequence', 'inbound', 'region', 'targets', 'announcement', 'address', '127.0.', 'starting', 'leaving',
-  'serving', 'ready', 'lost', 'members', 'records', 'acceptedAt', 'version', 'service', 'update', 'patch', 'hash', 'type'
+  'serving', 'ready', 'gone', 'records', 'acceptedAt', 'version', 'service', 'hash'
 ]
 
 /**
@@ -30,14 +30,10 @@
  * references are shortest.
  */
 const SAMPLES: unknown[] = [
-  { type: 'retry', afterMs: 200, duties: [] },
-  { type: 'accept', node: '', region: '', sourceUp: true, path: [], pathPeers: [], candidates: [] },
-  { type: 'members', records: [] },
-  { type: 'update', service: '', version: 1, acceptedAt: 0, hash: '', text: '' },
-  { type: 'ack', counts: {}, lagging: [] },
-  { type: 'update', service: '', version: 1, acceptedAt: 1.7e12, hash: '', base: 1, patch: {} },
-  { type: 'beat', tick: 1, sourceUp: true, position: { path: [], pathPeers: [], candidates: [], stamp: { wall: 1.7e12, counter: 0 } } },
-  { type: 'beat', tick: 1000, sourceUp: true }
+  { version: 1, configuration: { version: 1, entries: [], replacesAll: true } },
+  { service: '', version: 1, acceptedAt: 0, hash: '', document: { service: '', routes: {}, limits: {}, retries: {}, zones: 'same-first', needs: [] } },
+  { host: '', version: 1, zones: {}, records: [], marks: [], cleared: [], stamp: { wall: 1.7e12, counter: 0 } },
+  { version: 1, records: [], differing: [], buckets: {}, stamp: { wall: 1.7e12, counter: 0 } }
 ]
 
 const IS_PLAIN = Buffer.from([PLAIN])
--- a/src/peer/server.ts
+++ b/src/peer/server.ts
@@ -1,31 +1,27 @@
 /**
- * The gRPC server of a node: peers' streams and reads, operators' queries and commands.
+ * The gRPC server of a node: exchanges with peers, operators' queries and commands.
  */
 import { Server, ServerCredentials, status } from '@grpc/grpc-js'
 import type { sendUnaryData, ServerCredentials as Credentials, ServerInterceptor, ServerUnaryCall } from '@grpc/grpc-js'
 import { describeError } from '../core/index.js'
 import type { Codec } from './codec.js'
-import type { DrainAnswer, DrainRequest, FetchAnswer, FetchRequest, StatusAnswer, StatusRequest, TimelineAnswer, TimelineRequest } from './messages.js'
+import type {
+  DrainAnswer, DrainRequest, ExchangeAnswer, ExchangeRequest, StatusAnswer, StatusRequest, TimelineAnswer, TimelineRequest
+} from './messages.js'
 import { defineOperatorCommands, defineOperatorQueries, definePeerMethods } from './services.js'
-import type { DownstreamCall } from './services.js'
 
 export interface PeerHandlers {
-  subscribe: (call: DownstreamCall) => Promise<void>
-  fetch: (request: FetchRequest) => FetchAnswer
+  exchange: (request: ExchangeRequest) => ExchangeAnswer
   status: (request: StatusRequest) => StatusAnswer
   timeline: (request: TimelineRequest) => TimelineAnswer
   drain: (request: DrainRequest) => DrainAnswer
 }
 
-const KEEPALIVE_MS = 2_000
-const KEEPALIVE_TIMEOUT_MS = 1_000
+const MAX_MESSAGE_BYTES = 64 * 1024 * 1024
 
 export const CHANNEL_OPTIONS = {
-  'grpc.keepalive_time_ms': KEEPALIVE_MS,
-  'grpc.keepalive_timeout_ms': KEEPALIVE_TIMEOUT_MS,
-  'grpc.keepalive_permit_without_calls': 1,
-  'grpc.max_receive_message_length': 64 * 1024 * 1024,
-  'grpc.max_send_message_length': 64 * 1024 * 1024
+  'grpc.max_receive_message_length': MAX_MESSAGE_BYTES,
+  'grpc.max_send_message_length': MAX_MESSAGE_BYTES
 }
 
 function answerUnary<Q, A> (handle: (request: Q) => A) {
@@ -46,10 +42,7 @@
   interceptors: ServerInterceptor[] = []
 ): Promise<Server> {
   const server = new Server({ ...CHANNEL_OPTIONS, interceptors })
-  server.addService({ ...definePeerMethods(codec) }, {
-    subscribe: (call: DownstreamCall) => { handlers.subscribe(call).catch(() => { call.end() }) },
-    fetch: answerUnary(handlers.fetch)
-  })
+  server.addService({ ...definePeerMethods(codec) }, { exchange: answerUnary(handlers.exchange) })
   server.addService({ ...defineOperatorQueries(codec) }, {
     status: answerUnary(handlers.status), timeline: answerUnary(handlers.timeline)
   })
--- a/src/request/zonepicker.ts
+++ b/src/request/zonepicker.ts
@@ -44,7 +44,7 @@
     if (free !== undefined) return this.pickTwo(free.filter(target => this.hasRoom(target, at)), at)
     const full = open.find(tier => tier.length > 0)
     if (full !== undefined) return this.pickTwo(full, at)
-    // With no other left, an ejected target is better than none, and so is a starting or a lost one.
+    // With no other left, an ejected target is better than none, and so is a starting one.
     const untried = ordered.flat().filter(target => !tried.has(target.id))
     return this.pickTwo(untried.length > 0 ? untried : selectUsable(targets.filter(target => !tried.has(target.id))), at)
   }
@@ -107,7 +107,7 @@
   private splitTiers (targets: readonly Target[]): Tiers {
     const pool = selectUsable(targets)
     const now = this.clock.monotonic()
-    for (const target of targets) if (target.lost || target.state !== 'ready') this.getScore(target).readySince = now
+    for (const target of targets) if (target.state !== 'ready') this.getScore(target).readySince = now
     return {
       near: [
         pool.filter(target => target.zone === this.place.zone),
--- a/src/snapshot/schema.ts
+++ b/src/snapshot/schema.ts
@@ -9,6 +9,7 @@
 export const entrySchema = z.object({
   service: z.string(),
   version: z.number().int().positive(),
+  /** Wall-clock milliseconds, 0 when it is not known. */
   acceptedAt: z.number(),
   hash: z.string(),
   document: documentSchema.optional()
--- a/src/store/queries/http.ts
+++ b/src/store/queries/http.ts
@@ -11,6 +11,9 @@
 import type { Kind, ObjectList, StoredObject, StoreFault, WatchEvent } from '../schema.js'
 import { StoreQueries } from '../store.js'
 
+/** The store answers a watch at once, before there is an event; a connection that went silent does not. */
+const WATCH_HEAD_MS = 1_000
+
 export class HttpStoreQueries extends StoreQueries {
   constructor (private readonly connection: Connection) {
     super()
@@ -29,10 +32,13 @@
   }
 
   override async * watch (kind: Kind, from: number, signal: AbortSignal): AsyncIterable<Result<WatchEvent, StoreFault>> {
+    const head = new AbortController()
+    const timer = setTimeout(() => { head.abort(new Error('no answer to a watch in time')) }, WATCH_HEAD_MS)
     try {
       const answer = await request(`${this.connection.origin}/v1/watch/${kind}?from=${from}`, {
-        dispatcher: this.connection.agent, signal, bodyTimeout: 0
+        dispatcher: this.connection.agent, signal: AbortSignal.any([signal, head.signal]), bodyTimeout: 0
       })
+      clearTimeout(timer)
       if (answer.statusCode !== 200) {
         yield Err(convertStatus({ status: answer.statusCode, body: await answer.body.json() }))
         return
@@ -43,6 +49,8 @@
       if (!signal.aborted) yield Err({ code: 'unreachable', message: 'platform ended the watch' })
     } catch (error) {
       if (!signal.aborted) yield Err(convertError(error))
+    } finally {
+      clearTimeout(timer)
     }
   }
 }
--- a/src/store/schema.ts
+++ b/src/store/schema.ts
@@ -5,7 +5,7 @@
 import { z } from 'zod'
 
 /** Kinds that the project keeps on the platform. */
-export const kindSchema = z.enum(['service', 'referrers', 'history', 'duty', 'host'])
+export const kindSchema = z.enum(['service', 'referrers', 'history', 'host'])
 export type Kind = z.infer<typeof kindSchema>
 
 export const MAX_VALUE_BYTES = 1_000_000
--- a/src/timeline/index.ts
+++ b/src/timeline/index.ts
@@ -1,10 +1,9 @@
 /**
  * The time line of events over all processes.
  */
-export { eventKindSchema, timelineEventSchema } from './schema.js'
-export type { EventDetail, EventKind, TimelineEvent } from './schema.js'
+export { eventKindSchema, hybridTimeSchema, timelineEventSchema } from './schema.js'
+export type { EventDetail, EventKind, HybridTime, TimelineEvent } from './schema.js'
 export { EventRing, HybridClock, RING_EVENTS } from './ring.js'
-export type { HybridTime } from './ring.js'
 export { Recorder } from './commands/record.js'
 export { eventFilterSchema, filterEvents } from './queries/filter.js'
 export type { EventFilter } from './queries/filter.js'
--- a/src/timeline/queries/explain.ts
+++ b/src/timeline/queries/explain.ts
@@ -30,7 +30,7 @@
 
 function isTrouble (event: TimelineEvent, service: string): boolean {
   if (event.kind === 'document-held' || event.kind === 'document-refused') return event.service === service
-  return ['upstream-lost', 'upstream-changed', 'duty-lost', 'node-started', 'node-ready'].includes(event.kind)
+  return ['source-lost', 'source-back', 'node-started', 'node-ready'].includes(event.kind)
 }
 
 function describeArrival (staged: TimelineEvent | undefined, version: number, host: string, acceptedAt: number | undefined): string {
--- a/src/timeline/ring.ts
+++ b/src/timeline/ring.ts
@@ -2,12 +2,10 @@
  * The last events of one process, bounded, with its hybrid logical clock.
  */
 import type { Clock } from '../core/index.js'
-import type { TimelineEvent } from './schema.js'
+import type { HybridTime, TimelineEvent } from './schema.js'
 
 export const RING_EVENTS = 4_096
 
-export interface HybridTime { wall: number, counter: number }
-
 export class HybridClock {
   private wall = 0
   private counter = 0
--- a/src/timeline/schema.ts
+++ b/src/timeline/schema.ts
@@ -4,10 +4,14 @@
  */
 import { z } from 'zod'
 
+/** Hybrid logical time of a process, so that events of two processes can be ordered. */
+export const hybridTimeSchema = z.object({ wall: z.number(), counter: z.number().int() })
+export type HybridTime = z.infer<typeof hybridTimeSchema>
+
 export const eventKindSchema = z.enum([
   'document-staged', 'document-applied', 'document-refused', 'document-held',
-  'duty-claimed', 'duty-lost', 'upstream-changed', 'upstream-lost',
-  'target-joined', 'target-leaving', 'target-lost', 'target-gone',
+  'source-lost', 'source-back',
+  'target-joined', 'target-leaving', 'target-gone',
   'call-failed', 'node-started', 'node-ready', 'node-stopping'
 ])
 export type EventKind = z.infer<typeof eventKindSchema>
--- /dev/null
+++ b/src/tool/hosts.ts
@@ -0,0 +1,27 @@
+/**
+ * Finds the nodes to ask, by the records that each keeps in the store, and asks many at a time.
+ */
+import { Err, Ok } from '../core/index.js'
+import type { Fault, Result } from '../core/index.js'
+import { convertReadFault } from '../document/index.js'
+import { hostRecordSchema } from '../membership/index.js'
+import type { HostRecord } from '../membership/index.js'
+import type { ObjectStore } from '../store/index.js'
+
+const PARALLEL_QUERIES = 32
+
+/** Objects that hold no record are left out. */
+export async function listHosts (store: ObjectStore): Promise<Result<HostRecord[], Fault>> {
+  const found = await store.queries.list('host')
+  if (found.err) return Err(convertReadFault(found.val))
+  return Ok(found.val.objects.flatMap(({ value }) => hostRecordSchema.safeParse(value).data ?? []))
+}
+
+/** The answers in the order of the hosts. */
+export async function queryHosts<T> (hosts: readonly HostRecord[], query: (record: HostRecord) => Promise<T>): Promise<T[]> {
+  const answers: T[] = []
+  for (let first = 0; first < hosts.length; first += PARALLEL_QUERIES) {
+    answers.push(...await Promise.all(hosts.slice(first, first + PARALLEL_QUERIES).map(query)))
+  }
+  return answers
+}
--- a/src/tool/queries/fleet.ts
+++ b/src/tool/queries/fleet.ts
@@ -1,63 +1,65 @@
 /**
- * What the heads of the regions say together. Each region is counted by its own head only: what
- * another head counts for it may be out of date, and a region whose head does not answer counts
- * as not in force anywhere.
+ * What all nodes say together. A node that does not answer counts as not having any version in force.
  */
-import type { Lagging, Refusal, StatusAnswer } from '../../peer/index.js'
+import type { Refusal } from '../../configuration/index.js'
+import type { HostRecord } from '../../membership/index.js'
+import type { StatusAnswer } from '../../peer/index.js'
 
-/** The holder of a region's head duty, with its answer or the reason why there is none. */
-export interface HeadReport { region: string, holder: string, answer: StatusAnswer | undefined, reason: string }
+/** A host's answer, or the reason why there is none. */
+export interface NodeReport { record: HostRecord, answer: StatusAnswer | undefined, reason: string }
 
-export interface RegionStatus { region: string, nodes: number, answered: boolean, reason: string }
+export interface SilentNode { host: string, zone: string, region: string, reason: string }
+
+export interface LaggingNode { host: string, service: string, version: number }
 
 export interface FleetStatus {
-  regions: RegionStatus[]
-  /** Nodes that announced themselves, also those of regions that did not answer. */
+  /** Nodes that have a record in the store. */
   nodes: number
-  lost: number
+  silent: SilentNode[]
   /** By service and version: nodes that have it in force. */
   counts: Record<string, Record<string, number>>
-  lagging: Lagging[]
+  /** Nodes that have an older version in force than another node. */
+  lagging: LaggingNode[]
+  /** Nodes that the store does not answer. */
+  withoutStore: string[]
   refused: Refusal[]
 }
 
-export function sumFleet (heads: readonly HeadReport[]): FleetStatus {
-  const answers = heads.flatMap(head => head.answer === undefined ? [] : [head.answer])
-  const records = new Map(answers.flatMap(answer => answer.records).map(record => [record.host, record]))
-  const holders = new Set(heads.map(head => head.holder))
+const MAX_LAGGING = 20
+
+export function sumFleet (reports: readonly NodeReport[]): FleetStatus {
+  const answers = reports.flatMap(({ answer }) => answer ?? [])
   return {
-    regions: listRegions(heads, [...records.values()].map(record => record.region)),
-    nodes: records.size,
-    lost: [...records.values()].filter(record => record.lost).length,
-    counts: sumCounts(answers.flatMap(answer => listOwnSources(answer, holders))),
-    lagging: [...new Map(answers.flatMap(answer => answer.lagging).map(one => [`${one.node} ${one.service}`, one])).values()],
-    refused: listNewest(answers.flatMap(answer => answer.refused))
+    nodes: reports.length,
+    silent: reports.filter(({ answer }) => answer === undefined).map(makeSilent),
+    counts: sumCounts(answers),
+    lagging: listLagging(answers).slice(0, MAX_LAGGING),
+    withoutStore: answers.filter(({ source }) => !source).map(({ node }) => node),
+    refused: listNewest(answers.flatMap(({ refused }) => refused))
   }
 }
 
-/** The head's own region: what it counts without the heads of other regions that follow it. */
-function listOwnSources ({ node, sources }: StatusAnswer, holders: ReadonlySet<string>): Array<StatusAnswer['counts']> {
-  return Object.entries(sources).filter(([source]) => source === node || !holders.has(source)).map(([, counts]) => counts)
+function makeSilent ({ record: { host, zone, region }, reason }: NodeReport): SilentNode {
+  return { host, zone, region, reason }
 }
 
-function sumCounts (sources: ReadonlyArray<StatusAnswer['counts']>): FleetStatus['counts'] {
+function sumCounts (answers: readonly StatusAnswer[]): FleetStatus['counts'] {
   const sums: FleetStatus['counts'] = {}
-  for (const [service, versions] of sources.flatMap(counts => Object.entries(counts))) {
+  for (const [service, version] of answers.flatMap(({ versions }) => Object.entries(versions))) {
     const sum = sums[service] ??= {}
-    for (const [version, nodes] of Object.entries(versions)) sum[version] = (sum[version] ?? 0) + nodes
+    sum[String(version)] = (sum[String(version)] ?? 0) + 1
   }
   return sums
 }
 
-/** A region of which hosts are known but no head belongs to those that did not answer. */
-function listRegions (heads: readonly HeadReport[], regionOfEachNode: readonly string[]): RegionStatus[] {
-  const byRegion = new Map(heads.map(head => [head.region, head]))
-  const names = [...new Set([...byRegion.keys(), ...regionOfEachNode])].sort()
-  return names.map(region => {
-    const head = byRegion.get(region)
-    const nodes = regionOfEachNode.filter(one => one === region).length
-    return { region, nodes, answered: head?.answer !== undefined, reason: head?.reason ?? 'it has no head' }
-  })
+function listLagging (answers: readonly StatusAnswer[]): LaggingNode[] {
+  const newest: Record<string, number> = {}
+  for (const { versions } of answers) {
+    for (const [service, version] of Object.entries(versions)) newest[service] = Math.max(version, newest[service] ?? 0)
+  }
+  return answers.flatMap(({ node, versions }) => Object.entries(newest)
+    .map(([service]) => ({ host: node, service, version: versions[service] ?? 0 }))
+    .filter(({ service, version }) => version < (newest[service] ?? 0)))
 }
 
 function listNewest (refusals: readonly Refusal[]): Refusal[] {
--- a/src/tool/queries/timeline.ts
+++ b/src/tool/queries/timeline.ts
@@ -12,12 +12,11 @@
 import { eventFilterSchema, explainVersion, formatEvents, formatPage, mergeEvents } from '../../timeline/index.js'
 import type { EventFilter, ExplainQuestion, TimelineEvent } from '../../timeline/index.js'
 import { COMMON_FLAGS, openNodes, openPlatform, TLS_FLAGS } from '../flags.js'
-import { listHeadPeers, listHosts } from '../heads.js'
+import { listHosts, queryHosts } from '../hosts.js'
 import { printResult, reportFaults } from '../output.js'
 
 /** More hosts than this are asked only when `--zone` or `--host` narrows them down. */
 const MAX_HOSTS = 500
-const PARALLEL_QUERIES = 32
 
 interface Collected { events: TimelineEvent[], silent: string[], skipped: number }
 
@@ -25,20 +24,18 @@
   const asked = hosts.slice(0, MAX_HOSTS)
   const rings: TimelineEvent[][] = []
   const silent: string[] = []
-  for (let first = 0; first < asked.length; first += PARALLEL_QUERIES) {
-    const group = asked.slice(first, first + PARALLEL_QUERIES)
-    const answers = await Promise.all(group.map(async record => await client.queryTimeline(record.peer, filter)))
-    answers.forEach((answer, index) => {
-      if (answer.ok) rings.push(answer.val.events)
-      else silent.push(group[index]?.host ?? '')
-    })
-  }
+  await queryHosts(asked, async ({ host, peer }) => {
+    const answer = await client.queryTimeline(peer, filter)
+    if (answer.ok) rings.push(answer.val.events)
+    else silent.push(host)
+  })
   return { events: mergeEvents(rings), silent, skipped: hosts.length - asked.length }
 }
 
 async function findHosts (store: ObjectStore, client: PeerClient, peer: string | undefined): Promise<Result<HostRecord[], Fault>> {
-  const peers = peer === undefined ? await listHeadPeers(store) : Ok([peer])
-  return peers.err ? peers : await listHosts(client, peers.val)
+  if (peer === undefined) return await listHosts(store)
+  const answer = await client.queryStatus(peer)
+  return answer.ok ? Ok(answer.val.records) : answer
 }
 
 function parseTime (text: string | undefined): number | undefined {
@@ -63,7 +60,7 @@
     until: { type: 'string', description: 'up to this time, ISO 8601' },
     explain: { type: 'boolean', default: false, description: 'say when --version of --service was in force on --host, and why not before' },
     html: { type: 'string', description: 'write a page with one lane for each process to this file' },
-    peer: { type: 'string', description: 'peer address of a node to learn the hosts from (default: the heads of all regions)' },
+    peer: { type: 'string', description: 'peer address of a node to learn the hosts from (default: the records in the store)' },
     ...TLS_FLAGS,
     ...COMMON_FLAGS
   },
--- a/standins/layout/processes.ts
+++ b/standins/layout/processes.ts
@@ -41,7 +41,7 @@
   private readonly children = new Map<string, ChildProcess>()
   private platformUrl = ''
 
-  constructor (private readonly placement: Placement, private readonly logLevel = 'error') {}
+  constructor (private readonly placement: Placement) {}
 
   get platform (): string {
     return this.platformUrl
@@ -58,7 +58,7 @@
 
   /** `more` has further flags for this node alone. */
   startNode (host: HostLayout, more: readonly string[] = []): void {
-    const flags = [...listNodeFlags(this.placement, host, this.platformUrl), `--log-level=${this.logLevel}`, ...more]
+    const flags = [...listNodeFlags(host, this.platformUrl), ...more]
     this.spawn(`node ${host.host}`, 'standins/node/main.js', [JSON.stringify(this.placement), String(host.index), ...flags])
   }
 
--- a/standins/node/many.ts
+++ b/standins/node/many.ts
@@ -4,8 +4,9 @@
  */
 import { setTimeout as delay } from 'node:timers/promises'
 import { request } from 'undici'
+import { readSettings } from '../../src/core/index.js'
 import { loadCredentials } from '../../src/peer/index.js'
-import { Node, readSettings, startServer, writeJson } from '../../src/node/index.js'
+import { ownSettingsSchema, startOwnNode, startServer, writeJson } from '../../src/node/index.js'
 import { formatAddress, listNodeFlags } from '../layout/schema.js'
 import type { HostLayout, Placement } from '../layout/schema.js'
 import { LinkDialer } from '../link/dialer.js'
@@ -19,10 +20,10 @@
 async function startHost (host: HostLayout): Promise<void> {
   const dialer = new LinkDialer(placement, host.index)
   await startServer(formatAddress(host, 'links'), async (_message, response) => { writeJson(response, 200, dialer.controlBytes) })
-  const flags = listNodeFlags(placement, host, dialer.resolvePlatform(platform)).map(flag => flag.slice(2).split('=', 2))
-  const settings = readSettings({ ...Object.fromEntries(flags), 'log-level': 'error' }, {})
+  const flags = listNodeFlags(host, dialer.resolvePlatform(platform)).map(flag => flag.slice(2).split('=', 2))
+  const settings = readSettings(ownSettingsSchema, { flags: Object.fromEntries(flags), env: {} })
   if (settings.err) throw new Error(settings.val.message)
-  await new Node(settings.val, (await loadCredentials({})).unwrap(), dialer).start()
+  await startOwnNode(settings.val, (await loadCredentials({})).unwrap(), dialer)
   void announceAlways(host)
 }
 
--- /dev/null
+++ b/tests/peers.test.ts
@@ -0,0 +1,118 @@
+/**
+ * Guards against a node that stays behind because the store refuses it while it serves others, and
+ * against hosts that died and stay known for ever.
+ */
+import { setTimeout as delay } from 'node:timers/promises'
+import { afterEach, expect, test } from '@jest/globals'
+import type { Server } from '@grpc/grpc-js'
+import { SeededRandom, SystemClock } from '../src/core/index.js'
+import type { Clock } from '../src/core/index.js'
+import { REMOVE_AFTER_MS } from '../src/membership/index.js'
+import type { HostRecord } from '../src/membership/index.js'
+import { applyConfiguration } from '../src/node/commands/apply.js'
+import { announceRecord, takeRecords } from '../src/node/commands/take.js'
+import type { NodeState } from '../src/node/state.js'
+import { Peers } from '../src/node/tasks/peers.js'
+import { Dialer, MsgpackCodec, PeerClient, startPeerServer } from '../src/peer/index.js'
+import type { PeerCalls } from '../src/peer/index.js'
+import { findAddress } from './fixtures/address.js'
+import { makeCalls } from './fixtures/calls.js'
+import { makeClock } from './fixtures/clock.js'
+import { makeEntry } from './fixtures/entry.js'
+import { makeSilentLog } from './fixtures/log.js'
+import { settleTasks } from './fixtures/member.js'
+import { makeState } from './fixtures/state.js'
+
+interface TestNode { state: NodeState, peers: Peers, server: Server, client: PeerClient }
+
+const codec = new MsgpackCodec()
+const stop = new AbortController()
+const nodes: TestNode[] = []
+
+function makePeers (state: NodeState, calls: PeerCalls, clock: Clock): Peers {
+  const random = new SeededRandom(nodes.length + 1)
+  return new Peers({ state, calls, clock, random, log: makeSilentLog(), onConfiguration: found => { applyConfiguration(state, found) } })
+}
+
+async function startNode (host: string, zone: string): Promise<TestNode> {
+  const peer = await findAddress()
+  const clock = new SystemClock()
+  const state = makeState({ host, zone, region: zone, peer }, clock)
+  announceRecord(state, state.own.makeRecord(), clock)
+  const client = new PeerClient(codec, new Dialer())
+  const peers = makePeers(state, client, clock)
+  const refuse = (): never => { throw new Error('not asked here') }
+  const server = await startPeerServer(peer, codec, { exchange: request => peers.answer(request), status: refuse, timeline: refuse, drain: refuse })
+  const node = { state, peers, server, client }
+  nodes.push(node)
+  return node
+}
+
+function makeConfiguration (version: number) {
+  return { version, entries: [makeEntry('desk', version)], replacesAll: true }
+}
+
+afterEach(() => {
+  stop.abort()
+  for (const { server, client } of nodes) {
+    client.close()
+    server.forceShutdown()
+  }
+})
+
+test('a version that one node has reaches a node of another region that the store refuses, and records reach both', async () => {
+  const [first, second] = [await startNode('h1', 'a'), await startNode('h2', 'b')]
+  announceRecord(second.state, first.state.own.makeRecord(), new SystemClock())
+  second.state.hasSource = false
+  void second.peers.compareInTurn(stop.signal)
+  applyConfiguration(first.state, makeConfiguration(7))
+  await delay(2_000)
+  expect(second.state.version).toBe(7)
+  expect(first.state.members.get('h2')).toBeDefined()
+  applyConfiguration(first.state, makeConfiguration(9))
+  await delay(2_000)
+  expect(second.state.version).toBe(9)
+})
+
+interface Survivor { state: NodeState, peers: Peers, removed: string[] }
+
+async function loseHost (isReachable: () => boolean): Promise<Survivor> {
+  const clock = makeClock()
+  const [state, other] = [makeState({}, clock), makeState({ host: 'h2' }, clock)]
+  const record = other.own.makeRecord()
+  takeRecords(state, { records: [record] }, clock)
+  const otherPeers = makePeers(other, makeCalls('h2', () => undefined), clock)
+  const peers = makePeers(state, makeCalls('h1', () => isReachable() ? otherPeers : undefined), clock)
+  const removed: string[] = []
+  const ended = new AbortController()
+  void peers.removeSilent(host => { removed.push(host) }, ended.signal)
+  await peers.exchange(record, { records: [], marks: [], cleared: [] })
+  for (let passed = 0; passed < REMOVE_AFTER_MS / 2; passed += 10_000) await advance(clock)
+  await peers.exchange(record, { records: [], marks: [], cleared: [] })
+  for (let passed = 0; passed <= REMOVE_AFTER_MS / 2; passed += 10_000) await advance(clock)
+  ended.abort()
+  return { state, peers, removed }
+}
+
+async function advance (clock: ReturnType<typeof makeClock>): Promise<void> {
+  clock.advance(10_000)
+  await settleTasks()
+}
+
+test('a host that does not answer for long is removed, and its late record does not bring it back', async () => {
+  const { state, removed } = await loseHost(() => false)
+  expect(removed).toEqual(['h2'])
+  expect(state.members.get('h2')).toBeUndefined()
+  const { record } = state.members.listRemoved()[0] as { record: HostRecord }
+  takeRecords(state, { records: [{ ...record, gone: undefined }] }, makeClock())
+  expect(state.members.get('h2')).toBeUndefined()
+})
+
+test('a host that answers in between stays', async () => {
+  let calls = 0
+  const { state, removed } = await loseHost(() => {
+    calls += 1
+    return calls > 1
+  })
+  expect([removed, state.members.get('h2')?.host]).toEqual([[], 'h2'])
+})
