Send fewer calls to targets that are full: remember loads longer, and want known room after a refusal

A report of a full target was taken as done after about 0.3 s, though others keep it full, and after a refusal a target with an old report or none counted as one with room.

A reported load now loses half of itself in a second, and after a refusal for lack of room only a target with a fresh report of a free slot is tried. Refusals of a leaving or unreachable target are followed by any other one as before.

Ruled out: targets that slow down when they are nearly full.

--- a/src/request/delaypicker.ts
+++ b/src/request/delaypicker.ts
@@ -1,7 +1,8 @@
 /**
  * Least expected delay: each target is rated by the time that a call sent to it now would take, its
  * distance included, and the best is taken. Answers load patterns in which near targets are full,
- * slow, cold or failing while farther ones have room.
+ * slow, cold or failing while farther ones have room, and those in which all are full: then a call is
+ * refused near by and not sent from one full target to the next.
  */
 import type { Clock, Random } from '../core/index.js'
 import { selectUsable } from '../membership/index.js'
@@ -34,9 +35,9 @@
 /** A target that refused for lack of room is not asked again for so long by the calls of this node. */
 const REFUSED_REST_MS = 40
 /** What a target's node said longer ago may have changed. */
-const FRESH_LOAD_MS = 300
-/** Requests beyond the slots that still find a short queue. */
-const FULL_SHARE = 1.5
+const FRESH_LOAD_MS = 1_000
+/** Half of a reported load is forgotten in this time: who sent it sends more, so it is not gone when its requests are done. */
+const LOAD_HALF_LIFE_MS = 1_000
 /** New targets are slower for a while. */
 const COLD_MS = 3_000
 const COLD_FACTOR = 2
@@ -102,10 +103,10 @@
     this.restUntil = at + REFUSED_REST_MS
   }
 
-  /** Nothing newer than a moment says that requests wait there. */
+  /** A fresh report says that a slot is free. */
   hasRoom (at: number): boolean {
-    if (this.load === undefined || at - this.loadAt > FRESH_LOAD_MS) return true
-    return this.load.used + this.load.waiting + this.sentSinceLoad < this.load.slots * FULL_SHARE
+    if (this.load === undefined || at - this.loadAt > FRESH_LOAD_MS) return false
+    return this.load.used + this.load.waiting + this.sentSinceLoad < this.load.slots
   }
 
   /** Milliseconds that a call sent now is expected to take, without its way there. */
@@ -119,11 +120,12 @@
     return ahead > 0 ? ahead * serviceMs / slots : 0
   }
 
-  /** Requests that the target has by its last report and what was sent since, less what it has done in the meantime. */
+  /** Requests that the target has by its last report, and what was sent since less what it has done of that. */
   private computeUsed (at: number, slots: number, serviceMs: number): number {
     if (this.load === undefined) return 0
-    const done = (at - this.loadAt) * slots / Math.max(1, serviceMs)
-    return Math.max(0, this.load.used + this.load.waiting + this.sentSinceLoad - done)
+    const ageMs = at - this.loadAt
+    const reported = (this.load.used + this.load.waiting) * 0.5 ** (ageMs / LOAD_HALF_LIFE_MS)
+    return reported + Math.max(0, this.sentSinceLoad - ageMs * slots / Math.max(1, serviceMs))
   }
 
   private getFailures (at: number): number {
@@ -140,14 +142,13 @@
     super()
   }
 
-  override pick ({ targets, tried, zones, bytes = 0 }: PickRequest): Target | undefined {
+  override pick ({ targets, tried, needsRoom, zones, bytes = 0 }: PickRequest): Target | undefined {
     const at = this.clock.monotonic()
     const untried = selectUsable(targets).filter(target => !tried.has(target.id))
     const up = untried.filter(target => !this.getView(target, at).isDown(at))
     const open = up.filter(target => !this.getView(target, at).isResting(at))
     const distance = zones === 'any' ? (): number => 0 : (target: Target): number => this.measureDistance(target, bytes)
-    // After a refusal only a target that is thought to have room is worth another way there.
-    if (tried.size > 0) return this.pickBest(open.filter(target => this.getView(target, at).hasRoom(at)), at, distance)
+    if (needsRoom) return this.pickBest(open.filter(target => this.getView(target, at).hasRoom(at)), at, distance)
     return this.pickBest(open.length > 0 ? open : up.length > 0 ? up : untried, at, distance)
   }
 
--- a/src/request/picker.ts
+++ b/src/request/picker.ts
@@ -8,6 +8,8 @@
   targets: readonly Target[]
   /** Targets that earlier attempts of this call went to. */
   tried: ReadonlySet<string>
+  /** The attempt before was refused for lack of room, so only a target that is known to have some is worth another. */
+  needsRoom: boolean
   zones: 'same-first' | 'any'
   /** Bytes of the request's body, which travel to the target. */
   bytes?: number
--- a/src/request/tasks/attempts.ts
+++ b/src/request/tasks/attempts.ts
@@ -29,6 +29,8 @@
 
 const RETRY_AFTER_MS = 200
 const FIRST_FAILED_STATUS = 500
+/** Refusals for lack of room, which other targets of the service are likely to repeat. */
+const ROOM_CODES = new Set(['queue_full', 'shed', 'no_time', 'deadline_in_queue', 'target_refused'])
 
 export class Attempts {
   private readonly tried = new Set<string>()
@@ -36,6 +38,7 @@
   /** Attempts that reached a target. */
   private reached = 0
   private worst: Failure | undefined
+  private needsRoom = false
   /** A target's own failure, passed on when no other attempt gives a better answer. */
   private fallback: Won | undefined
 
@@ -64,7 +67,7 @@
   private pickTarget (): Target | undefined {
     const { resolved, call } = this.callRun
     const { targets, document: { zones } } = resolved
-    const target = this.context.picker.pick({ targets, tried: this.tried, zones, bytes: call.bodyBytes ?? 0 })
+    const target = this.context.picker.pick({ targets, tried: this.tried, needsRoom: this.needsRoom, zones, bytes: call.bodyBytes ?? 0 })
     if (target !== undefined) this.tried.add(target.id)
     return target
   }
@@ -74,6 +77,7 @@
     const failure = won.ok ? findTargetFailure(won.val.answer) : won.val
     if (failure === undefined) return undefined
     if (failure.reached === true) this.reached += 1
+    this.needsRoom = ROOM_CODES.has(failure.code)
     if (won.ok) {
       this.fallback?.finish('whole')
       this.fallback = this.makeWon(won.val)
--- a/tests/delaypicker.test.ts
+++ b/tests/delaypicker.test.ts
@@ -6,6 +6,7 @@
 import { SeededRandom } from '../src/core/index.js'
 import { DelayPicker, SharedBudgetPolicy } from '../src/request/index.js'
 import { makeClock } from './fixtures/clock.js'
+import { runSaturation } from './fixtures/saturation.js'
 import { makeTarget } from './fixtures/target.js'
 
 const PLACE = { host: 'h0', zone: 'a', region: 'r' }
@@ -17,7 +18,8 @@
 function makePicker () {
   const clock = makeClock()
   const picker = new DelayPicker(PLACE, clock, new SeededRandom(1))
-  const pick = (tried: ReadonlySet<string> = new Set(), bytes = 0) => picker.pick({ targets: TARGETS, tried, zones: 'same-first', bytes })
+  const pick = (tried: ReadonlySet<string> = new Set(), bytes = 0) =>
+    picker.pick({ targets: TARGETS, tried, needsRoom: tried.size > 0, zones: 'same-first', bytes })
   return { clock, picker, pick }
 }
 
@@ -84,3 +86,21 @@
   expect(retries).toBeGreaterThan(0)
   expect(retries).toBeLessThanOrEqual(nodes * 50 * budget.ratio + budget.extra)
 })
+
+/** 30 calls a second for each 30 that the targets can do, and a third more. */
+function saturate (perSecond: number) {
+  const clock = makeClock()
+  return runSaturation({ clock, makePicker: (place, random) => new DelayPicker(place, clock, random), perSecond, seconds: 20 })
+}
+
+test('when all targets are full, calls are refused near by and not sent from region to region', () => {
+  const { served, wastedFar, utilization } = saturate(240)
+  expect(utilization).toBeGreaterThan(0.95)
+  expect(wastedFar / served).toBeLessThan(0.2)
+})
+
+test('below saturation nearly all calls are served', () => {
+  const { calls, served, wastedFar } = saturate(150)
+  expect(served / calls).toBeGreaterThan(0.97)
+  expect(wastedFar / served).toBeLessThan(0.05)
+})
--- a/tests/proofs/no-new-work.test.ts
+++ b/tests/proofs/no-new-work.test.ts
@@ -246,7 +246,7 @@
     other.announce('ready')
     takeRecords(viewer.state, { records: [other.state.own.makeRecord()] }, clock)
     const targets = viewer.state.table.current.targets.get(SERVICE) ?? []
-    const pick = (tried: string[]): string | undefined => viewer.picker.pick({ targets, tried: new Set(tried), zones: 'any' })?.host
+    const pick = (tried: string[]): string | undefined => viewer.picker.pick({ targets, tried: new Set(tried), needsRoom: false, zones: 'any' })?.host
     expect([pick([]), pick(['h1/t'])]).toEqual(['h1', 'h0'])
     for (const member of [viewer, other]) member.stop()
   })
