Let requests wait a shorter part of their objective, and fetch changes within 500 ms together

The slots are in use all the time either way, so whoever is let in should be on time. Each change of a storm of configurations cost each node a call of its own.

Ruled out: telling who came back after a refusal by the time that its caller still waits. Callers' deadlines differ by more than the objective.

--- a/src/node/tasks/configuration.ts
+++ b/src/node/tasks/configuration.ts
@@ -19,7 +19,7 @@
 
 const BACKOFF = { baseMs: 100, maxMs: 1_000 }
 /** Changes that follow each other within this time are fetched together, so that a burst of them does not cost each node a call each. */
-const SETTLE_MS = 300
+const SETTLE_MS = 500
 /** A watch that ends without a change before this time was cut off. */
 const SHORT_WATCH_MS = 1_000
 
--- a/src/request/admission.ts
+++ b/src/request/admission.ts
@@ -41,7 +41,7 @@
 /** A request that would get its slot with less than this share of the usual time left is refused. */
 const LEAST_SERVICE_SHARE = 0.5
 /** Of the objective that may be spent waiting; the rest is for the work, which varies. */
-const OBJECTIVE_SHARE = 0.5
+const OBJECTIVE_SHARE = 0.35
 /** A refusal has to reach the first node, perhaps in another region, before that gives up on the answer. */
 const LEAST_MARGIN_MS = 60
 
