Keep the program with the project's own interface out of the users' platform's, and drop dead code

Cause: src/node exported that program too, so the program on the users' platform loaded its settings, the command line library and its store client at every start.

--- a/src/bin/node.ts
+++ b/src/bin/node.ts
@@ -3,6 +3,6 @@
  * Entry point of `comfreyspoke-node`.
  */
 import { runMain } from 'citty'
-import { defineNodeCommand } from '../node/index.js'
+import { defineNodeCommand } from '../program/index.js'
 
 await runMain(defineNodeCommand())
--- a/src/node/command.ts
+++ b/src/program/command.ts
@@ -8,15 +8,13 @@
 import { DocumentSource } from '../configuration/index.js'
 import { formatVariable, readSettings, SystemClock } from '../core/index.js'
 import { ANNOUNCE_TIMEOUT_MS } from '../membership/index.js'
+import { addressSchema, Node, nodeSettingsSchema, startServer } from '../node/index.js'
+import type { Policies } from '../node/index.js'
 import { loadCredentials } from '../peer/index.js'
 import type { Dialer, PeerCredentials } from '../peer/index.js'
 import { BudgetRetryPolicy, OpenAdmission, OwnFront, ZonePicker } from '../request/index.js'
 import { HttpObjectStore } from '../store/index.js'
-import { startServer } from './http.js'
-import { addressSchema, nodeSettingsSchema } from './settings.js'
-import { Node } from './start.js'
-import type { Policies } from './start.js'
-import { serveLocal } from './tasks/local.js'
+import { serveLocal } from './local.js'
 
 export const ownSettingsSchema = nodeSettingsSchema.extend({
   platform: z.url().describe('URL of the platform\'s object API'),
--- /dev/null
+++ b/src/program/index.ts
@@ -0,0 +1,6 @@
+/**
+ * The node program with the project's own interface. It stands apart from src/node, so that a program
+ * for another platform does not load it.
+ */
+export { defineNodeCommand, ownSettingsSchema, startOwnNode } from './command.js'
+export type { OwnSettings } from './command.js'
--- a/src/node/tasks/local.ts
+++ b/src/program/local.ts
@@ -3,9 +3,9 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { json } from 'node:stream/consumers'
-import { announcementSchema } from '../../membership/index.js'
-import type { Announcement } from '../../membership/index.js'
-import { writeJson } from '../http.js'
+import { announcementSchema } from '../membership/index.js'
+import type { Announcement } from '../membership/index.js'
+import { writeJson } from '../node/index.js'
 
 export interface LocalContext {
   announce: (announcement: Announcement) => void
--- a/src/snapshot/index.ts
+++ b/src/snapshot/index.ts
@@ -4,8 +4,6 @@
 export { entrySchema } from './schema.js'
 export type { Entry, EntryMap, Snapshot } from './schema.js'
 export { SnapshotTable } from './table.js'
-export { makeVector } from './queries/vector.js'
-export type { Vector } from './queries/vector.js'
 export { computeClosed } from './queries/closed.js'
 export { stageEntry } from './commands/stage.js'
 export { promoteClosed, replaceTargets } from './commands/promote.js'
--- a/src/suspect/schema.ts
+++ b/src/suspect/schema.ts
@@ -18,11 +18,3 @@
   ageMs: z.number().nonnegative()
 })
 export type Mark = z.infer<typeof markSchema>
-
-/** Between nodes of one zone, in both directions. `cleared` are fingerprints of requests that completed. */
-export const suspectsSchema = z.object({
-  type: z.literal('suspects'),
-  marks: z.array(markSchema).max(MAX_SUSPECTS * BLOCKING_MARKS),
-  cleared: z.array(z.string().max(MAX_TEXT)).max(MAX_SUSPECTS)
-})
-export type Suspects = z.infer<typeof suspectsSchema>
--- a/tests/settings.test.ts
+++ b/tests/settings.test.ts
@@ -5,7 +5,7 @@
 import { readFileSync } from 'node:fs'
 import { describe, expect, test } from '@jest/globals'
 import { formatVariable, readSettings } from '../src/core/index.js'
-import { ownSettingsSchema } from '../src/node/index.js'
+import { ownSettingsSchema } from '../src/program/index.js'
 
 function makeFlags (change: Record<string, unknown> = {}): Record<string, unknown> {
   return {
