--- /dev/null
+++ b/standins/bench/cold.ts
@@ -0,0 +1,219 @@
+/**
+ * `bench cold [--profile FOLDER] [PROGRAM…]`: measures the processor time of freshly started nodes, since a process that is
+ * replaced often runs mostly unoptimized code. Each program, by default target/node.cjs, runs as a fleet of its own, one after the
+ * other, with the stand-in of the platform's store, targets and callers in this process.
+ */
+import { spawn } from 'node:child_process'
+import type { ChildProcess } from 'node:child_process'
+import { once } from 'node:events'
+import { mkdtempSync, readFileSync, writeFileSync } from 'node:fs'
+import { createServer } from 'node:http'
+import type { Server } from 'node:http'
+import { availableParallelism, tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { setTimeout as delay } from 'node:timers/promises'
+import { Agent, request } from 'undici'
+import { findBlock } from '../layout/processes.js'
+import { ObjectsServer } from '../objects/server.js'
+
+const PORTS = ['target', 'caller', 'inbound', 'ready', 'control', 'peer', 'admin'] as const
+const FIRST_PORT = 7_000
+const ZONES = ['a', 'b', 'c'] as const
+const SERVICES = ['left', 'right'] as const
+const NODES = 12
+const SERVICE_MS = 40
+const HEARTBEAT_INTERVAL_MS = 1_000
+const READY_TIMEOUT_MS = 30_000
+/** Time for the nodes to learn of all targets. */
+const SETTLE_MS = 5_000
+const CALLS_PER_SECOND_AND_NODE = 30
+const CALL_SECONDS = 20
+const SLOTS = 12
+const CLOCK_TICK_MS = 10
+/** The flags of the deploy file. */
+const DEFAULT_FLAGS = ['--max-old-space-size=200', '--max-semi-space-size=2']
+
+type Addresses = Record<typeof PORTS[number], string>
+
+interface FleetNode { host: string, service: string, addresses: Addresses, process: ChildProcess, target: Server }
+
+interface ColdRow { program: string, nodes: number, calls: number, failed: number, 'start ms': number, 'idle ms/s': number, 'ms/call': number, 'resident MB': number }
+
+const COLUMNS = ['name', 'host', 'pathPrefix', 'kind', 'timeout', 'targetLatency', 'priority', 'service', 'maxAttempts']
+
+function makeConfiguration (): unknown {
+  return {
+    version: 1,
+    routes: { columns: COLUMNS, rows: SERVICES.map((service, index) => [`r-${service}`, `${service}.example`, '/', 'safe', '4s', '600ms', index, service, 2]) },
+    services: { columns: ['name', 'healthPath', 'maxConns'], rows: SERVICES.map(service => [service, '/healthz', 130]) },
+    limits: { maxHeaderBytes: 16_384, maxBodyBytes: 1_048_576, headerTimeout: '5s', idleTimeout: '10s' }
+  }
+}
+
+function startTarget (address: string): Server {
+  const server = createServer((message, response) => {
+    message.resume()
+    setTimeout(() => {
+      response.writeHead(200, { 'x-attempt-id': String(message.headers['x-attempt-id']), 'x-response-signature': 's', 'content-length': 1_500 })
+      response.end(Buffer.alloc(1_500, 'x'))
+    }, SERVICE_MS)
+  })
+  const [host, port] = address.split(':')
+  return server.listen(Number(port), host)
+}
+
+function readProcessorMs ({ pid }: ChildProcess): number {
+  const fields = readFileSync(`/proc/${pid ?? 0}/stat`, 'utf8').split(') ')[1]?.split(' ') ?? []
+  return (Number(fields[11]) + Number(fields[12])) * CLOCK_TICK_MS
+}
+
+function readResidentMb ({ pid }: ChildProcess): number {
+  return Number(/VmRSS:\s+([0-9]+)/.exec(readFileSync(`/proc/${pid ?? 0}/status`, 'utf8'))?.[1] ?? NaN) / 1024
+}
+
+function startNode (program: string, index: number, block: string, store: string, profileFolder: string | undefined): FleetNode {
+  const host = `h${index}`
+  const service = SERVICES[index % SERVICES.length] ?? ''
+  const zone = ZONES[Math.floor(index / SERVICES.length) % ZONES.length] ?? ''
+  const addresses = Object.fromEntries(PORTS.map((port, offset) => [port, `${block}:${FIRST_PORT + index * PORTS.length + offset}`])) as Addresses
+  const values = {
+    host, zone, region: `r-${zone}`, service, store, heartbeat: `${HEARTBEAT_INTERVAL_MS}ms`, grace: '4s', 'retry-ratio': '0.2', 'retry-extra': '64', 'retry-window': '10s', ...addresses
+  }
+  const file = join(mkdtempSync(join(tmpdir(), 'cold-')), 'node.settings')
+  writeFileSync(file, Object.entries(values).map(([name, value]) => `${name}=${value}`).join('\n'))
+  const profile = profileFolder === undefined ? [] : ['--cpu-prof', `--cpu-prof-dir=${profileFolder}`]
+  const child = spawn(process.execPath, [...profile, ...DEFAULT_FLAGS, ...program.split(' ')], {
+    env: { ...process.env, NODE_OPTIONS: '', COMFREYSPOKE_SETTINGS: file }, stdio: 'ignore'
+  })
+  return { host, service, addresses, process: child, target: startTarget(addresses.target) }
+}
+
+class ColdFleet {
+  private readonly agent = new Agent({ connections: 64, pipelining: 1 })
+  private readonly callers = new Agent({ connections: 256, pipelining: 0 })
+  private heartbeatSequence = 0
+  private calls = 0
+  private failed = 0
+
+  constructor (private readonly nodes: readonly FleetNode[]) {}
+
+  async awaitReady (): Promise<void> {
+    const deadline = Date.now() + READY_TIMEOUT_MS
+    for (const { addresses } of this.nodes) {
+      while (!await this.isReady(addresses.ready)) {
+        if (Date.now() > deadline) throw new Error(`the node at ${addresses.ready} is not ready`)
+        await delay(20)
+      }
+    }
+  }
+
+  async sendHeartbeats (): Promise<void> {
+    this.heartbeatSequence += 1
+    await Promise.all(this.nodes.map(async ({ host, service, addresses }) => {
+      const body = JSON.stringify({
+        address: addresses.target, born: 1, info: { service, version: 'v1', zone: 'a', slots: SLOTS }, status: { state: 'ready', seq: this.heartbeatSequence, coldLeft: '0ms' }
+      })
+      const response = await request(`http://${addresses.control}/-/Instances.Heartbeat/i-${host}`, { method: 'POST', body, dispatcher: this.agent })
+      await response.body.dump()
+    }))
+  }
+
+  async runCalls (): Promise<{ calls: number, failed: number }> {
+    const intervalMs = 1_000 / (CALLS_PER_SECOND_AND_NODE * this.nodes.length)
+    const startedAt = performance.now()
+    const pending: Array<Promise<void>> = []
+    while (performance.now() - startedAt < CALL_SECONDS * 1_000) {
+      while (this.calls * intervalMs < performance.now() - startedAt) pending.push(this.call())
+      await delay(2)
+    }
+    await Promise.all(pending)
+    return { calls: this.calls, failed: this.failed }
+  }
+
+  private async call (): Promise<void> {
+    this.calls += 1
+    const node = this.nodes[this.calls % this.nodes.length]
+    const service = SERVICES[Math.floor(Math.random() * SERVICES.length)] ?? ''
+    try {
+      const response = await request(`http://${node?.addresses.caller ?? ''}/read/${this.calls}`, {
+        headers: { host: `${service}.example`, 'x-attempt-id': `a${this.calls}`, 'x-timeout-ms': '3000' }, dispatcher: this.calls % 2 === 0 ? this.callers : this.agent
+      })
+      await response.body.dump()
+      if (response.statusCode !== 200) this.failed += 1
+    } catch {
+      this.failed += 1
+    }
+  }
+
+  private async isReady (address: string): Promise<boolean> {
+    try {
+      const response = await request(`http://${address}/-/readyz`, { dispatcher: this.agent })
+      await response.body.dump()
+      return response.statusCode === 200
+    } catch {
+      return false
+    }
+  }
+
+  async stop (): Promise<void> {
+    for (const { process: child, target } of this.nodes) {
+      child.kill('SIGTERM')
+      target.closeAllConnections()
+      target.close()
+    }
+    await Promise.all(this.nodes.map(async ({ process: child }) => { if (child.exitCode === null && child.signalCode === null) await once(child, 'exit') }))
+    await Promise.all([this.agent.destroy(), this.callers.destroy()])
+  }
+}
+
+function sumProcessorMs (nodes: readonly FleetNode[]): number {
+  return nodes.reduce((sum, node) => sum + readProcessorMs(node.process), 0)
+}
+
+async function measureProgram (program: string, profileFolder: string | undefined): Promise<ColdRow> {
+  const store = new ObjectsServer()
+  const address = await store.listen()
+  store.writeObject('config', 'main', makeConfiguration())
+  const block = `127.${await findBlock()}.0.1`
+  const nodes = Array.from({ length: NODES }, (_, index) => startNode(program, index, block, address, profileFolder))
+  const fleet = new ColdFleet(nodes)
+  let heartbeats: NodeJS.Timeout | undefined
+  try {
+    await fleet.awaitReady()
+    const startMs = sumProcessorMs(nodes)
+    heartbeats = setInterval(() => { void fleet.sendHeartbeats().catch(() => {}) }, HEARTBEAT_INTERVAL_MS)
+    await delay(SETTLE_MS)
+    const settledMs = sumProcessorMs(nodes)
+    const { calls, failed } = await fleet.runCalls()
+    const callsMs = sumProcessorMs(nodes) - settledMs
+    const residentMb = nodes.reduce((sum, node) => sum + readResidentMb(node.process), 0)
+    return {
+      program,
+      nodes: NODES,
+      calls,
+      failed,
+      'start ms': Math.round(startMs / NODES),
+      'idle ms/s': Math.round((settledMs - startMs) / NODES / (SETTLE_MS / 1_000) * 10) / 10,
+      'ms/call': Math.round(callsMs / calls * 100) / 100,
+      'resident MB': Math.round(residentMb / NODES)
+    }
+  } finally {
+    clearInterval(heartbeats)
+    await fleet.stop()
+    await store.close()
+  }
+}
+
+export async function runCold (args: readonly string[]): Promise<ColdRow[]> {
+  const flagIndex = args.indexOf('--profile')
+  const profileFolder = flagIndex < 0 ? undefined : args[flagIndex + 1]
+  const programs = args.filter((_, index) => flagIndex < 0 || (index !== flagIndex && index !== flagIndex + 1))
+  process.stdout.write(`${availableParallelism()} processors\n`)
+  const rows: ColdRow[] = []
+  for (const program of programs.length > 0 ? programs : ['target/node.cjs']) {
+    const row = await measureProgram(program, profileFolder)
+    rows.push(row)
+    process.stdout.write(`${Object.entries(row).map(([name, value]) => `${name}: ${value}`).join(', ')}\n`)
+  }
+  return rows
+}
--- a/standins/bench/main.ts
+++ b/standins/bench/main.ts
@@ -4,6 +4,7 @@
 import { writeFile } from 'node:fs/promises'
 import { runCalls } from './calls.js'
 import { runCapacity } from './capacity.js'
+import { runCold } from './cold.js'
 import { runConvergence } from './convergence.js'
 import { runMembers } from './members.js'
 
@@ -12,6 +13,7 @@
 const BENCHMARKS: Readonly<Record<string, Benchmark>> = {
   calls: runCalls,
   capacity: runCapacity,
+  cold: runCold,
   convergence: runConvergence,
   members: runMembers
 }
