--- a/src/configuration/schema.ts
+++ b/src/configuration/schema.ts
@@ -2,7 +2,7 @@
  * One version of the configuration: the documents of all services and the limits for callers. A
  * version is applied atomically. Versions increase in steps of any size.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 import { entrySchema } from '../snapshot/index.js'
 
 /** Limits for the requests and connections of callers. Times are in milliseconds, sizes in bytes. */
--- a/src/core/duration.ts
+++ b/src/core/duration.ts
@@ -1,7 +1,7 @@
 /**
  * Durations in settings: text with a unit, such as `250ms` or `1.5s`.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 
 const DURATION = /^(-?[0-9]+(?:\.[0-9]+)?)(ms|s)$/
 const MS_PER_S = 1_000
--- a/src/core/fault.ts
+++ b/src/core/fault.ts
@@ -2,7 +2,7 @@
  * Errors as data. A fault has a code for programs, a message for people and, when it concerns a
  * value, the path to that value with the expected and the found value.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 
 export const faultSchema = z.object({
   code: z.string(),
--- a/src/core/settings.ts
+++ b/src/core/settings.ts
@@ -3,7 +3,7 @@
  * them with a schema. A flag overrides an environment variable, and a variable overrides the file.
  */
 import { readFileSync } from 'node:fs'
-import type { z } from 'zod'
+import type * as z from 'zod'
 import { describeError, makeFault } from './fault.js'
 import type { Fault } from './fault.js'
 import { Err, Ok } from './result.js'
--- a/src/core/verdict.ts
+++ b/src/core/verdict.ts
@@ -3,7 +3,7 @@
  * target-side node rejected the request first. `may-have-run`: a byte may have reached a target
  * and no complete response arrived. `ran`: a target responded.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 
 export const verdictSchema = z.enum(['not-run', 'may-have-run', 'ran'])
 export type Verdict = z.infer<typeof verdictSchema>
--- a/src/document/queries/issues.ts
+++ b/src/document/queries/issues.ts
@@ -1,7 +1,7 @@
 /**
  * Converts schema issues to faults with the path, the expected and the found value.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 import { makeFault } from '../../core/index.js'
 import type { Fault } from '../../core/index.js'
 import { documentSchema } from '../schema.js'
--- a/src/document/schema.ts
+++ b/src/document/schema.ts
@@ -3,7 +3,7 @@
  * Times are in milliseconds, sizes in bytes. Collections are maps by name, so that the
  * difference between two versions stays as small as the edit.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 
 export const MAX_BODY_BYTES = 1024 ** 3
 /** Limits the size of a document as canonical JSON. The history object of a service, at most 512 KiB, must have room for the complete newest edit. */
--- a/src/document/stored.ts
+++ b/src/document/stored.ts
@@ -2,7 +2,7 @@
  * The platform's objects for documents: `service` (the edit in force), `referrers` (the services
  * that refer to the service) and `history` (the last edits), each under the name of the service.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 import { nameSchema } from './schema.js'
 
 const versionSchema = z.number().int().positive()
--- a/src/membership/commands/heartbeat.ts
+++ b/src/membership/commands/heartbeat.ts
@@ -2,7 +2,7 @@
  * Heartbeats with the start time of their target and a sequence number, so that a delayed heartbeat, or a
  * heartbeat of an earlier process, changes nothing.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 import type { LocalHost } from '../localhost.js'
 import { announcementSchema } from '../schema.js'
 import type { HostRecord } from '../schema.js'
--- a/src/membership/schema.ts
+++ b/src/membership/schema.ts
@@ -2,7 +2,7 @@
  * Records of hosts and their targets. A record has one owner, the node of its host, and the records of
  * a host are ordered by (incarnation, sequence). Addresses are `ip:port`.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 import { nameSchema } from '../document/index.js'
 
 export const targetStateSchema = z.enum(['starting', 'ready', 'leaving'])
--- a/src/node/queries/difference.ts
+++ b/src/node/queries/difference.ts
@@ -27,12 +27,13 @@
   const base = isNewer ? { ...common, configuration: state.configuration } : common
   const { digests } = state.members
   if (request.complete !== undefined) return { ...base, records: listNewer(state, listBucketHosts(digests, request.complete), request.records) }
+  // The digests of a node that sends a change always differ by that change, so they do not show that this node lacks anything else.
+  if (request.records.length > 0) return { ...base, records: listNewer(state, [], request.records) }
   const differing = listDifferingZones(state, request.zones)
   const small = differing.filter(zone => digests.listHosts(zone).length <= SMALL_ZONE_HOSTS)
   const large = differing.filter(zone => !small.includes(zone))
   const buckets = Object.fromEntries(large.map(zone => [zone, digests.getBucketDigests(zone)]))
-  const records = [...listZoneRecords(state, small), ...listNewer(state, [], request.records)]
-  return { ...base, records, differing: small, buckets }
+  return { ...base, records: listZoneRecords(state, small), differing: small, buckets }
 }
 
 /** Returns the buckets in which another node's digests differ from the local ones. */
--- a/src/node/settings.ts
+++ b/src/node/settings.ts
@@ -1,7 +1,7 @@
 /**
  * Settings of a node and its ports that exist in every deployment. Addresses are `ip:port`.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 
 export const addressSchema = z.string().regex(/^[0-9.]+:[0-9]+$/, 'must be ip:port')
 
--- a/src/node/start.ts
+++ b/src/node/start.ts
@@ -231,7 +231,7 @@
   private announceRecord (record: HostRecord): void {
     storeLocalRecord(this.state, record, this.clock)
     this.directory.notifyChanged()
-    void this.peers.notifyPeers({ records: [record] })
+    void this.peers.notifyPeers({ records: [record] }, record.state === 'leaving' ? 'many' : 'some')
   }
 
   /** Another node has a record of this host that supersedes the local one: a record of an earlier process, or a tombstone. */
--- a/src/node/tasks/peers.ts
+++ b/src/node/tasks/peers.ts
@@ -12,6 +12,8 @@
 import type { SuspectChange } from '../../suspect/index.js'
 import { storeRecords } from '../commands/records.js'
 import { collectZoneDigests, findDifferingBuckets, listBucketRecords, listNewer, listZoneHosts, makeExchangeResponse } from '../queries/difference.js'
+import { selectNotifiedPeers } from '../queries/notified.js'
+import type { NotificationReach } from '../queries/notified.js'
 import type { NodeState } from '../state.js'
 
 export interface PeerSynchronizerContext {
@@ -26,8 +28,6 @@
 const EXCHANGE_INTERVAL_MS = 1_000
 /** While the store does not respond to this node, it receives new versions only from peers. */
 const STORE_LOST_EXCHANGE_INTERVAL_MS = 300
-/** A node sends a local change to this many peers. In larger fleets, the periodic exchanges spread it further. */
-const MAX_NOTIFIED_PEERS = 32
 /** Exchanges with another zone or region cost billed bytes, so most exchanges stay in the same zone. */
 const ANY_ZONE_SHARE = 0.05
 const REGION_SHARE = 0.2
@@ -77,7 +77,7 @@
     forwardStream(this.context.state.suspects.changes.stream, changes, signal)
     signal.addEventListener('abort', () => { changes.close() }, { once: true })
     for await (const { marks, cleared, source } of changes) {
-      if (source === undefined) await this.notifyPeers({ marks: [...marks], cleared: [...cleared] })
+      if (source === undefined) await this.notifyPeers({ marks: [...marks], cleared: [...cleared] }, 'many')
     }
   }
 
@@ -97,10 +97,10 @@
   }
 
   /** Resolves when each notified peer has responded or failed to respond. */
-  async notifyPeers (payload: Partial<ExchangePayload>): Promise<void> {
+  async notifyPeers (payload: Partial<ExchangePayload>, reach: NotificationReach): Promise<void> {
     const { state, random } = this.context
-    const peers = state.listPeers().map(peer => ({ peer, rank: random.next() })).sort((left, right) => left.rank - right.rank)
-    await Promise.all(peers.slice(0, MAX_NOTIFIED_PEERS).map(async ({ peer }) => { await this.exchange(peer, { ...EMPTY_PAYLOAD, ...payload }) }))
+    const peers = selectNotifiedPeers(state.listPeers(), state.identity.zone, reach, random)
+    await Promise.all(peers.map(async peer => { await this.exchange(peer, { ...EMPTY_PAYLOAD, ...payload }) }))
   }
 
   async exchange (peer: HostRecord, payload: ExchangePayload): Promise<void> {
@@ -136,7 +136,7 @@
     const tombstone = makeTombstone(record)
     storeRecords(state, { records: [tombstone] }, clock)
     onRemoved(record.host)
-    void this.notifyPeers({ records: [tombstone] })
+    void this.notifyPeers({ records: [tombstone] }, 'some')
   }
 
   private pickPeer (): HostRecord | undefined {
--- a/src/peer/codec.ts
+++ b/src/peer/codec.ts
@@ -3,7 +3,7 @@
  */
 import { constants, deflateRawSync, inflateRawSync } from 'node:zlib'
 import { decode, encode } from '@msgpack/msgpack'
-import type { z } from 'zod'
+import type * as z from 'zod'
 
 export abstract class Codec {
   abstract encode (message: unknown): Buffer
--- a/src/peer/messages.ts
+++ b/src/peer/messages.ts
@@ -2,7 +2,7 @@
  * Messages between nodes and from the operator's tool to a node. Each exchange between two nodes compares
  * their state and transfers the parts that either of them lacks. Times are in milliseconds.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 import { configurationSchema, refusedVersionSchema } from '../configuration/index.js'
 import { hostRecordSchema } from '../membership/index.js'
 import { crashMarkSchema } from '../suspect/index.js'
--- a/src/peer/meter.ts
+++ b/src/peer/meter.ts
@@ -5,7 +5,7 @@
  */
 import { InterceptingCall, ListenerBuilder, RequesterBuilder, ResponderBuilder, ServerInterceptingCall, ServerListenerBuilder } from '@grpc/grpc-js'
 import type { Interceptor, Metadata, ServerInterceptor } from '@grpc/grpc-js'
-import type { z } from 'zod'
+import type * as z from 'zod'
 import { Codec } from './codec.js'
 
 export interface Location { zone: string, region: string }
--- a/src/peer/services.ts
+++ b/src/peer/services.ts
@@ -3,7 +3,7 @@
  * read, are separate services.
  */
 import type { MethodDefinition } from '@grpc/grpc-js'
-import type { z } from 'zod'
+import type * as z from 'zod'
 import type { Codec } from './codec.js'
 import {
   drainResponseSchema, drainRequestSchema, exchangeResponseSchema, exchangeRequestSchema, statusResponseSchema, statusRequestSchema,
--- a/src/program/command.ts
+++ b/src/program/command.ts
@@ -4,7 +4,7 @@
  */
 import { defineCommand } from 'citty'
 import type { ArgsDef, CommandDef } from 'citty'
-import { z } from 'zod'
+import * as z from 'zod'
 import { DocumentSource } from '../configuration/index.js'
 import { formatEnvironmentVariable, readSettings, SystemClock } from '../core/index.js'
 import { HEARTBEAT_TIMEOUT_MS } from '../membership/index.js'
--- a/src/request/connections.ts
+++ b/src/request/connections.ts
@@ -1,7 +1,7 @@
 /**
  * The connections to one target or node. Each connection carries one exchange at a time; idle connections are limited in number and age.
  */
-import { Client } from 'undici'
+import { Client } from '../core/undici.js'
 import type { Clock } from '../core/index.js'
 import { makeConnector } from './connector.js'
 import type { ConnectionState } from './connector.js'
--- a/src/request/queries/inbound.ts
+++ b/src/request/queries/inbound.ts
@@ -2,7 +2,7 @@
  * Reads the head of a request that another node forwards to a target of this host.
  */
 import type { IncomingMessage } from 'node:http'
-import { z } from 'zod'
+import * as z from 'zod'
 import { Err, Ok, makeFailure } from '../../core/index.js'
 import type { Failure, Result } from '../../core/index.js'
 import { routeClassSchema } from '../../document/index.js'
--- a/src/request/schema.ts
+++ b/src/request/schema.ts
@@ -1,7 +1,7 @@
 /**
  * A call as routing and retry decisions use it: typed values, without sockets or body bytes.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 
 export const HEADERS = {
   service: 'x-comfreyspoke-service',
--- a/src/snapshot/schema.ts
+++ b/src/snapshot/schema.ts
@@ -1,7 +1,7 @@
 /**
  * Versions of documents, as sent between nodes and as part of a snapshot.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 import { documentSchema } from '../document/index.js'
 import type { Target } from '../membership/index.js'
 
--- a/src/store/commands/http.ts
+++ b/src/store/commands/http.ts
@@ -1,7 +1,7 @@
 /**
  * Conditional writes and removals over the platform's HTTP API.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 import { Err, Ok } from '../../core/index.js'
 import type { Result } from '../../core/index.js'
 import { convertResponseToFault, exchange } from '../exchange.js'
--- a/src/store/exchange.ts
+++ b/src/store/exchange.ts
@@ -1,13 +1,12 @@
 /**
  * One HTTP exchange with the platform, with a time limit.
  */
-import { request } from 'undici'
-import type { Agent } from 'undici'
 import { Err, Ok, describeError } from '../core/index.js'
 import type { Result } from '../core/index.js'
+import type { Pool } from '../core/undici.js'
 import type { StoreFault } from './schema.js'
 
-export interface StoreConnection { origin: string, agent: Agent, timeoutMs: number }
+export interface StoreConnection { pool: Pool, timeoutMs: number }
 
 export interface StoreResponse { status: number, body: unknown }
 
@@ -18,9 +17,9 @@
   connection: StoreConnection, method: 'GET' | 'PUT' | 'DELETE', path: string, body?: unknown
 ): Promise<Result<StoreResponse, StoreFault>> {
   try {
-    const response = await request(`${connection.origin}${path}`, {
+    const response = await connection.pool.request({
       method,
-      dispatcher: connection.agent,
+      path,
       signal: AbortSignal.timeout(connection.timeoutMs),
       ...(body === undefined ? {} : { body: JSON.stringify(body), headers: { 'content-type': 'application/json' } })
     })
--- a/src/store/queries/http.ts
+++ b/src/store/queries/http.ts
@@ -2,7 +2,6 @@
  * Reads and watches over the platform's HTTP API. A watch is one streaming response with a JSON event per line.
  */
 import { createInterface } from 'node:readline'
-import { request } from 'undici'
 import { Err, Ok, describeError } from '../../core/index.js'
 import type { Result } from '../../core/index.js'
 import { convertErrorToFault, convertResponseToFault, exchange } from '../exchange.js'
@@ -35,8 +34,8 @@
     const headTimeout = new AbortController()
     const timer = setTimeout(() => { headTimeout.abort(new Error('no response to a watch in time')) }, WATCH_HEAD_TIMEOUT_MS)
     try {
-      const response = await request(`${this.connection.origin}/v1/watch/${kind}?from=${from}`, {
-        dispatcher: this.connection.agent, signal: AbortSignal.any([signal, headTimeout.signal]), bodyTimeout: 0
+      const response = await this.connection.pool.request({
+        method: 'GET', path: `/v1/watch/${kind}?from=${from}`, signal: AbortSignal.any([signal, headTimeout.signal]), bodyTimeout: 0
       })
       clearTimeout(timer)
       if (response.statusCode !== 200) {
--- a/src/store/schema.ts
+++ b/src/store/schema.ts
@@ -2,7 +2,7 @@
  * Objects of the platform's object API. Each write gives the object a higher version for as long
  * as the object exists. Values are at most a megabyte of JSON.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 
 /** The kinds of objects that this project stores on the platform. */
 export const objectKindSchema = z.enum(['service', 'referrers', 'history', 'host'])
--- a/src/suspect/schema.ts
+++ b/src/suspect/schema.ts
@@ -2,7 +2,7 @@
  * Crash marks of requests that were in flight on a target when it crashed. A mark has an age in
  * milliseconds, not a time, since the clocks of different hosts are never compared.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 
 export const CRASH_MARK_RETENTION_MS = 600_000
 /** A request with crash marks on this many different targets is blocked. */
--- a/src/timeline/queries/filter.ts
+++ b/src/timeline/queries/filter.ts
@@ -1,7 +1,7 @@
 /**
  * Filters events for an operator's query. Every given field must match; times are wall-clock milliseconds.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 import { eventKindSchema } from '../schema.js'
 import type { TimelineEvent } from '../schema.js'
 
--- a/src/timeline/schema.ts
+++ b/src/timeline/schema.ts
@@ -2,7 +2,7 @@
  * Events of the timeline. `wall` and `counter` form a hybrid logical time: wall-clock milliseconds,
  * then a counter that orders events within one millisecond and after messages from faster clocks.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 
 /** The hybrid logical time of a process, by which events of different processes can be ordered. */
 export const hybridTimeSchema = z.object({ wall: z.number(), counter: z.number().int() })
--- a/standins/node/main.ts
+++ b/standins/node/main.ts
@@ -5,7 +5,7 @@
  */
 import { json } from 'node:stream/consumers'
 import { runMain } from 'citty'
-import { z } from 'zod'
+import * as z from 'zod'
 import { startServer, writeJson } from '../../src/node/index.js'
 import { defineNodeCommand } from '../../src/program/index.js'
 import { formatAddress } from '../layout/schema.js'
--- a/standins/platform/switches.ts
+++ b/standins/platform/switches.ts
@@ -1,7 +1,7 @@
 /**
  * Schema of the platform stand-in's injected faults and rate limits, which `POST /control` sets.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 
 export const callKindSchema = z.enum(['get', 'list', 'watch', 'write', 'remove'])
 export type CallKind = z.infer<typeof callKindSchema>
