Let rejected calls go on in large fleets, and short calls wait for a slot next to long requests

After a rejection only a target with a load report of the last second was tried; a node of a large fleet hears from few targets in a second, so the call failed. Calls that targets make themselves, with an objective of 195 ms next to requests of 610 ms, were rejected as soon as all slots were in use, and their callers' runs, 2,191 of 11,789, ended in vain. Change: after a rejection a target of unknown load may be tried, the less often the more attempts the service rejects; a request may wait for half of the mean service time, whatever its objective.

--- a/src/request/admission.ts
+++ b/src/request/admission.ts
@@ -42,6 +42,12 @@
 const MIN_SERVICE_SHARE = 0.5
 /** Share of the objective that may be spent in the queue. The rest is for the service time, which varies. */
 const MAX_OBJECTIVE_WAIT_SHARE = 0.35
+/**
+ * Share of the average service time that each request may wait, whatever its objective. The pattern is short calls that a target makes
+ * while it serves a request, next to long requests: their objective is shorter than the time until a slot becomes free, and to reject
+ * one wastes the run that made it.
+ */
+const MIN_SERVICE_WAIT_SHARE = 0.5
 /** The rejection must reach the caller-side node, which may be in another region, before that node stops waiting for the response. */
 const MIN_RESPONSE_MARGIN_MS = 60
 
@@ -54,7 +60,8 @@
 
   /** A request that waits past its objective delays all requests behind it, too, so longer waits leave fewer responses on time. */
   override computeMaxWait ({ leftMs, objectiveMs, serviceMs }: TimeBudget): number {
-    return Math.min(leftMs - Math.max(MIN_RESPONSE_MARGIN_MS, serviceMs * MIN_SERVICE_SHARE), objectiveMs * MAX_OBJECTIVE_WAIT_SHARE)
+    const usefulMs = leftMs - Math.max(MIN_RESPONSE_MARGIN_MS, serviceMs * MIN_SERVICE_SHARE)
+    return Math.min(usefulMs, Math.max(objectiveMs * MAX_OBJECTIVE_WAIT_SHARE, serviceMs * MIN_SERVICE_WAIT_SHARE))
   }
 }
 
--- a/src/request/delaypicker.ts
+++ b/src/request/delaypicker.ts
@@ -39,6 +39,8 @@
 const REJECTION_BACKOFF_MS = 40
 /** A load report that is older may be out of date. */
 const LOAD_MAX_AGE_MS = 1_000
+/** Weight of a new sample in the share of attempts that a service rejects. */
+const REJECTION_SAMPLE_SHARE = 0.1
 /** Half-life of a reported load. The nodes that caused the load send more requests, so it outlasts the requests that it counted. */
 const LOAD_HALF_LIFE_MS = 1_000
 /** A new target is expected to be slower by this factor during its warm-up. */
@@ -107,9 +109,13 @@
     this.backoffUntil = at + REJECTION_BACKOFF_MS
   }
 
+  hasRecentLoad (at: number): boolean {
+    return this.load !== undefined && at - this.loadAt <= LOAD_MAX_AGE_MS
+  }
+
   /** Returns true if a recent load report, plus the requests sent since, leaves a slot free. */
   hasFreeSlot (at: number): boolean {
-    if (this.load === undefined || at - this.loadAt > LOAD_MAX_AGE_MS) return false
+    if (this.load === undefined || !this.hasRecentLoad(at)) return false
     return this.load.used + this.load.waiting + this.sentSinceLoad < this.load.slots
   }
 
@@ -140,6 +146,8 @@
 export class LeastDelayPicker extends Picker {
   private readonly stats = new Map<string, TargetStats>()
   private readonly averageServiceMs = new Map<string, number>()
+  /** The share of the recent attempts that a service rejected. */
+  private readonly rejectionShares = new Map<string, number>()
   private evictedAt = 0
 
   constructor (private readonly locality: NodeLocality, private readonly clock: Clock, private readonly random: Random) {
@@ -152,7 +160,7 @@
     const reachable = untried.filter(target => !this.getStats(target, at).isUnreachable(at))
     const available = reachable.filter(target => !this.getStats(target, at).isBackingOff(at))
     const computePenalty = zones === 'any' ? (): number => 0 : (target: Target): number => this.computeDistancePenalty(target, bytes)
-    if (needsFreeSlot) return this.pickBest(available.filter(target => this.getStats(target, at).hasFreeSlot(at)), at, computePenalty)
+    if (needsFreeSlot) return this.pickBest(this.selectLikelyFree(available, at), at, computePenalty)
     return this.pickBest(available.length > 0 ? available : reachable.length > 0 ? reachable : untried, at, computePenalty)
   }
 
@@ -167,6 +175,7 @@
     const stats = this.getStats(target, at)
     stats.inFlight -= 1
     if (outcome === 'cancelled') return
+    if (outcome !== 'failed') this.recordRejectionShare(target, outcome === 'refused')
     if (UNREACHABLE_CODES.has(code)) stats.recordUnreachable(at)
     else if (outcome === 'refused') stats.recordRejection(at)
     else stats.recordFailure(at, outcome === 'failed')
@@ -181,6 +190,24 @@
     if (load.slots > 0) this.getStats(target, at).setLoad(at, load)
   }
 
+  /**
+   * Selects targets with a free slot, or else targets of unknown load: in a large fleet a node hears from few of them each second. The
+   * more attempts the service rejects, the fewer calls go on to a target of unknown load, so that they are rejected near their caller
+   * when all targets are full.
+   */
+  private selectLikelyFree (targets: readonly Target[], at: number): Target[] {
+    const free = targets.filter(target => this.getStats(target, at).hasFreeSlot(at))
+    const [first] = targets
+    if (free.length > 0 || first === undefined) return free
+    if (this.random.next() < (this.rejectionShares.get(first.service) ?? 0)) return []
+    return targets.filter(target => !this.getStats(target, at).hasRecentLoad(at))
+  }
+
+  private recordRejectionShare ({ service }: Target, isRejected: boolean): void {
+    const share = this.rejectionShares.get(service) ?? 0
+    this.rejectionShares.set(service, share + REJECTION_SAMPLE_SHARE * ((isRejected ? 1 : 0) - share))
+  }
+
   private pickBest (targets: readonly Target[], at: number, computePenalty: (target: Target) => number): Target | undefined {
     let best: Target | undefined
     let lowest = Infinity
--- a/src/request/picker.ts
+++ b/src/request/picker.ts
@@ -8,7 +8,7 @@
   targets: readonly Target[]
   /** Ids of the targets of earlier attempts of this call. */
   tried: ReadonlySet<string>
-  /** The previous attempt was rejected because the target had no free slot, so only a target that is known to have one is worth another attempt. */
+  /** The previous attempt was rejected because the target had no free slot, so only a target that is likely to have one is worth another attempt. */
   needsFreeSlot: boolean
   zones: 'same-first' | 'any'
   /** Length of the request body, which is transferred to the target. */
--- a/tests/admission.test.ts
+++ b/tests/admission.test.ts
@@ -18,15 +18,16 @@
   return { limiter, clock, acquire: async leftMs => await limiter.acquire('normal', leftMs, new AbortController().signal) }
 }
 
-/** Sets the average service time of the limiter, and leaves all slots in use. */
-async function fillLimiter ({ clock, acquire }: ReturnType<typeof makeLimiter>): Promise<void> {
+/** Sets the average service time of the limiter, and leaves all slots in use. Returns a function that frees one of them. */
+async function fillLimiter ({ clock, acquire }: ReturnType<typeof makeLimiter>): Promise<() => void> {
   for (let round = 0; round < 50; round += 1) {
     const permit = await acquire(10_000)
     clock.advance(SERVICE_MS)
     if (permit.ok) permit.val.release()
   }
+  const held = await acquire(10_000)
   await acquire(10_000)
-  await acquire(10_000)
+  return () => { if (held.ok) held.val.release() }
 }
 
 test('a request that would get its slot too late is rejected immediately as not run, in a form that the caller-side node parses', async () => {
@@ -71,3 +72,16 @@
   expect(waiting).toBe(Math.floor(600 * 0.35 / SERVICE_MS * 2))
   expect(results.filter(result => result !== 'waits' && result.err && result.val.verdict === 'not-run')).toHaveLength(20 - waiting)
 })
+
+test('a short call next to long requests waits for the next free slot, although that takes longer than its share of the objective', async () => {
+  const fixture = makeLimiter(100)
+  const release = await fillLimiter(fixture)
+  let admitted: Result<Permit, Failure> | undefined
+  void fixture.limiter.acquire('normal', 500, new AbortController().signal, 150).then(result => { admitted = result })
+  await settle()
+  expect(admitted).toBeUndefined()
+  void fixture.limiter.acquire('normal', 500, new AbortController().signal, 150).then(result => { expect(result.ok).toBe(false) })
+  release()
+  await settle()
+  expect(admitted?.ok).toBe(true)
+})
--- a/tests/delaypicker.test.ts
+++ b/tests/delaypicker.test.ts
@@ -104,3 +104,14 @@
   expect(served / calls).toBeGreaterThan(0.97)
   expect(rejectedAcrossRegions / served).toBeLessThan(0.05)
 })
+
+/** Nine targets in each zone: a node hears from few of the 54 targets within the time in which a load report counts. */
+test('in a large fleet, a rejected call goes on to a target of unknown load', () => {
+  const clock = makeClock()
+  const { calls, served, rejectedAcrossRegions, utilization } = runSaturation({
+    clock, makePicker: (place, random) => new LeastDelayPicker(place, clock, random), perSecond: 1_620, seconds: 12, targetsPerZone: 9
+  })
+  expect(served / calls).toBeGreaterThan(0.93)
+  expect(utilization).toBeGreaterThan(0.93)
+  expect(rejectedAcrossRegions / served).toBeLessThan(0.05)
+})
