Collect short responses in the exchange, and bound what is read of a rejected response and of a heartbeat

Cause: the rest of a rejected response was read without a limit after the deadline of its request no longer applied, so a faulty target that sends bytes without end kept a connection and its buffers for good; the body of a heartbeat was read whole into memory. Each short response passed through a stream and an async iterator before it was forwarded, in two writes. Change: ExchangeHandler checks the head, collects a body up to the buffer size, and discards that of a rejected response within 64 KiB and 1 s; the body of TargetResponse is a buffer when it is complete. The types of the HTTP client have a module of their own, which ends the import circle of exchange.ts and handler.ts. A heartbeat above 16 KiB gets a 413. A short response leaves in one write. bench cold takes the number of nodes and the rate of calls.

--- a/src/request/exchange.ts
+++ b/src/request/exchange.ts
@@ -1,8 +1,6 @@
 /**
  * HTTP exchanges with targets and with other nodes. A failed exchange yields a verdict on whether the request may have run.
  */
-import type { IncomingHttpHeaders } from 'node:http'
-import type { Readable } from 'node:stream'
 import type { Dispatcher } from 'undici'
 import { Err, makeFailure, Ok, describeError, SystemClock } from '../core/index.js'
 import type { Clock, Failure, Result } from '../core/index.js'
@@ -10,38 +8,14 @@
 import type { Connection } from './connections.js'
 import { ExchangeHandler } from './handler.js'
 import type { ExchangeFailure } from './handler.js'
-import type { Headers } from './headers.js'
+import { HttpClient } from './httpclient.js'
+import type { OutgoingRequest, TargetResponse } from './httpclient.js'
 import { HEADERS } from './schema.js'
 
-export interface OutgoingRequest {
-  /** `ip:port`. */
-  address: string
-  method: string
-  path: string
-  headers: Headers
-  body: Readable | Buffer | undefined
-  signal: AbortSignal
-}
-
-/** The body ends in an error when the response is truncated. The trailers are set at the end of the body. */
-export interface TargetResponse {
-  statusCode: number
-  headers: IncomingHttpHeaders
-  body: Readable
-  trailers: Record<string, string>
-  /** The complete body, when it was read before the response is forwarded. */
-  bufferedBody?: Buffer
-}
-
 /** Less than the 5 s after which Node.js servers close an idle connection. */
 const IDLE_TIMEOUT_MS = 4_000
 const RETRY_AFTER_MS = 100
 
-export abstract class HttpClient {
-  abstract send (outgoing: OutgoingRequest): Promise<Result<TargetResponse, Failure>>
-  abstract close (): Promise<void>
-}
-
 /** HTTP/1.1 without pipelining: a connection carries one exchange at a time and is reused only after a complete response. */
 export class UndiciHttpClient extends HttpClient {
   private readonly pools = new Map<string, ConnectionPool>()
@@ -58,9 +32,9 @@
   override async send (outgoing: OutgoingRequest): Promise<Result<TargetResponse, Failure>> {
     const pool = this.getPool(outgoing.address)
     const connection = await pool.acquire(outgoing.headers[HEADERS.key] !== undefined, outgoing.signal)
-    if (connection === undefined) return Err(convertFailure({ error: outgoing.signal.reason, isStarted: false }, outgoing))
+    if (connection === undefined) return Err(convertFailure({ kind: 'broken', error: outgoing.signal.reason, isStarted: false, hasHead: false }, outgoing))
     const handler = new ExchangeHandler(
-      outgoing.signal, isComplete => { endExchange(pool, connection, outgoing.signal, isComplete) }, connection.state
+      outgoing, isComplete => { endExchange(pool, connection, outgoing.signal, isComplete) }, connection.state
     )
     const response = await handler.run(connection.client, {
       path: outgoing.path,
@@ -96,9 +70,12 @@
 }
 
 /** Undici has sent no byte of an exchange that it has not started to write, whatever the error; the request of any other exchange may have run. */
-function convertFailure ({ error, isStarted }: ExchangeFailure, { address, signal }: OutgoingRequest): Failure {
+function convertFailure (exchangeFailure: ExchangeFailure, { address, signal }: OutgoingRequest): Failure {
+  if (exchangeFailure.kind === 'rejected') return exchangeFailure.failure
+  const { error, isStarted, hasHead } = exchangeFailure
   const verdict = isStarted ? 'may-have-run' : 'not-run'
-  if (signal.aborted) return makeFailure(verdict, 504, 'deadline', `no response from ${address} in time`)
+  if (signal.aborted) return makeFailure(verdict, 504, 'deadline', `no complete response from ${address} in time`)
+  if (hasHead) return { ...makeFailure(verdict, 502, 'answer_cut', `the response of ${address} ended early: ${describeError(error)}`), reached: true }
   if (isStarted) return { ...makeFailure(verdict, 502, 'connection_lost', `connection to ${address} lost: ${describeError(error)}`), reached: true }
   return makeFailure(verdict, 503, 'not_connected', `no connection to ${address}: ${describeError(error)}`, RETRY_AFTER_MS)
 }
--- a/src/request/front.ts
+++ b/src/request/front.ts
@@ -5,7 +5,7 @@
 import type { IncomingHttpHeaders, IncomingMessage } from 'node:http'
 import type { Failure, Result } from '../core/index.js'
 import { formatFailure } from './response.js'
-import type { TargetResponse } from './exchange.js'
+import type { ResponseHead } from './httpclient.js'
 import { filterResponseHeaders, filterCallerHeaders } from './headers.js'
 import type { Headers } from './headers.js'
 import { readCall } from './queries/call.js'
@@ -23,7 +23,7 @@
   abstract filterRequestHeaders (headers: IncomingHttpHeaders): Headers
   abstract makeTargetHeaders (call: TargetCall): Headers
   /** Returns a failure when the response of a target reports that the request was not run, or belongs to another request; undefined otherwise. */
-  abstract checkResponse (sent: Headers, response: Pick<TargetResponse, 'statusCode' | 'headers'>): Failure | undefined
+  abstract checkResponse (sent: Headers, head: ResponseHead): Failure | undefined
   abstract formatFailure (failure: Failure, request: string): FormattedFailure
   /** Returns the headers of the response of a target that are forwarded to the caller. */
   abstract filterResponseHeaders (headers: IncomingHttpHeaders, request: string): Headers
--- a/src/request/handler.ts
+++ b/src/request/handler.ts
@@ -1,42 +1,61 @@
 /**
  * Handles one exchange on an undici connection. Undici calls `onRequestStart` immediately before it writes the first
  * byte, so an exchange that ends before that call was not sent, and one that ends later may have been sent.
+ *
+ * A short response is collected here and returned when it is complete, so that a truncated one can still be replaced by that of
+ * another target. The response of a rejected exchange is read to its end, so that its connection can be reused, within limits: a
+ * faulty target may send bytes without end.
  */
 import type { IncomingHttpHeaders } from 'node:http'
 import { Readable } from 'node:stream'
 import type { Client, Dispatcher } from 'undici'
 import { Err, Ok } from '../core/index.js'
-import type { Result } from '../core/index.js'
-import type { TargetResponse } from './exchange.js'
+import type { Failure, Result } from '../core/index.js'
+import type { OutgoingRequest, ResponseHead, TargetResponse } from './httpclient.js'
 import type { ConnectionState } from './connector.js'
 
-export interface ExchangeFailure { error: unknown, isStarted: boolean }
+/** `rejected`: the check of the response head failed. `broken`: the exchange ended before its response was complete. */
+export type ExchangeFailure =
+  | { kind: 'rejected', failure: Failure }
+  | { kind: 'broken', error: unknown, isStarted: boolean, hasHead: boolean }
 
 type Controller = Dispatcher.DispatchController
 
 const FIRST_FINAL_STATUS_CODE = 200
+/** Such a response has no body, whatever its content-length. */
+const NOT_MODIFIED = 304
+const MAX_DISCARDED_BYTES = 64 * 1024
+const DISCARD_TIMEOUT_MS = 1_000
+
+export type ResponseOptions = Pick<OutgoingRequest, 'signal' | 'bufferBytes' | 'checkHead'>
 
 export class ExchangeHandler implements Dispatcher.DispatchHandler {
   private controller: Controller | undefined
-  private body: Readable | undefined
+  private head: ResponseHead | undefined
+  private stream: Readable | undefined
+  /** Chunks of a response that is not streamed. */
+  private readonly chunks: Buffer[] = []
+  private bytes = 0
+  private discardTimer: NodeJS.Timeout | undefined
   private readonly trailers: Record<string, string> = {}
   private isEnded = false
   private settle: (result: Result<TargetResponse, ExchangeFailure>) => void = () => {}
 
   /** `onEnd` is called once; `isComplete` is true when the response is complete and the connection can be reused. */
   constructor (
-    private readonly signal: AbortSignal, private readonly onEnd: (isComplete: boolean) => void, private readonly state: ConnectionState
+    private readonly options: ResponseOptions, private readonly onEnd: (isComplete: boolean) => void, private readonly state: ConnectionState
   ) {}
 
-  async run (client: Client, options: Dispatcher.DispatchOptions): Promise<Result<TargetResponse, ExchangeFailure>> {
+  async run (client: Client, request: Dispatcher.DispatchOptions): Promise<Result<TargetResponse, ExchangeFailure>> {
+    const { signal } = this.options
     return await new Promise(resolve => {
       this.settle = resolve
-      if (this.signal.aborted) {
-        this.endWithError(this.signal.reason)
+      if (signal.aborted) {
+        this.endWithError(signal.reason)
         return
       }
-      this.signal.addEventListener('abort', this.abort, { once: true })
-      client.dispatch(options, this)
+      signal.addEventListener('abort', this.abort, { once: true })
+      client.dispatch(request, this)
     })
   }
 
@@ -49,20 +68,25 @@
   onResponseStart (controller: Controller, statusCode: number, headers: IncomingHttpHeaders): void {
     if (statusCode < FIRST_FINAL_STATUS_CODE) return
     this.state.isCloseDelimited = headers['transfer-encoding'] === undefined && headers['content-length'] === undefined
-    this.body = new Readable({
-      read: () => { controller.resume() },
-      destroy: (error, done) => {
-        this.endWithError(error ?? new Error('the response was not read to its end'))
-        done(error)
-      }
-    })
-    // A reader of the body gets its error. The error of a body that nobody reads, such as that of a rejection, must not end the process.
-    this.body.on('error', () => {})
-    this.settle(Ok({ statusCode, headers, body: this.body, trailers: this.trailers }))
+    const head = { statusCode, headers }
+    this.head = head
+    const failure = this.options.checkHead?.(head)
+    if (failure !== undefined) this.rejectResponse(failure)
+    else if (this.isStreamed(head)) this.startStream(controller, head)
   }
 
   onResponseData (controller: Controller, chunk: Buffer): void {
-    if (this.body?.push(chunk) === false) controller.pause()
+    if (this.stream !== undefined) {
+      if (!this.stream.push(chunk)) controller.pause()
+      return
+    }
+    this.bytes += chunk.length
+    if (this.discardTimer !== undefined) {
+      if (this.bytes > MAX_DISCARDED_BYTES) this.endWithError(new Error('the response to be discarded is too long'))
+      return
+    }
+    this.chunks.push(chunk)
+    if (this.bytes > this.bufferBytes && this.head !== undefined) this.startStream(controller, this.head)
   }
 
   onResponseEnd (_controller: Controller, trailers: IncomingHttpHeaders): void {
@@ -71,29 +95,63 @@
       return
     }
     for (const [name, value] of Object.entries(trailers)) if (typeof value === 'string') this.trailers[name] = value
-    this.body?.push(null)
+    this.stream?.push(null)
     this.end(true)
+    if (this.stream === undefined && this.head !== undefined) {
+      this.settle(Ok({ ...this.head, body: Buffer.concat(this.chunks, this.bytes), trailers: this.trailers }))
+    }
   }
 
   onResponseError (_controller: Controller, error: Error): void {
     this.endWithError(error)
   }
 
-  private readonly abort = (): void => { this.endWithError(this.signal.reason) }
+  private get bufferBytes (): number {
+    return this.options.bufferBytes ?? 0
+  }
+
+  private isStreamed ({ statusCode, headers }: ResponseHead): boolean {
+    return this.bufferBytes === 0 || statusCode === NOT_MODIFIED || Number(headers['content-length'] ?? 0) > this.bufferBytes
+  }
+
+  private startStream (controller: Controller, head: ResponseHead): void {
+    const stream = new Readable({
+      read: () => { controller.resume() },
+      destroy: (error, done) => {
+        this.endWithError(error ?? new Error('the response was not read to its end'))
+        done(error)
+      }
+    })
+    this.stream = stream
+    // A reader of the body gets its error. The error of a body that nobody reads must not end the process.
+    stream.on('error', () => {})
+    for (const chunk of this.chunks.splice(0)) stream.push(chunk)
+    this.settle(Ok({ ...head, body: stream, trailers: this.trailers }))
+  }
+
+  /** Further wrong responses may follow on the connection, so it stays open only if the target reports that it did not run the request. */
+  private rejectResponse (failure: Failure): void {
+    this.settle(Err({ kind: 'rejected', failure }))
+    if (failure.verdict === 'not-run') this.discardTimer = setTimeout(() => { this.endWithError(new Error('the response to be discarded takes too long')) }, DISCARD_TIMEOUT_MS)
+    else this.endWithError(new Error('the response was rejected'))
+  }
+
+  private readonly abort = (): void => { this.endWithError(this.options.signal.reason) }
 
   private endWithError (error: unknown): void {
     if (this.isEnded) return
     this.end(false)
-    this.settle(Err({ error, isStarted: this.controller !== undefined }))
+    this.settle(Err({ kind: 'broken', error, isStarted: this.controller !== undefined, hasHead: this.head !== undefined }))
     const reason = error instanceof Error ? error : new Error(String(error))
     if (this.controller?.aborted === false) this.controller.abort(reason)
-    this.body?.destroy(reason)
+    this.stream?.destroy(reason)
   }
 
   private end (isComplete: boolean): void {
     this.isEnded = true
+    clearTimeout(this.discardTimer)
     this.state.isCloseDelimited = false
-    this.signal.removeEventListener('abort', this.abort)
+    this.options.signal.removeEventListener('abort', this.abort)
     this.onEnd(isComplete)
   }
 }
--- a/src/request/response.ts
+++ b/src/request/response.ts
@@ -2,8 +2,9 @@
  * Writes the response to a request: the response of the target, or a failure with its verdict.
  */
 import type { ServerResponse } from 'node:http'
+import type { Readable } from 'node:stream'
 import type { Failure } from '../core/index.js'
-import type { TargetResponse } from './exchange.js'
+import type { TargetResponse } from './httpclient.js'
 import type { FormattedFailure } from './front.js'
 import type { Headers } from './headers.js'
 import { HEADERS } from './schema.js'
@@ -41,28 +42,41 @@
 /** `cut`: the response of the target was truncated. `left`: the receiver disconnected before the end of the response. */
 export type DeliveryOutcome = 'whole' | 'cut' | 'left'
 
+/** A body up to this size is copied to send it in one write with the head. */
+const MAX_COPIED_BYTES = 16 * 1024
+
 /** Resets the connection after a truncated response, so that the receiver cannot take the response for complete. */
 export async function writeResponse (response: ServerResponse, targetResponse: TargetResponse, headers: Headers): Promise<DeliveryOutcome> {
+  const { body, statusCode, trailers } = targetResponse
   try {
-    response.writeHead(targetResponse.statusCode, makeResponseHeaders(response, targetResponse, headers))
-    // The body may start long after the headers, so the headers are sent immediately.
-    if (targetResponse.bufferedBody === undefined && targetResponse.headers['content-length'] === undefined) response.flushHeaders()
-    if (targetResponse.bufferedBody !== undefined) response.write(targetResponse.bufferedBody)
-    else if (targetResponse.statusCode === NOT_MODIFIED) targetResponse.body.on('error', () => {}).resume()
-    else await forwardBody(response, targetResponse)
-    if (response.hasHeader('trailer')) response.addTrailers(targetResponse.trailers)
-    response.end()
+    response.writeHead(statusCode, makeResponseHeaders(response, targetResponse, headers))
+    if (!Buffer.isBuffer(body)) await forwardStream(response, body, targetResponse)
+    if (response.hasHeader('trailer')) response.addTrailers(trailers)
+    if (Buffer.isBuffer(body)) endWithBody(response, body)
+    else response.end()
     await waitForFinish(response)
     return response.writableFinished ? 'whole' : 'left'
   } catch {
     const delivery = response.destroyed ? 'left' : 'cut'
-    targetResponse.body.destroy()
+    if (!Buffer.isBuffer(body)) body.destroy()
     resetConnection(response)
     return delivery
   }
 }
 
-async function forwardBody (response: ServerResponse, { body }: TargetResponse): Promise<void> {
+/** Node.js joins the head and a string in one write, but writes a buffer separately. */
+function endWithBody (response: ServerResponse, body: Buffer): void {
+  if (body.length > MAX_COPIED_BYTES) response.end(body)
+  else response.end(body.toString('latin1'), 'latin1')
+}
+
+async function forwardStream (response: ServerResponse, body: Readable, { statusCode, headers }: TargetResponse): Promise<void> {
+  // The body may start long after the headers, so the headers are sent immediately.
+  if (headers['content-length'] === undefined) response.flushHeaders()
+  if (statusCode === NOT_MODIFIED) {
+    body.on('error', () => {}).resume()
+    return
+  }
   for await (const chunk of body) {
     if (!response.write(chunk)) await waitForDrain(response)
     if (response.destroyed) throw new Error('the sender of the request disconnected')
@@ -70,7 +84,8 @@
 }
 
 function makeResponseHeaders (response: ServerResponse, targetResponse: TargetResponse, filtered: Headers): Headers {
-  const headers = targetResponse.bufferedBody !== undefined && hasBody(response, targetResponse) ? { ...filtered, 'content-length': String(targetResponse.bufferedBody.length) } : filtered
+  const { body } = targetResponse
+  const headers = Buffer.isBuffer(body) && hasBody(response, targetResponse) ? { ...filtered, 'content-length': String(body.length) } : filtered
   const { trailer } = targetResponse.headers
   const isChunked = targetResponse.headers['transfer-encoding'] !== undefined && response.req.httpVersion === '1.1' && response.req.method !== 'HEAD'
   if (trailer !== undefined && isChunked) response.setHeader('trailer', trailer)
--- a/src/request/tasks/attempt.ts
+++ b/src/request/tasks/attempt.ts
@@ -8,8 +8,7 @@
 import type { DeliveryOutcome } from '../response.js'
 import type { RequestBody } from '../body.js'
 import type { SuspectCall } from '../commands/suspect.js'
-import type { TargetResponse, HttpClient, OutgoingRequest } from '../exchange.js'
-import { bufferResponse } from '../responsebuffer.js'
+import type { TargetResponse, HttpClient, OutgoingRequest } from '../httpclient.js'
 import { parseLoad } from '../load.js'
 import type { Headers } from '../headers.js'
 import type { AttemptOutcome, Picker } from '../picker.js'
@@ -74,26 +73,29 @@
 async function attemptRemote (context: AttemptContext, { activeCall, target, number }: Attempt): Promise<Result<ReceivedResponse, Failure>> {
   const body = activeCall.call.hasBody ? activeCall.body.open() : undefined
   const received = await context.peerClient.send({
-    ...makeOutgoingRequest(activeCall, target, number), address: target.inbound, body, signal: activeCall.scope.signal
+    ...makeOutgoingRequest(activeCall, target, number),
+    address: target.inbound,
+    body,
+    signal: activeCall.scope.signal,
+    bufferBytes: context.inbound.responseBufferBytes
   })
   if (received.err) return received.mapErr(failure => failure.verdict === 'not-run' ? failure : { ...failure, reached: true })
   const load = parseLoad(received.val.headers[HEADERS.load])
   if (load !== undefined) context.picker.recordLoad(target, load)
   if (received.val.headers[HEADERS.verdict] !== undefined) return Err(await readPeerFailure(received.val))
-  const buffered = await bufferResponse(received.val, context.inbound.responseBufferBytes)
-  return buffered.map(targetResponse => ({ targetResponse, release: () => {} }))
+  return received.map(targetResponse => ({ targetResponse, release: () => {} }))
 }
 
 /** Parses the failure that the target-side node reported. */
-async function readPeerFailure (response: TargetResponse): Promise<Failure> {
+async function readPeerFailure ({ body }: TargetResponse): Promise<Failure> {
   try {
-    return failureSchema.parse(await json(response.body))
+    return failureSchema.parse(Buffer.isBuffer(body) ? JSON.parse(body.toString()) : await json(body))
   } catch {
     return makeFailure('may-have-run', 502, 'bad_answer', 'the response of the target-side node does not parse')
   }
 }
 
-function makeOutgoingRequest (activeCall: ActiveCall, target: Target, number: number): Omit<OutgoingRequest, 'address' | 'body' | 'signal'> {
+function makeOutgoingRequest (activeCall: ActiveCall, target: Target, number: number): Pick<OutgoingRequest, 'method' | 'path' | 'headers'> {
   const { call, resolved, headers, scope, suspect } = activeCall
   const outgoingHeaders: Headers = {
     ...headers,
--- a/src/request/tasks/attempts.ts
+++ b/src/request/tasks/attempts.ts
@@ -5,7 +5,7 @@
 import type { Failure, Result, Verdict } from '../../core/index.js'
 import type { Target } from '../../membership/index.js'
 import type { DeliveryOutcome } from '../response.js'
-import type { TargetResponse } from '../exchange.js'
+import type { TargetResponse } from '../httpclient.js'
 import type { RetryDecision, RetryPolicy } from '../retry.js'
 import type { Call } from '../schema.js'
 import { attemptTarget } from './attempt.js'
@@ -136,8 +136,8 @@
 }
 
 /** Only a fully buffered response can be kept as the fallback while another attempt is made. */
-function findServerError ({ statusCode, bufferedBody }: TargetResponse): Failure | undefined {
-  if (statusCode < FIRST_SERVER_ERROR_STATUS || bufferedBody === undefined) return undefined
+function findServerError ({ statusCode, body }: TargetResponse): Failure | undefined {
+  if (statusCode < FIRST_SERVER_ERROR_STATUS || !Buffer.isBuffer(body)) return undefined
   return { ...makeFailure('ran', statusCode, 'target_failed', `the target responded with status ${statusCode}`), reached: true }
 }
 
--- a/src/request/tasks/inbound.ts
+++ b/src/request/tasks/inbound.ts
@@ -8,7 +8,6 @@
 import type { RouteClass } from '../../document/index.js'
 import { writeResponse, writeFailure } from '../response.js'
 import type { ProtocolAdapter } from '../front.js'
-import { bufferResponse } from '../responsebuffer.js'
 import { formatLoad } from '../load.js'
 import { RequestBody } from '../body.js'
 import type { SuspectTable } from '../../suspect/index.js'
@@ -16,9 +15,8 @@
 import type { CrashTracker, InFlightRequest } from '../commands/crash.js'
 import { receiveFingerprint } from '../commands/suspect.js'
 import type { LocalTargets } from '../commands/admit.js'
-import type { TargetResponse, HttpClient, OutgoingRequest } from '../exchange.js'
+import type { TargetResponse, HttpClient, OutgoingRequest } from '../httpclient.js'
 import { filterResponseHeaders } from '../headers.js'
-import type { Headers } from '../headers.js'
 import { readInboundRequest } from '../queries/inbound.js'
 import type { InboundRequest } from '../queries/inbound.js'
 import { RequestScope } from '../scope.js'
@@ -32,7 +30,7 @@
   /** Time left until the latency objective of the route passes. */
   objectiveMs: number | undefined
   scope: RequestScope
-  outgoing: Omit<OutgoingRequest, 'address' | 'body' | 'signal'>
+  outgoing: Pick<OutgoingRequest, 'method' | 'path' | 'headers'>
   body: RequestBody | undefined
 }
 
@@ -70,39 +68,34 @@
     return tracked
   }
   const headers = adapter.makeTargetHeaders({ headers: outgoing.headers, target, leftMs: scope.forwardedDeadlineMs })
-  const received = await client.send({ ...outgoing, headers, address: announcement.address, body: body?.open(), signal })
-  const checked = received.ok ? await checkResponse(context, headers, received.val) : received
-  if (checked.ok) {
-    watchResponse(checked.val, tracked.val, announcement.address)
-    // The target is done after its last byte, which may be long before a slow caller has received the response.
-    if (checked.val.bufferedBody === undefined) checked.val.body.once('end', permit.release)
-    else permit.release()
-    return checked.map(targetResponse => ({ targetResponse, permit }))
+  const received = await client.send({
+    ...outgoing,
+    headers,
+    address: announcement.address,
+    body: body?.open(),
+    signal,
+    bufferBytes: context.responseBufferBytes,
+    checkHead: head => adapter.checkResponse(headers, head)
+  })
+  if (received.ok) {
+    watchResponse(received.val, tracked.val, permit, announcement.address)
+    return received.map(targetResponse => ({ targetResponse, permit }))
   }
   permit.release()
-  return Err(await checkCrash(checked.val, tracked.val, localRequest.target, announcement.address))
+  return Err(await checkCrash(received.val, tracked.val, localRequest.target, announcement.address))
 }
 
 /**
- * Closes the connection of a response that the protocol adapter rejects, since further wrong responses may follow on it.
- * The connection stays open if the target reports that it did not run the request.
+ * Tracks a streamed response to its end, since a target can crash in the middle of its response. The target is done after its last
+ * byte, which may be long before a slow caller has received the response.
  */
-async function checkResponse (
-  { adapter, responseBufferBytes }: InboundContext, sent: Headers, response: TargetResponse
-): Promise<Result<TargetResponse, Failure>> {
-  const failure = adapter.checkResponse(sent, response)
-  if (failure === undefined) return await bufferResponse(response, responseBufferBytes)
-  if (failure.verdict === 'not-run') response.body.resume()
-  else response.body.destroy()
-  return Err(failure)
-}
-
-/** Tracks a streamed response to its end, since a target can crash in the middle of its response. */
-function watchResponse ({ body, bufferedBody }: TargetResponse, inFlight: InFlightRequest, address: string): void {
-  if (bufferedBody !== undefined) {
+function watchResponse ({ body }: TargetResponse, inFlight: InFlightRequest, permit: Permit, address: string): void {
+  if (Buffer.isBuffer(body)) {
+    permit.release()
     inFlight.finish()
     return
   }
+  body.once('end', permit.release)
   finished(body, error => {
     if (error === undefined || error === null) inFlight.finish()
     else void inFlight.fail(address)
--- a/src/request/token.ts
+++ b/src/request/token.ts
@@ -4,8 +4,8 @@
 import { createHash, timingSafeEqual } from 'node:crypto'
 import type { IncomingMessage } from 'node:http'
 import type { Failure, Result } from '../core/index.js'
-import { HttpClient } from './exchange.js'
-import type { TargetResponse, OutgoingRequest } from './exchange.js'
+import { HttpClient } from './httpclient.js'
+import type { TargetResponse, OutgoingRequest } from './httpclient.js'
 
 export const TOKEN_HEADER = 'x-comfreyspoke-peer-token'
 
--- a/standins/bench/cold.ts
+++ b/standins/bench/cold.ts
@@ -1,7 +1,8 @@
 /**
- * `bench cold [--profile FOLDER] [PROGRAM…]`: measures the processor time of freshly started nodes, since a process that is
- * replaced often runs mostly unoptimized code. Each program, by default target/node.cjs, runs as a fleet of its own, one after the
- * other, with the stand-in of the platform's store, targets and callers in this process.
+ * `bench cold [--nodes N] [--rate CALLS] [--profile FOLDER] [PROGRAM…]`: measures the processor time of freshly started nodes, since
+ * a process that is replaced often runs mostly unoptimized code. Each program, by default target/node.cjs, runs as a fleet of its own,
+ * one after the other, with the stand-in of the platform's store, targets and callers in this process. The rate is that of calls a
+ * second at each node.
  */
 import { spawn } from 'node:child_process'
 import type { ChildProcess } from 'node:child_process'
@@ -12,21 +13,24 @@
 import { availableParallelism, tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { setTimeout as delay } from 'node:timers/promises'
+import { parseArgs } from 'node:util'
 import { Agent, request } from 'undici'
 import { findBlock } from '../layout/processes.js'
 import { ObjectsServer } from '../objects/server.js'
 
 const PORTS = ['target', 'caller', 'inbound', 'ready', 'control', 'peer', 'admin'] as const
 const FIRST_PORT = 7_000
-const ZONES = ['a', 'b', 'c'] as const
+const ZONES = ['a', 'b', 'c', 'd', 'e', 'f'] as const
+const ZONES_PER_REGION = 2
 const SERVICES = ['left', 'right'] as const
-const NODES = 12
+const DEFAULT_NODES = '12'
 const SERVICE_MS = 40
 const HEARTBEAT_INTERVAL_MS = 1_000
 const READY_TIMEOUT_MS = 30_000
 /** Time for the nodes to learn of all targets. */
-const SETTLE_MS = 5_000
-const CALLS_PER_SECOND_AND_NODE = 30
+const SETTLE_MS = 10_000
+/** Calls a second at each node. */
+const DEFAULT_RATE = '30'
 const CALL_SECONDS = 20
 const SLOTS = 12
 const CLOCK_TICK_MS = 10
@@ -37,6 +41,8 @@
 
 interface FleetNode { host: string, service: string, addresses: Addresses, process: ChildProcess, target: Server }
 
+interface ColdOptions { nodes: number, rate: number, profileFolder: string | undefined }
+
 interface ColdRow { program: string, nodes: number, calls: number, failed: number, 'start ms': number, 'idle ms/s': number, 'ms/call': number, 'resident MB': number }
 
 const COLUMNS = ['name', 'host', 'pathPrefix', 'kind', 'timeout', 'targetLatency', 'priority', 'service', 'maxAttempts']
@@ -71,13 +77,15 @@
   return Number(/VmRSS:\s+([0-9]+)/.exec(readFileSync(`/proc/${pid ?? 0}/status`, 'utf8'))?.[1] ?? NaN) / 1024
 }
 
-function startNode (program: string, index: number, block: string, store: string, profileFolder: string | undefined): FleetNode {
+function startNode (program: string, index: number, block: string, store: string, { profileFolder }: ColdOptions): FleetNode {
   const host = `h${index}`
   const service = SERVICES[index % SERVICES.length] ?? ''
-  const zone = ZONES[Math.floor(index / SERVICES.length) % ZONES.length] ?? ''
+  const zoneIndex = Math.floor(index / SERVICES.length) % ZONES.length
+  const zone = ZONES[zoneIndex] ?? ''
+  const region = `r-${Math.floor(zoneIndex / ZONES_PER_REGION)}`
   const addresses = Object.fromEntries(PORTS.map((port, offset) => [port, `${block}:${FIRST_PORT + index * PORTS.length + offset}`])) as Addresses
   const values = {
-    host, zone, region: `r-${zone}`, service, store, heartbeat: `${HEARTBEAT_INTERVAL_MS}ms`, grace: '4s', 'retry-ratio': '0.2', 'retry-extra': '64', 'retry-window': '10s', ...addresses
+    host, zone, region, service, store, heartbeat: `${HEARTBEAT_INTERVAL_MS}ms`, grace: '4s', 'retry-ratio': '0.2', 'retry-extra': '64', 'retry-window': '10s', ...addresses
   }
   const file = join(mkdtempSync(join(tmpdir(), 'cold-')), 'node.settings')
   writeFileSync(file, Object.entries(values).map(([name, value]) => `${name}=${value}`).join('\n'))
@@ -95,7 +103,7 @@
   private calls = 0
   private failed = 0
 
-  constructor (private readonly nodes: readonly FleetNode[]) {}
+  constructor (private readonly nodes: readonly FleetNode[], private readonly rate: number) {}
 
   async awaitReady (): Promise<void> {
     const deadline = Date.now() + READY_TIMEOUT_MS
@@ -119,7 +127,7 @@
   }
 
   async runCalls (): Promise<{ calls: number, failed: number }> {
-    const intervalMs = 1_000 / (CALLS_PER_SECOND_AND_NODE * this.nodes.length)
+    const intervalMs = 1_000 / (this.rate * this.nodes.length)
     const startedAt = performance.now()
     const pending: Array<Promise<void>> = []
     while (performance.now() - startedAt < CALL_SECONDS * 1_000) {
@@ -170,13 +178,13 @@
   return nodes.reduce((sum, node) => sum + readProcessorMs(node.process), 0)
 }
 
-async function measureProgram (program: string, profileFolder: string | undefined): Promise<ColdRow> {
+async function measureProgram (program: string, options: ColdOptions): Promise<ColdRow> {
   const store = new ObjectsServer()
   const address = await store.listen()
   store.writeObject('config', 'main', makeConfiguration())
   const block = `127.${await findBlock()}.0.1`
-  const nodes = Array.from({ length: NODES }, (_, index) => startNode(program, index, block, address, profileFolder))
-  const fleet = new ColdFleet(nodes)
+  const nodes = Array.from({ length: options.nodes }, (_, index) => startNode(program, index, block, address, options))
+  const fleet = new ColdFleet(nodes, options.rate)
   let heartbeats: NodeJS.Timeout | undefined
   try {
     await fleet.awaitReady()
@@ -189,13 +197,13 @@
     const residentMb = nodes.reduce((sum, node) => sum + readResidentMb(node.process), 0)
     return {
       program,
-      nodes: NODES,
+      nodes: nodes.length,
       calls,
       failed,
-      'start ms': Math.round(startMs / NODES),
-      'idle ms/s': Math.round((settledMs - startMs) / NODES / (SETTLE_MS / 1_000) * 10) / 10,
+      'start ms': Math.round(startMs / nodes.length),
+      'idle ms/s': Math.round((settledMs - startMs) / nodes.length / (SETTLE_MS / 1_000) * 10) / 10,
       'ms/call': Math.round(callsMs / calls * 100) / 100,
-      'resident MB': Math.round(residentMb / NODES)
+      'resident MB': Math.round(residentMb / nodes.length)
     }
   } finally {
     clearInterval(heartbeats)
@@ -205,13 +213,16 @@
 }
 
 export async function runCold (args: readonly string[]): Promise<ColdRow[]> {
-  const flagIndex = args.indexOf('--profile')
-  const profileFolder = flagIndex < 0 ? undefined : args[flagIndex + 1]
-  const programs = args.filter((_, index) => flagIndex < 0 || (index !== flagIndex && index !== flagIndex + 1))
+  const { values, positionals } = parseArgs({
+    args: [...args],
+    allowPositionals: true,
+    options: { nodes: { type: 'string', default: DEFAULT_NODES }, rate: { type: 'string', default: DEFAULT_RATE }, profile: { type: 'string' } }
+  })
+  const options: ColdOptions = { nodes: Number(values.nodes), rate: Number(values.rate), profileFolder: values.profile }
   process.stdout.write(`${availableParallelism()} processors\n`)
   const rows: ColdRow[] = []
-  for (const program of programs.length > 0 ? programs : ['target/node.cjs']) {
-    const row = await measureProgram(program, profileFolder)
+  for (const program of positionals.length > 0 ? positionals : ['target/node.cjs']) {
+    const row = await measureProgram(program, options)
     rows.push(row)
     process.stdout.write(`${Object.entries(row).map(([name, value]) => `${name}: ${value}`).join(', ')}\n`)
   }
--- a/tests/platform/control.test.ts
+++ b/tests/platform/control.test.ts
@@ -5,6 +5,7 @@
 import { once } from 'node:events'
 import { createServer } from 'node:http'
 import type { Server } from 'node:http'
+import { connect } from 'node:net'
 import type { AddressInfo } from 'node:net'
 import { afterEach, beforeEach, expect, test } from '@jest/globals'
 import { serveControl } from '../../platform/control.js'
@@ -100,3 +101,16 @@
   expect(await post('/-/Instances.Heartbeat/i-2', body)).toBe(400)
   expect(listStates()).toEqual(['i-1 ready'])
 })
+
+test('a heartbeat without end is rejected and its connection closed', async () => {
+  const socket = connect((server.address() as AddressInfo).port, '127.0.0.1')
+  let response = ''
+  socket.on('data', data => { response += String(data) })
+  socket.on('error', () => {})
+  socket.write('POST /-/Instances.Heartbeat/i-1 HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n')
+  const timer = setInterval(() => { if (!socket.destroyed) socket.write(`1000\r\n${'a'.repeat(4_096)}\r\n`) }, 1)
+  await once(socket, 'close')
+  clearInterval(timer)
+  expect(response).toContain('HTTP/1.1 413')
+  expect(listStates()).toEqual([])
+})
--- a/tests/proofs/silent-connection.test.ts
+++ b/tests/proofs/silent-connection.test.ts
@@ -52,7 +52,7 @@
   if (sendResult.err) disconnect.abort()
   if (sendResult.err) return { id, kind: sendResult.val.verdict === 'not-run' ? 'not-run' : 'may-have-run', code: sendResult.val.code }
   if (disconnects) disconnect.abort()
-  const body = await text(sendResult.val.body).catch(() => undefined)
+  const body = await text(sendResult.val.body as Readable).catch(() => undefined)
   disconnect.abort()
   if (body === undefined) return { id, kind: 'cut', code: '' }
   expect(body.replaceAll('x', '')).toBe(id)
--- a/tests/unread.test.ts
+++ b/tests/unread.test.ts
@@ -4,6 +4,7 @@
 import { once } from 'node:events'
 import { createServer } from 'node:http'
 import type { AddressInfo } from 'node:net'
+import type { Readable } from 'node:stream'
 import { setTimeout as delay } from 'node:timers/promises'
 import { expect, test } from '@jest/globals'
 import { UndiciHttpClient } from '../src/request/index.js'
@@ -20,9 +21,10 @@
   const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
   const sent = await client.send({ address, method: 'GET', path: '/', headers: {}, body: undefined, signal: new AbortController().signal })
   if (sent.err) throw new Error(sent.val.message)
-  sent.val.body.resume()
+  const body = sent.val.body as Readable
+  body.resume()
   await delay(100)
-  expect(sent.val.body.errored).toBeInstanceOf(Error)
+  expect(body.errored).toBeInstanceOf(Error)
   await client.close()
   server.close()
 })
