--- a/src/core/channel.ts
+++ b/src/core/channel.ts
@@ -1,7 +1,7 @@
 /**
  * A bounded queue between callbacks and a task that reads it with `for await`.
  */
-export class Channel<T> implements AsyncIterable<T> {
+export class Channel<T extends NonNullable<unknown>> implements AsyncIterable<T> {
   private readonly items: T[] = []
   private wakeReader: (() => void) | undefined
   private closed = false
@@ -21,12 +21,16 @@
     this.wakeReader?.()
   }
 
-  async * [Symbol.asyncIterator] (): AsyncGenerator<T> {
-    while (true) {
-      while (this.items.length > 0) yield this.items.shift() as T
-      if (this.closed) return
+  /** Resolves with the next item, or with undefined when the channel is closed and has no more items. */
+  async receive (): Promise<T | undefined> {
+    while (this.items.length === 0 && !this.closed) {
       await new Promise<void>(resolve => { this.wakeReader = resolve })
       this.wakeReader = undefined
     }
+    return this.items.shift()
+  }
+
+  async * [Symbol.asyncIterator] (): AsyncGenerator<T> {
+    for (let item = await this.receive(); item !== undefined; item = await this.receive()) yield item
   }
 }
--- a/src/core/events.ts
+++ b/src/core/events.ts
@@ -32,7 +32,7 @@
 }
 
 /** Pushes each event into the channel until the signal is aborted. */
-export function forwardStream<T> (stream: Stream<T>, channel: Channel<T>, signal: AbortSignal): void {
+export function forwardStream<T extends NonNullable<unknown>> (stream: Stream<T>, channel: Channel<T>, signal: AbortSignal): void {
   const subscription = stream.subscribe({
     next: event => { channel.push(event) },
     error: () => { channel.close() },
--- a/src/node/tasks/peers.ts
+++ b/src/node/tasks/peers.ts
@@ -3,13 +3,13 @@
  * intervals the node compares its state with one peer, which repairs the effects of lost messages and partitions.
  */
 import type { Configuration } from '../../configuration/index.js'
-import { Channel, forwardStream } from '../../core/index.js'
+import { Channel } from '../../core/index.js'
 import type { Clock, Random, StructuredLog } from '../../core/index.js'
 import { evictTombstones, makeTombstone, REMOVE_UNREACHABLE_AFTER_MS } from '../../membership/index.js'
 import type { HostRecord } from '../../membership/index.js'
 import type { ExchangeRequest, ExchangeResponse, PeerTransport } from '../../peer/index.js'
-import { addCrashMarks, clearCrashMarks } from '../../suspect/index.js'
-import type { SuspectChange } from '../../suspect/index.js'
+import { addCrashMarks, clearCrashMarks, CrashMarkAnnouncer } from '../../suspect/index.js'
+import type { SuspectMessages } from '../../suspect/index.js'
 import { storeRecords } from '../commands/records.js'
 import { collectZoneDigests, findDifferingBuckets, listBucketRecords, listNewer, listZoneHosts, makeExchangeResponse } from '../queries/difference.js'
 import { selectNotifiedPeers } from '../queries/notified.js'
@@ -33,6 +33,8 @@
 const REGION_SHARE = 0.2
 const STORE_LOST_ANY_ZONE_SHARE = 0.5
 const REMOVAL_CHECK_INTERVAL_MS = 10_000
+/** Most requests whose target ended complete elsewhere within this time. */
+const CRASH_MARK_COLLECT_MS = 300
 
 type ExchangePayload = Pick<ExchangeRequest, 'records' | 'marks' | 'cleared' | 'complete'>
 
@@ -71,14 +73,35 @@
     }
   }
 
-  /** Sends crash marks that were added or cleared on this node to the peers. */
+  /** Sends changes of crash marks to the peers. */
   async sendCrashMarks (signal: AbortSignal): Promise<void> {
-    const changes = new Channel<SuspectChange>()
-    forwardStream(this.context.state.suspects.changes.stream, changes, signal)
-    signal.addEventListener('abort', () => { changes.close() }, { once: true })
-    for await (const { marks, cleared, source } of changes) {
-      if (source === undefined) await this.notifyPeers({ marks: [...marks], cleared: [...cleared] }, 'many')
+    const { state, clock } = this.context
+    const announcer = new CrashMarkAnnouncer(state.identity.host)
+    const wakeUps = new Channel<'changed'>(1)
+    const subscription = state.suspects.changes.stream.subscribe({
+      next: change => {
+        announcer.collect(change)
+        if (!announcer.isIdle) wakeUps.push('changed')
+      },
+      error: () => { wakeUps.close() },
+      complete: () => {}
+    })
+    signal.addEventListener('abort', () => { wakeUps.close() }, { once: true })
+    while (await wakeUps.receive() !== undefined) {
+      await clock.sleep(CRASH_MARK_COLLECT_MS, signal)
+      if (!announcer.isIdle) await this.sendSuspectMessages(announcer.consume())
     }
+    subscription.unsubscribe()
+  }
+
+  private async sendSuspectMessages ({ marks, cleared, clearedByHost }: SuspectMessages): Promise<void> {
+    const { state } = this.context
+    const toAll = marks.length + cleared.length === 0 ? undefined : this.notifyPeers({ marks, cleared }, 'many')
+    const toHosts = [...clearedByHost].map(async ([host, fingerprints]) => {
+      const peer = state.members.get(host)
+      if (peer !== undefined) await this.exchange(peer, { ...EMPTY_PAYLOAD, cleared: fingerprints })
+    })
+    await Promise.all([toAll, ...toHosts])
   }
 
   /** Removes hosts that have not responded for REMOVE_UNREACHABLE_AFTER_MS. Calls `onRemoved` for each of them. */
--- a/src/request/commands/crash.ts
+++ b/src/request/commands/crash.ts
@@ -3,7 +3,7 @@
  */
 import { Err, makeFailure, Ok } from '../../core/index.js'
 import type { Failure, Result } from '../../core/index.js'
-import { clearCrashMarks, isBlocked, isSuspect, addCrashMarks } from '../../suspect/index.js'
+import { clearCompleted, isBlocked, isSuspect, addCrashMarks } from '../../suspect/index.js'
 import type { SuspectTable } from '../../suspect/index.js'
 
 export interface InFlightRequest {
@@ -49,7 +49,7 @@
     return Ok({
       finish: () => {
         this.removeInFlight(target, fingerprint)
-        clearCrashMarks(this.suspects, [fingerprint])
+        clearCompleted(this.suspects, fingerprint)
       },
       discard: () => { this.removeInFlight(target, fingerprint) },
       fail: async address => await this.endFailed(target, fingerprint, address)
--- a/src/request/commands/suspect.ts
+++ b/src/request/commands/suspect.ts
@@ -2,7 +2,7 @@
  * Tracks one call as a possible cause of crashes. A blocked call is rejected; a call whose target crashes during an attempt gets a crash mark.
  */
 import type { Failure } from '../../core/index.js'
-import { clearCrashMarks, computeFingerprint, addCrashMarks } from '../../suspect/index.js'
+import { addCrashMarks, clearCompleted, computeFingerprint, findHost } from '../../suspect/index.js'
 import type { SuspectTable } from '../../suspect/index.js'
 import type { Headers } from '../headers.js'
 import { HEADERS } from '../schema.js'
@@ -10,9 +10,13 @@
 import { rejectBlocked, TARGET_CRASHED } from './crash.js'
 
 const SEPARATOR = ','
+/** Source of marks from request headers, which do not name the caller-side node. */
+const CALLER_SIDE_NODE = 'caller-side node'
 
 export class SuspectCall {
   private readonly fingerprint: string | undefined
+  /** Hosts to which the call was sent with crash marks. */
+  private readonly informedHosts = new Set<string>()
 
   constructor (private readonly suspects: SuspectTable, call: Call, body: Uint8Array | undefined) {
     this.fingerprint = computeFingerprint({ ...call, key: call.key, body })
@@ -23,19 +27,21 @@
   }
 
   /** Sends the crash marks that this node knows to the target-side node, since a retry can arrive before a message between nodes. */
-  makeHeaders (): Headers {
+  makeHeaders (host: string): Headers {
     if (this.fingerprint === undefined) return { [HEADERS.fingerprint]: '', [HEADERS.suspect]: '' }
-    return { [HEADERS.fingerprint]: this.fingerprint, [HEADERS.suspect]: this.suspects.listTargets(this.fingerprint).join(SEPARATOR) }
+    const targets = this.suspects.listTargets(this.fingerprint)
+    if (targets.length > 0) this.informedHosts.add(host)
+    return { [HEADERS.fingerprint]: this.fingerprint, [HEADERS.suspect]: targets.join(SEPARATOR) }
   }
 
   recordCompleteResponse (): void {
-    if (this.fingerprint !== undefined) clearCrashMarks(this.suspects, [this.fingerprint])
+    if (this.fingerprint !== undefined) clearCompleted(this.suspects, this.fingerprint, this.informedHosts)
   }
 
-  /** `target` is the id of the target of the attempt. */
+  /** `target` is the id of the target of the attempt. The node of its host reported the crash and announces the mark. */
   recordFailure (target: string, { code }: Failure): void {
     if (this.fingerprint === undefined || code !== TARGET_CRASHED) return
-    addCrashMarks(this.suspects, [{ fingerprint: this.fingerprint, target, ageMs: 0 }])
+    addCrashMarks(this.suspects, [{ fingerprint: this.fingerprint, target, ageMs: 0 }], findHost(target))
   }
 }
 
@@ -44,6 +50,6 @@
   const fingerprint = String(headers[HEADERS.fingerprint] ?? '')
   if (fingerprint === '') return undefined
   const targets = String(headers[HEADERS.suspect] ?? '').split(SEPARATOR).filter(target => target !== '')
-  addCrashMarks(suspects, targets.map(target => ({ fingerprint, target, ageMs: 0 })))
+  addCrashMarks(suspects, targets.map(target => ({ fingerprint, target, ageMs: 0 })), CALLER_SIDE_NODE)
   return fingerprint
 }
--- a/src/request/tasks/attempt.ts
+++ b/src/request/tasks/attempt.ts
@@ -99,7 +99,7 @@
   const { call, resolved, headers, scope, suspect } = activeCall
   const outgoingHeaders: Headers = {
     ...headers,
-    ...suspect.makeHeaders(),
+    ...suspect.makeHeaders(target.host),
     [HEADERS.request]: call.request,
     [HEADERS.service]: resolved.service,
     [HEADERS.hops]: String(call.hops + 1),
--- a/src/suspect/index.ts
+++ b/src/suspect/index.ts
@@ -1,7 +1,10 @@
 /**
  * Suspect requests, which may crash the targets that run them.
  */
-export { addCrashMarks, clearCrashMarks } from './commands/mark.js'
+export { CrashMarkAnnouncer } from './announcer.js'
+export type { SuspectMessages } from './announcer.js'
+export { addCrashMarks, clearCompleted, clearCrashMarks } from './commands/mark.js'
+export { findHost } from './queries/host.js'
 export { isBlocked, isSuspect } from './queries/blocked.js'
 export { computeFingerprint } from './queries/fingerprint.js'
 export { CRASH_MARK_RETENTION_MS, crashMarkSchema, MAX_SUSPECT_REQUESTS } from './schema.js'
--- a/src/suspect/table.ts
+++ b/src/suspect/table.ts
@@ -6,8 +6,11 @@
 import { BLOCKING_CRASH_MARKS, CRASH_MARK_RETENTION_MS, MAX_SUSPECT_REQUESTS } from './schema.js'
 import type { CrashMark } from './schema.js'
 
-/** `source` is the peer that sent the change. The change is not sent back to that peer. */
-export interface SuspectChange { marks: readonly CrashMark[], cleared: readonly string[], source?: string }
+/** `hosts` are the hosts of the targets on which the request had marks, and those to which this node sent the request with its marks. */
+export interface ClearedRequest { fingerprint: string, hosts: readonly string[] }
+
+/** `source` is the host from which this node learned of the change; absent for a change that this node made itself. */
+export interface SuspectChange { marks: readonly CrashMark[], cleared: readonly ClearedRequest[], source?: string }
 
 export class SuspectTable {
   readonly changes = new Emitter<SuspectChange>()
@@ -41,8 +44,10 @@
     return true
   }
 
-  /** Commands only: see commands/mark.ts. */
-  removeMarks (fingerprint: string): boolean {
-    return this.marks.delete(fingerprint)
+  /** Commands only: see commands/mark.ts. Returns the ids of the targets on which the request had marks. */
+  removeMarks (fingerprint: string): string[] {
+    const targets = [...this.marks.get(fingerprint)?.keys() ?? []]
+    this.marks.delete(fingerprint)
+    return targets
   }
 }
