Parse, convert and send of a new configuration only what changed

Each node parsed, validated and converted all routes at each version, and each exchange between nodes of different versions carried all of them, even to nodes that get the version from the store a moment later. Result: new cases of tests/platform/configuration.test.ts; never-older restores each version from changes.

--- a/src/configuration/index.ts
+++ b/src/configuration/index.ts
@@ -1,9 +1,11 @@
 /**
  * The versioned configuration and its sources.
  */
-export { callerLimitsSchema, configurationSchema, refusedVersionSchema } from './schema.js'
-export type { CallerLimits, Configuration, RefusedVersion } from './schema.js'
+export { ConfigurationHistory } from './history.js'
+export { callerLimitsSchema, configurationChangeSchema, configurationSchema, refusedVersionSchema } from './schema.js'
+export type { CallerLimits, Configuration, ConfigurationChange, RefusedVersion } from './schema.js'
 export { ConfigurationSource } from './source.js'
 export type { ConfigurationUpdate, WatchResult } from './source.js'
 export { DocumentSource } from './documents.js'
+export { applyChange, deriveChange } from './queries/change.js'
 export { listEntriesWithDeletions } from './queries/entries.js'
--- a/src/configuration/schema.ts
+++ b/src/configuration/schema.ts
@@ -28,3 +28,15 @@
   refused: z.array(refusedVersionSchema).optional()
 })
 export type Configuration = z.infer<typeof configurationSchema>
+
+/** What differs between the version `base` and the version `next`. */
+export const configurationChangeSchema = z.object({
+  base: z.number().int().positive(),
+  /** Lacks the entries of `unchanged`. The documents of the services in `partial` contain only the routes that changed. */
+  next: configurationSchema,
+  /** The entries that both versions share: their versions by service. */
+  unchanged: z.record(z.string(), z.number().int()),
+  /** The version of the service in `base`, and the names of the routes that were removed since. */
+  partial: z.record(z.string(), z.object({ version: z.number().int(), removedRoutes: z.array(z.string()) }))
+})
+export type ConfigurationChange = z.infer<typeof configurationChangeSchema>
--- a/src/node/commands/apply.ts
+++ b/src/node/commands/apply.ts
@@ -15,5 +15,6 @@
   if (configuration.version <= state.version) return undefined
   const staged = listEntriesWithDeletions(configuration, state.snapshotTable.staged.keys()).filter(entry => stageEntry(state.snapshotTable, entry))
   state.configuration = configuration
+  state.history.add(configuration)
   return { staged, ...promoteConsistent(state.snapshotTable, state.members.targets) }
 }
--- a/src/node/queries/difference.ts
+++ b/src/node/queries/difference.ts
@@ -2,6 +2,7 @@
  * Finds the state that one node has and another may lack. Zones of few hosts are exchanged completely. For
  * larger zones, the bucket digests are exchanged first, so that only the records of differing buckets are sent.
  */
+import { deriveChange } from '../../configuration/index.js'
 import { compareRecords, listDifferingBuckets } from '../../membership/index.js'
 import type { HostRecord } from '../../membership/index.js'
 import type { ExchangeRequest, ExchangeResponse } from '../../peer/index.js'
@@ -22,9 +23,7 @@
 }
 
 export function makeExchangeResponse (state: NodeState, request: ExchangeRequest): ExchangeResponse {
-  const common = { version: state.version, stamp: state.time.advance(), differing: [], buckets: {} }
-  const isNewer = state.version > request.version && state.configuration !== undefined
-  const base = isNewer ? { ...common, configuration: state.configuration } : common
+  const base = { version: state.version, stamp: state.time.advance(), differing: [], buckets: {}, ...makeConfigurationPart(state, request) }
   const { digests } = state.members
   if (request.complete !== undefined) return { ...base, records: listNewer(state, listBucketHosts(digests, request.complete), request.records) }
   // The digests of a node that sends a change always differ by that change, so they do not show that this node lacks anything else.
@@ -36,6 +35,14 @@
   return { ...base, records: listZoneRecords(state, small), differing: small, buckets }
 }
 
+function makeConfigurationPart (
+  { configuration, history }: NodeState, { version, wantsConfiguration }: ExchangeRequest
+): Pick<ExchangeResponse, 'configuration' | 'configurationChange'> {
+  if (!wantsConfiguration || configuration === undefined || configuration.version <= version) return {}
+  const base = history.find(version)
+  return base === undefined ? { configuration } : { configurationChange: deriveChange(base, configuration) }
+}
+
 /** Returns the buckets in which another node's digests differ from the local ones. */
 export function findDifferingBuckets ({ members: { digests } }: NodeState, buckets: ExchangeResponse['buckets']): BucketSelection {
   return Object.fromEntries(Object.entries(buckets).map(([zone, theirs]) => [zone, listDifferingBuckets(digests.getBucketDigests(zone), theirs)]))
--- a/src/node/state.ts
+++ b/src/node/state.ts
@@ -2,6 +2,7 @@
  * The state of a node: versions, host records, crash marks, and the local host. Tasks share it, and the
  * functions in commands/ change it.
  */
+import { ConfigurationHistory } from '../configuration/index.js'
 import type { Configuration, RefusedVersion } from '../configuration/index.js'
 import { Emitter } from '../core/index.js'
 import type { Clock } from '../core/index.js'
@@ -25,6 +26,7 @@
   /** Records of the local host from the store or a peer that supersede the newest local record. */
   readonly supersedingRecords = new Emitter<HostRecord>()
   configuration: Configuration | undefined
+  readonly history = new ConfigurationHistory()
   /** True once the hosts have been read from the store or from a peer. */
   knowsHosts = false
   /** True while the source of the configuration responds to this node. */
--- a/src/node/tasks/peers.ts
+++ b/src/node/tasks/peers.ts
@@ -2,6 +2,7 @@
  * The tasks that synchronize this node with its peers. Each local change is sent to peers immediately, and at
  * intervals the node compares its state with one peer, which repairs the effects of lost messages and partitions.
  */
+import { applyChange } from '../../configuration/index.js'
 import type { Configuration } from '../../configuration/index.js'
 import { Channel } from '../../core/index.js'
 import type { Clock, Random, StructuredLog } from '../../core/index.js'
@@ -11,6 +12,7 @@
 import { addCrashMarks, clearCrashMarks, CrashMarkAnnouncer } from '../../suspect/index.js'
 import type { SuspectMessages } from '../../suspect/index.js'
 import { storeRecords } from '../commands/records.js'
+import { MAX_VERSION_LAG_MS, VersionLag } from '../lag.js'
 import { collectZoneDigests, findDifferingBuckets, listBucketRecords, listNewer, listZoneHosts, makeExchangeResponse } from '../queries/difference.js'
 import { selectNotifiedPeers } from '../queries/notified.js'
 import type { NotificationReach } from '../queries/notified.js'
@@ -36,30 +38,32 @@
 /** Most requests whose target ended complete elsewhere within this time. */
 const CRASH_MARK_COLLECT_MS = 300
 
-type ExchangePayload = Pick<ExchangeRequest, 'records' | 'marks' | 'cleared' | 'complete'>
+/** `version` 0 asks for the whole configuration. */
+type ExchangePayload = Pick<ExchangeRequest, 'records' | 'marks' | 'cleared' | 'complete'> & Partial<Pick<ExchangeRequest, 'version'>>
 
 const EMPTY_PAYLOAD: ExchangePayload = { records: [], marks: [], cleared: [] }
 
 export class PeerSynchronizer {
   /** The monotonic time since which a host has not responded to this node. */
   private readonly unreachableSince = new Map<string, number>()
+  private readonly lag: VersionLag
+  private isAwaitingVersion = false
 
-  constructor (private readonly context: PeerSynchronizerContext) {}
+  constructor (private readonly context: PeerSynchronizerContext) {
+    this.lag = new VersionLag(context.clock)
+  }
 
   /** Handles the exchange request of a peer and returns the response. */
   respond (request: ExchangeRequest): ExchangeResponse {
-    const { state, clock, log } = this.context
+    const { state, clock } = this.context
     state.time.advance(request.stamp)
     this.unreachableSince.delete(request.host)
     const response = makeExchangeResponse(state, request)
     storeRecords(state, { records: request.records, from: request.host }, clock)
     addCrashMarks(state.suspects, request.marks, request.host)
     clearCrashMarks(state.suspects, request.cleared, request.host)
-    if (request.version > state.version) {
-      const peer = state.members.get(request.host)
-      log.log('detail', 'peer_ahead', { peer: request.host, theirs: request.version, own: state.version })
-      if (peer !== undefined) void this.exchange(peer, EMPTY_PAYLOAD)
-    }
+    const peer = state.members.get(request.host)
+    if (peer !== undefined) this.checkVersion(peer, request.version)
     return response
   }
 
@@ -128,21 +132,65 @@
 
   async exchange (peer: HostRecord, payload: ExchangePayload): Promise<void> {
     const { state, transport, clock } = this.context
-    const request = { host: state.identity.host, version: state.version, zones: collectZoneDigests(state), stamp: state.time.advance(), ...payload }
+    const request = {
+      host: state.identity.host,
+      version: state.version,
+      wantsConfiguration: this.wantsConfiguration,
+      zones: collectZoneDigests(state),
+      stamp: state.time.advance(),
+      ...payload
+    }
     const result = await transport.exchange(peer.peer, request)
     if (result.err) {
       if (!this.unreachableSince.has(peer.host)) this.unreachableSince.set(peer.host, clock.monotonic())
       return
     }
     this.unreachableSince.delete(peer.host)
-    const { configuration, records, stamp } = result.val
+    const { records, stamp, version } = result.val
     state.time.advance(stamp)
-    if (configuration !== undefined) this.context.onConfiguration(configuration, peer.host)
+    this.receiveConfiguration(peer, result.val)
+    this.checkVersion(peer, version)
     storeRecords(state, { records, from: peer.host }, clock)
     state.knowsHosts = true
     if (payload.records.length === 0 && payload.complete === undefined) await this.sendMissing(peer, result.val)
   }
 
+  /** A node that the store serves gets new versions from there, unless it stays behind. */
+  private get wantsConfiguration (): boolean {
+    const { hasSource, configuration, version } = this.context.state
+    return !hasSource || configuration === undefined || this.lag.isBehind(version)
+  }
+
+  private receiveConfiguration (peer: HostRecord, { configuration, configurationChange }: ExchangeResponse): void {
+    const { state, onConfiguration } = this.context
+    if (configuration !== undefined) onConfiguration(configuration, peer.host)
+    if (configurationChange === undefined) return
+    const base = state.history.find(configurationChange.base)
+    const changed = base === undefined ? undefined : applyChange(base, configurationChange)
+    if (changed !== undefined) onConfiguration(changed, peer.host)
+    else void this.exchange(peer, { ...EMPTY_PAYLOAD, version: 0 })
+  }
+
+  /** Notes the version of a peer. If it is newer, this node asks the peer for it as soon as it wants it. */
+  private checkVersion (peer: HostRecord, version: number): void {
+    const { state, log } = this.context
+    this.lag.observe(version, state.version)
+    if (version <= state.version || this.isAwaitingVersion) return
+    log.log('detail', 'peer_ahead', { peer: peer.host, theirs: version, own: state.version })
+    void this.awaitVersion(peer)
+  }
+
+  private async awaitVersion (peer: HostRecord): Promise<void> {
+    const { clock } = this.context
+    this.isAwaitingVersion = true
+    try {
+      if (!this.wantsConfiguration) await clock.sleep(MAX_VERSION_LAG_MS)
+      if (this.wantsConfiguration) await this.exchange(peer, EMPTY_PAYLOAD)
+    } finally {
+      this.isAwaitingVersion = false
+    }
+  }
+
   /** Sends the records that the peer lacks, as its response shows. */
   private async sendMissing (peer: HostRecord, { records, differing, buckets }: ExchangeResponse): Promise<void> {
     const { state } = this.context
--- a/src/peer/messages.ts
+++ b/src/peer/messages.ts
@@ -3,7 +3,7 @@
  * their state and transfers the parts that either of them lacks. Times are in milliseconds.
  */
 import * as z from 'zod'
-import { configurationSchema, refusedVersionSchema } from '../configuration/index.js'
+import { configurationChangeSchema, configurationSchema, refusedVersionSchema } from '../configuration/index.js'
 import { hostRecordSchema } from '../membership/index.js'
 import { crashMarkSchema } from '../suspect/index.js'
 import { eventFilterSchema, hybridTimeSchema, timelineEventSchema } from '../timeline/index.js'
@@ -14,6 +14,8 @@
   host: z.string(),
   /** Version of the configuration in force at the requesting node, 0 for none. */
   version: z.number().int().nonnegative(),
+  /** The response is to contain a configuration that is newer. */
+  wantsConfiguration: z.boolean(),
   /** Digest of the host records of each zone. */
   zones: z.record(z.string(), digestSchema),
   /** Records that changed at the requesting node, or all records of the buckets in `complete`. */
@@ -28,8 +30,10 @@
 
 export const exchangeResponseSchema = z.object({
   version: z.number().int().nonnegative(),
-  /** Present when it is newer than the configuration of the requesting node. */
+  /** A newer configuration, if the requesting node wants it and its own version is no longer known. */
   configuration: configurationSchema.optional(),
+  /** A newer configuration, if the requesting node wants it, as the change from its own version. */
+  configurationChange: configurationChangeSchema.optional(),
   /** Records that the requesting node may lack. */
   records: z.array(hostRecordSchema),
   /** Small zones whose digests differ; `records` has every record of them that this node has. */
--- a/tests/platform/configuration.test.ts
+++ b/tests/platform/configuration.test.ts
@@ -2,9 +2,8 @@
  * Guards against a configuration that is applied in part, that replaces a newer version, or that a watch misses.
  */
 import { afterEach, beforeEach, expect, test } from '@jest/globals'
-import { convertConfiguration, PlatformConfigurationSource } from '../../platform/configuration.js'
-import { configurationSchema } from '../../platform/wire.js'
-import { configurationSchema as nativeSchema } from '../../src/configuration/index.js'
+import { ConfigurationParser, PlatformConfigurationSource } from '../../platform/configuration.js'
+import { applyChange, configurationSchema as nativeSchema, deriveChange } from '../../src/configuration/index.js'
 import { SystemClock } from '../../src/core/index.js'
 import { applyConfiguration } from '../../src/node/commands/apply.js'
 import { NodeState } from '../../src/node/state.js'
@@ -25,7 +24,7 @@
 }
 
 function convert (version: number, rows: readonly RouteRow[], services?: readonly string[]) {
-  return convertConfiguration(configurationSchema.parse(makePlatformConfiguration(version, rows, services)))
+  return new ConfigurationParser().parse(makePlatformConfiguration(version, rows, services)).unwrap()
 }
 
 function resolve (state: NodeState, path: string, host = 'shop.example'): string {
@@ -92,3 +91,37 @@
   const { updates } = (await source.watch(revision, new AbortController().signal)).unwrap()
   expect(updates).toMatchObject([{ kind: 'configuration', configuration: { version: 5 } }])
 })
+
+test('a version shares the routes that did not change with the previous version', () => {
+  const parser = new ConfigurationParser()
+  const first = parser.parse(makePlatformConfiguration(1, [{}, { pathPrefix: '/new/' }])).unwrap()
+  const second = parser.parse(makePlatformConfiguration(2, [{}, { pathPrefix: '/new/', timeout: '500ms' }])).unwrap()
+  const [before, after] = [first, second].map(({ entries }) => entries[0]?.document?.routes)
+  expect(after?.['r-0']).toBe(before?.['r-0'])
+  expect(after?.['r-1']).toMatchObject({ deadlineMs: 500 })
+})
+
+test('a route whose class changes with the priorities of other routes is not shared', () => {
+  const parser = new ConfigurationParser()
+  const first = parser.parse(makePlatformConfiguration(1, [{ priority: 2 }])).unwrap()
+  const second = parser.parse(makePlatformConfiguration(2, [{ priority: 2 }, { pathPrefix: '/new/', priority: 1 }])).unwrap()
+  expect([first, second].map(({ entries }) => entries[0]?.document?.routes['r-0']?.class)).toEqual(['critical', 'normal'])
+})
+
+test('the change between two large versions contains only the routes that differ, and restores the newer version', () => {
+  const rows = Array.from({ length: 1_000 }, (_, index): RouteRow => ({ pathPrefix: `/${index}/` }))
+  const parser = new ConfigurationParser()
+  const first = parser.parse(makePlatformConfiguration(1, rows)).unwrap()
+  const changedRows = rows.slice(1).map((row, index): RouteRow => ({ ...row, name: `r-${index + 1}`, ...index === 0 ? { service: 'gallery' } : {} }))
+  const second = parser.parse(makePlatformConfiguration(2, [...changedRows, { name: 'added' }])).unwrap()
+  const change = deriveChange(first, second)
+  expect(change.next.entries.map(({ document }) => Object.keys(document?.routes ?? {}))).toEqual([['added'], ['r-1']])
+  expect(change.partial.desk?.removedRoutes).toEqual(['r-0', 'r-1'])
+  expect(applyChange(first, JSON.parse(JSON.stringify(change)))).toEqual(second)
+})
+
+test('a change is not applied to another version than the one from which it was derived', () => {
+  const [first, second, third] = [1, 2, 3].map(version => convert(version, [{ timeout: `${version}00ms` }]))
+  if (first === undefined || second === undefined || third === undefined) throw new Error('three versions are expected')
+  expect(applyChange(first, deriveChange(second, third))).toBeUndefined()
+})
--- a/tests/proofs/never-older.test.ts
+++ b/tests/proofs/never-older.test.ts
@@ -5,10 +5,12 @@
  */
 import { describe, expect, test } from '@jest/globals'
 import fc from 'fast-check'
+import { applyChange } from '../../src/configuration/index.js'
 import type { Configuration } from '../../src/configuration/index.js'
 import { applyConfiguration } from '../../src/node/commands/apply.js'
 import { makeExchangeResponse } from '../../src/node/queries/difference.js'
 import type { NodeState } from '../../src/node/state.js'
+import type { ExchangeResponse } from '../../src/peer/index.js'
 import type { Entry } from '../../src/snapshot/index.js'
 import { makeDeletion, makeEntry } from '../fixtures/entry.js'
 import { readPropertyParameters } from '../fixtures/property.js'
@@ -106,16 +108,29 @@
   }
 }
 
-/** A peer responds with its configuration if that is newer than the node's. */
+function restoreConfiguration (node: NodeState, { configurationChange: change }: ExchangeResponse): Configuration | undefined {
+  const base = change === undefined ? undefined : node.history.find(change.base)
+  return base === undefined || change === undefined ? undefined : applyChange(base, change)
+}
+
+function sortEntries ({ entries }: Configuration): Entry[] {
+  return [...entries].sort((left, right) => left.service.localeCompare(right.service))
+}
+
+/** A peer responds with its configuration, or with what changed since the node's, if it is newer than that. */
 class ExchangeWithPeer extends Step {
   override act (oracle: Oracle, system: System): void {
     const { node, peers, newestOfPeers } = system
     const peer = peers[this.peer]
     if (peer === undefined) return
-    const request = { host: 'h1', version: node.version, zones: {}, records: [], marks: [], cleared: [], stamp: { wall: 0, counter: 0 } }
-    const { configuration } = makeExchangeResponse(peer, request)
+    const request = { host: 'h1', version: node.version, wantsConfiguration: true, zones: {}, records: [], marks: [], cleared: [], stamp: { wall: 0, counter: 0 } }
+    const response = makeExchangeResponse(peer, request)
+    const configuration = response.configuration ?? restoreConfiguration(node, response)
     expect(configuration !== undefined).toBe((newestOfPeers[this.peer] ?? -1) > oracle.newest)
-    if (configuration !== undefined) applyPublished(oracle, system, system.published.indexOf(configuration))
+    if (configuration === undefined) return
+    const index = system.published.findIndex(({ version }) => version === configuration.version)
+    expect(sortEntries(configuration)).toEqual(sortEntries(system.published[index] ?? configuration))
+    applyPublished(oracle, system, index)
   }
 }
 
