Let three nodes of each zone follow the store and tell the others of new versions

Change: deriveZoneRoles selects three hosts of a zone by a hash, as a hint; each tells its part of the other hosts of the change. A node that is no reader asks the store every 2 s for changes after the revision that it knows, with a call that may be stale. Zones of up to three hosts work as before. A configuration carries the revision of the store. Ruled out: a watch that may be stale on every node (each version would still cross the links between regions once a node). Result: tests/readers.test.ts: 60 nodes, 20 versions in 4 s, in force on every running node within 5 s also when all readers of a zone are killed, paused or not served.

--- a/src/configuration/schema.ts
+++ b/src/configuration/schema.ts
@@ -24,6 +24,8 @@
   entries: z.array(entrySchema),
   /** If true, a service without an entry is deleted. If false, its current version stays, and a deletion is an entry without a document. */
   replacesAll: z.boolean(),
+  /** A watch of the store from this revision returns all later versions. */
+  revision: z.number().int().nonnegative().optional(),
   callerLimits: callerLimitsSchema.optional(),
   refused: z.array(refusedVersionSchema).optional()
 })
--- a/src/configuration/source.ts
+++ b/src/configuration/source.ts
@@ -16,4 +16,9 @@
   abstract read (): Promise<Result<{ update: ConfigurationUpdate, revision: number }, StoreFault>>
   /** Waits for changes after the revision. Returns no updates if the wait ended without a change. */
   abstract watch (revision: number, signal: AbortSignal): Promise<Result<WatchResult, StoreFault>>
+
+  /** Returns the changes after the revision that the source knows now, which may be some seconds behind. A source without a cheaper call watches. */
+  async poll (revision: number, signal: AbortSignal): Promise<Result<WatchResult, StoreFault>> {
+    return await this.watch(revision, signal)
+  }
 }
--- a/src/node/start.ts
+++ b/src/node/start.ts
@@ -143,7 +143,16 @@
     }
     const onExpired = (expired: readonly Announcement[]): void => { this.handleExpired(expired) }
     const tasks = [
-      followConfiguration({ source, clock, random, log: telemetry.log, onUpdate, onSourceState }, signal),
+      followConfiguration({
+        source,
+        clock,
+        random,
+        log: telemetry.log,
+        onUpdate,
+        onSourceState,
+        isReader: () => peers.isReader,
+        getKnownRevision: () => state.configuration?.revision
+      }, signal),
       this.directory.run(signal),
       expireTargetsPeriodically({
         localHost: state.localHost, clock, getHeartbeatTimeoutMs: () => this.timeouts.heartbeatTimeoutMs, onExpired
@@ -246,8 +255,11 @@
   }
 
   private handleUpdate (update: ConfigurationUpdate): void {
-    if (update.kind === 'configuration') this.applyConfiguration(update.configuration, 'store')
-    else if (update.kind === 'faulty') this.telemetry.recordInvalidConfiguration(update.reason)
+    if (update.kind === 'faulty') this.telemetry.recordInvalidConfiguration(update.reason)
+    if (update.kind !== 'configuration') return
+    const previous = this.state.version
+    this.applyConfiguration(update.configuration, 'store')
+    if (this.state.version > previous) void this.peers.announceVersion(previous)
   }
 
   private applyConfiguration (configuration: Configuration, from: string): void {
--- a/src/node/tasks/configuration.ts
+++ b/src/node/tasks/configuration.ts
@@ -13,6 +13,10 @@
   random: Random
   log: StructuredLog
   onUpdate: (update: ConfigurationUpdate) => void
+  /** True if this node watches the source; otherwise peers tell it of changes, and it only polls. */
+  isReader: () => boolean
+  /** The revision of the version in force, which may come from a peer. */
+  getKnownRevision: () => number | undefined
   /** Called when the source stops responding, and when it responds again. */
   onSourceState: (isResponding: boolean) => void
 }
@@ -22,6 +26,7 @@
 const BATCH_DELAY_MS = 500
 /** A watch that ends without a change before this time was interrupted. */
 const MIN_WATCH_MS = 1_000
+const POLL_INTERVAL_MS = 2_000
 
 export async function followConfiguration (context: ConfigurationContext, signal: AbortSignal): Promise<void> {
   const { source, clock, random, log } = context
@@ -29,7 +34,8 @@
   let revision: number | undefined
   while (!signal.aborted) {
     const startedAt = clock.monotonic()
-    const step: SourceStep = revision === undefined ? await readOnce(source) : await watchOnce(source, revision, signal)
+    const from = revision === undefined ? undefined : Math.max(revision, context.getKnownRevision() ?? 0)
+    const step: SourceStep = from === undefined ? await readOnce(source) : await awaitChange(context, from, signal)
     if (signal.aborted) return
     if (step.fault !== undefined) {
       failures += 1
@@ -62,7 +68,9 @@
   return { updates: [read.val.update], revision: read.val.revision }
 }
 
-async function watchOnce (source: ConfigurationSource, from: number, signal: AbortSignal): Promise<SourceStep> {
-  const watched = await source.watch(from, signal)
-  return watched.ok ? watched.val : { updates: [], revision: from, fault: watched.val }
+async function awaitChange ({ source, clock, random, isReader }: ConfigurationContext, from: number, signal: AbortSignal): Promise<SourceStep> {
+  const isWatching = isReader()
+  if (!isWatching) await clock.sleep(POLL_INTERVAL_MS * (0.5 + random.next()), signal)
+  const changed = isWatching ? await source.watch(from, signal) : await source.poll(from, signal)
+  return changed.ok ? changed.val : { updates: [], revision: from, fault: changed.val }
 }
--- a/src/node/tasks/peers.ts
+++ b/src/node/tasks/peers.ts
@@ -2,8 +2,8 @@
  * The tasks that synchronize this node with its peers. Each local change is sent to peers immediately, and at
  * intervals the node compares its state with one peer, which repairs the effects of lost messages and partitions.
  */
-import { applyChange } from '../../configuration/index.js'
-import type { Configuration } from '../../configuration/index.js'
+import { applyChange, deriveChange } from '../../configuration/index.js'
+import type { Configuration, ConfigurationChange } from '../../configuration/index.js'
 import { Channel } from '../../core/index.js'
 import type { Clock, Random, StructuredLog } from '../../core/index.js'
 import { evictTombstones, makeTombstone, REMOVE_UNREACHABLE_AFTER_MS } from '../../membership/index.js'
@@ -16,6 +16,8 @@
 import { collectZoneDigests, findDifferingBuckets, listBucketRecords, listNewer, listZoneHosts, makeExchangeResponse } from '../queries/difference.js'
 import { selectNotifiedPeers } from '../queries/notified.js'
 import type { NotificationReach } from '../queries/notified.js'
+import { deriveZoneRoles } from '../queries/readers.js'
+import type { ZoneRoles } from '../queries/readers.js'
 import type { NodeState } from '../state.js'
 
 export interface PeerSynchronizerContext {
@@ -39,7 +41,7 @@
 const CRASH_MARK_COLLECT_MS = 300
 
 /** `version` 0 asks for the whole configuration. */
-type ExchangePayload = Pick<ExchangeRequest, 'records' | 'marks' | 'cleared' | 'complete'> & Partial<Pick<ExchangeRequest, 'version'>>
+type ExchangePayload = Pick<ExchangeRequest, 'records' | 'marks' | 'cleared' | 'complete' | 'configurationChange'> & Partial<Pick<ExchangeRequest, 'version'>>
 
 const EMPTY_PAYLOAD: ExchangePayload = { records: [], marks: [], cleared: [] }
 
@@ -63,7 +65,9 @@
     addCrashMarks(state.suspects, request.marks, request.host)
     clearCrashMarks(state.suspects, request.cleared, request.host)
     const peer = state.members.get(request.host)
-    if (peer !== undefined) this.checkVersion(peer, request.version)
+    if (peer === undefined) return response
+    this.applyChange(peer, request.configurationChange)
+    this.checkVersion(peer, request.version)
     return response
   }
 
@@ -155,20 +159,46 @@
     if (payload.records.length === 0 && payload.complete === undefined) await this.sendMissing(peer, result.val)
   }
 
-  /** A node that the store serves gets new versions from there, unless it stays behind. */
+  /** True if this node follows the store itself, so that others get new versions from it. */
+  get isReader (): boolean {
+    return this.deriveRoles().readers.includes(this.context.state.identity.host)
+  }
+
+  /** Tells the nodes of the zone that do not follow the store of the version in force, which this node had from the store. */
+  async announceVersion (previous: number): Promise<void> {
+    const { state } = this.context
+    const base = state.history.find(previous)
+    if (base === undefined || state.configuration === undefined) return
+    const configurationChange = deriveChange(base, state.configuration)
+    const followers = this.deriveRoles().listFollowers(state.identity.host).flatMap(host => state.members.get(host) ?? [])
+    await Promise.all(followers.map(async peer => { await this.exchange(peer, { ...EMPTY_PAYLOAD, configurationChange }) }))
+  }
+
+  private deriveRoles (): ZoneRoles {
+    const { members, identity } = this.context.state
+    const others = [...members.list()].filter(({ host, zone }) => zone === identity.zone && host !== identity.host)
+    return deriveZoneRoles([identity, ...others.filter(({ host }) => !this.unreachableSince.has(host))])
+  }
+
+  /** A node that follows the store gets new versions from there, unless it stays behind. */
   private get wantsConfiguration (): boolean {
     const { hasSource, configuration, version } = this.context.state
-    return !hasSource || configuration === undefined || this.lag.isBehind(version)
+    return !hasSource || !this.isReader || configuration === undefined || this.lag.isBehind(version)
   }
 
   private receiveConfiguration (peer: HostRecord, { configuration, configurationChange }: ExchangeResponse): void {
-    const { state, onConfiguration } = this.context
+    const { onConfiguration } = this.context
     if (configuration !== undefined) onConfiguration(configuration, peer.host)
-    if (configurationChange === undefined) return
-    const base = state.history.find(configurationChange.base)
-    const changed = base === undefined ? undefined : applyChange(base, configurationChange)
-    if (changed !== undefined) onConfiguration(changed, peer.host)
-    else void this.exchange(peer, { ...EMPTY_PAYLOAD, version: 0 })
+    if (!this.applyChange(peer, configurationChange)) void this.exchange(peer, { ...EMPTY_PAYLOAD, version: 0 })
+  }
+
+  /** Returns false if this node does not have the version from which the change was derived. */
+  private applyChange (peer: HostRecord, change: ConfigurationChange | undefined): boolean {
+    if (change === undefined) return true
+    const base = this.context.state.history.find(change.base)
+    const changed = base === undefined ? undefined : applyChange(base, change)
+    if (changed !== undefined) this.context.onConfiguration(changed, peer.host)
+    return changed !== undefined
   }
 
   /** Notes the version of a peer. If it is newer, this node asks the peer for it as soon as it wants it. */
--- a/src/peer/messages.ts
+++ b/src/peer/messages.ts
@@ -14,6 +14,8 @@
   host: z.string(),
   /** Version of the configuration in force at the requesting node, 0 for none. */
   version: z.number().int().nonnegative(),
+  /** The change to `version` from the version before it, for a node that may have that one. */
+  configurationChange: configurationChangeSchema.optional(),
   /** The response is to contain a configuration that is newer. */
   wantsConfiguration: z.boolean(),
   /** Digest of the host records of each zone. */
--- a/tests/proofs/whole-or-nothing.test.ts
+++ b/tests/proofs/whole-or-nothing.test.ts
@@ -191,7 +191,8 @@
     const clock = new EventLoopClock()
     const onUpdate = (update: ConfigurationUpdate): void => { if (update.kind === 'configuration') applyConfiguration(state, update.configuration) }
     const source = new DocumentSource(this.store, clock)
-    await followConfiguration({ source, clock, random: new SeededRandom(1), log: makeNullLog(), onUpdate, onSourceState: () => {} }, signal)
+    const context = { source, clock, random: new SeededRandom(1), log: makeNullLog(), onUpdate, onSourceState: () => {} }
+    await followConfiguration({ ...context, isReader: () => true, getKnownRevision: () => undefined }, signal)
   }
 }
 
--- /dev/null
+++ b/tests/readers.test.ts
@@ -0,0 +1,74 @@
+/**
+ * Guards against a burst of versions that costs the store one call for each node and version, and against a version that does not
+ * reach the nodes of a zone in time because the few nodes that follow the store for it have failed.
+ */
+import { afterEach, describe, expect, test } from '@jest/globals'
+import { deriveZoneRoles } from '../src/node/queries/readers.js'
+import { makeFleet } from './fixtures/fleet.js'
+import type { FleetNode } from './fixtures/fleet.js'
+
+const NODES = 60
+const ZONES = 6
+const READERS_PER_ZONE = 3
+const START_MS = 10_000
+/** Time within which an accepted version is in force on every node. */
+const CONVERGENCE_LIMIT_MS = 5_000
+const SEED = 7
+
+let fleet = makeFleet(0, SEED)
+
+afterEach(() => { fleet.stop() })
+
+async function startFleet (): Promise<void> {
+  fleet = makeFleet(NODES, SEED)
+  fleet.edit('desk')
+  await fleet.time.advance(START_MS)
+}
+
+async function expectInForce (version: number): Promise<void> {
+  const isInForce = (): boolean => fleet.runningNodes.every(node => fleet.readInForce(node, 'desk') === version)
+  expect(await fleet.time.advanceUntil(isInForce, CONVERGENCE_LIMIT_MS)).toBe(true)
+}
+
+function listReaders (): FleetNode[] {
+  return fleet.nodes.filter(({ peers }) => peers.isReader)
+}
+
+test('three hosts of a zone follow the store, and each other host is told by one of them', () => {
+  const hosts = Array.from({ length: 20 }, (_, index) => ({ host: `host-${index}` }))
+  const { readers, listFollowers } = deriveZoneRoles(hosts)
+  expect(readers.length).toBe(READERS_PER_ZONE)
+  const told = readers.flatMap(listFollowers)
+  expect([...told, ...readers].sort()).toEqual(hosts.map(({ host }) => host).sort())
+  expect(Math.max(...readers.map(reader => listFollowers(reader).length))).toBe(6)
+  expect(deriveZoneRoles([...hosts].reverse()).readers).toEqual(readers)
+})
+
+test('in a small zone every host follows the store', () => {
+  expect([...deriveZoneRoles([{ host: 'a' }, { host: 'b' }, { host: 'c' }]).readers].sort()).toEqual(['a', 'b', 'c'])
+})
+
+test('the nodes of a fleet agree on their readers', async () => {
+  await startFleet()
+  expect(listReaders().length).toBe(ZONES * READERS_PER_ZONE)
+})
+
+describe.each<[string, (nodes: readonly FleetNode[]) => void]>([
+  ['are served', () => {}],
+  ['were killed', nodes => { for (const { index } of nodes) fleet.kill(index) }],
+  ['are paused', nodes => { for (const { clock } of nodes) clock.pause() }],
+  ['cannot reach the store', nodes => { for (const { index } of nodes) fleet.setStoreOutage(index, true) }]
+])('when all readers of a zone %s', (_name, fail) => {
+  test('an edit and the last version of a burst are in force on every running node in time', async () => {
+    await startFleet()
+    const [{ state: { identity: { zone } } }] = listReaders() as [FleetNode]
+    fail(listReaders().filter(({ state }) => state.identity.zone === zone))
+    await expectInForce(fleet.edit('desk'))
+    let newest = 0
+    for (let edit = 0; edit < 20; edit += 1) {
+      newest = fleet.edit('desk')
+      await fleet.time.advance(200)
+    }
+    await expectInForce(newest)
+  })
+})
