Await a burst of versions from the store for longer, and read only what changed of a list of hosts

Cause: in a burst each reader fetched two versions a second; a list of all hosts was parsed and compared record by record every 5 s, with two canonical texts for each record that had not changed. Change: versions that follow a fetched one within a second are collected for 1 s. A node whose store is quiet asks a peer with a newer version after 300 ms, one whose store just responded after 1.2 s. Objects of hosts whose version is known are not parsed again, and equal records are recognized by their plain JSON.

--- a/src/membership/queries/order.ts
+++ b/src/membership/queries/order.ts
@@ -12,7 +12,8 @@
  */
 export function compareRecords (left: HostRecord, right: HostRecord): number {
   const order = compareRecordStamps(left, right)
-  if (order !== 0 || left === right) return order
+  // Records that were decoded from the same bytes have the same key order, and plain JSON is far cheaper than canonical JSON.
+  if (order !== 0 || left === right || JSON.stringify(left) === JSON.stringify(right)) return order
   const [leftText, rightText] = [formatCanonicalJson(left), formatCanonicalJson(right)]
   if (leftText === rightText) return 0
   return leftText < rightText ? -1 : 1
--- a/src/node/lag.ts
+++ b/src/node/lag.ts
@@ -5,14 +5,28 @@
  */
 import type { Clock } from '../core/index.js'
 
-/** Above the time for which the source collects versions that follow each other. */
-export const MAX_VERSION_LAG_MS = 700
+/** After a response of the source, versions that follow are collected for less than this time. */
+export const BURST_LAG_MS = 1_200
+/** A source that has been quiet may have become unresponsive, so its next version is not awaited for long. */
+export const QUIET_LAG_MS = 300
+const QUIET_AFTER_MS = 2_000
 
 export class VersionLag {
   private awaited: { version: number, since: number } | undefined
+  private respondedAt = -Infinity
 
   constructor (private readonly clock: Clock) {}
 
+  /** The time for which a newer version is awaited from the source. */
+  get allowedMs (): number {
+    return this.clock.monotonic() - this.respondedAt < QUIET_AFTER_MS ? BURST_LAG_MS : QUIET_LAG_MS
+  }
+
+  /** The source returned a version. */
+  recordSourceResponse (): void {
+    this.respondedAt = this.clock.monotonic()
+  }
+
   /** `version` is that of a peer, `own` that of this node. */
   observe (version: number, own: number): void {
     if (this.awaited !== undefined && this.awaited.version <= own) this.awaited = undefined
@@ -20,6 +34,6 @@
   }
 
   isBehind (own: number): boolean {
-    return this.awaited !== undefined && this.awaited.version > own && this.clock.monotonic() - this.awaited.since >= MAX_VERSION_LAG_MS
+    return this.awaited !== undefined && this.awaited.version > own && this.clock.monotonic() - this.awaited.since >= this.allowedMs
   }
 }
--- a/src/node/start.ts
+++ b/src/node/start.ts
@@ -255,6 +255,7 @@
   }
 
   private handleUpdate (update: ConfigurationUpdate): void {
+    this.peers.lag.recordSourceResponse()
     if (update.kind === 'faulty') this.telemetry.recordInvalidConfiguration(update.reason)
     if (update.kind !== 'configuration') return
     const previous = this.state.version
--- a/src/node/tasks/configuration.ts
+++ b/src/node/tasks/configuration.ts
@@ -24,6 +24,9 @@
 const BACKOFF = { baseMs: 100, maxMs: 1_000 }
 /** Changes within this time are fetched together, so that a burst of changes does not cost each node one call per change. */
 const BATCH_DELAY_MS = 500
+/** The same for a change that comes within BURST_INTERVAL_MS after the previous ones were fetched. */
+const BURST_BATCH_DELAY_MS = 1_000
+const BURST_INTERVAL_MS = 1_000
 /** A watch that ends without a change before this time was interrupted. */
 const MIN_WATCH_MS = 1_000
 const POLL_INTERVAL_MS = 2_000
@@ -32,6 +35,7 @@
   const { source, clock, random, log } = context
   let failures = 0
   let revision: number | undefined
+  let hadUpdate = false
   while (!signal.aborted) {
     const startedAt = clock.monotonic()
     const from = revision === undefined ? undefined : Math.max(revision, context.getKnownRevision() ?? 0)
@@ -55,8 +59,11 @@
     failures = 0
     step.updates.forEach(context.onUpdate)
     revision = step.revision
-    if (step.updates.length > 0) await clock.sleep(BATCH_DELAY_MS, signal)
-    else if (clock.monotonic() - startedAt < MIN_WATCH_MS) await clock.sleep(computeBackoff(1, BACKOFF, random), signal)
+    const waitedMs = clock.monotonic() - startedAt
+    const isBurst = hadUpdate && waitedMs < BURST_INTERVAL_MS
+    hadUpdate = step.updates.length > 0
+    if (hadUpdate) await clock.sleep(isBurst ? BURST_BATCH_DELAY_MS : BATCH_DELAY_MS, signal)
+    else if (waitedMs < MIN_WATCH_MS) await clock.sleep(computeBackoff(1, BACKOFF, random), signal)
   }
 }
 
--- a/src/node/tasks/directory.ts
+++ b/src/node/tasks/directory.ts
@@ -82,10 +82,13 @@
     this.context.log.log('change', 'own_object_missing', { lists: this.missedLists })
   }
 
-  /** Returns no record if the object is invalid, so that it does not affect other hosts. */
+  /** Returns no record if the object is invalid, so that it does not affect other hosts, or if this version of it was read before. */
   private readRecord ({ name, version, value }: StoredObject): HostRecord[] {
-    const { log } = this.context
-    this.versions.set(name, Math.max(this.versions.get(name) ?? 0, version))
+    const { log, state: { identity } } = this.context
+    const knownVersion = this.versions.get(name) ?? 0
+    // The version of the local host's object may be known from a write that failed, without its record.
+    if (version <= knownVersion && name !== identity.host) return []
+    this.versions.set(name, Math.max(knownVersion, version))
     const parsed = hostRecordSchema.safeParse(value)
     if (parsed.success && parsed.data.host === name) return [parsed.data]
     log.log('detail', 'host_record_unreadable', { name, version })
--- a/src/node/tasks/peers.ts
+++ b/src/node/tasks/peers.ts
@@ -12,7 +12,7 @@
 import { addCrashMarks, clearCrashMarks, CrashMarkAnnouncer } from '../../suspect/index.js'
 import type { SuspectMessages } from '../../suspect/index.js'
 import { storeRecords } from '../commands/records.js'
-import { MAX_VERSION_LAG_MS, VersionLag } from '../lag.js'
+import { VersionLag } from '../lag.js'
 import { collectZoneDigests, findDifferingBuckets, listBucketRecords, listNewer, listZoneHosts, makeExchangeResponse } from '../queries/difference.js'
 import { selectNotifiedPeers } from '../queries/notified.js'
 import type { NotificationReach } from '../queries/notified.js'
@@ -48,7 +48,7 @@
 export class PeerSynchronizer {
   /** The monotonic time since which a host has not responded to this node. */
   private readonly unreachableSince = new Map<string, number>()
-  private readonly lag: VersionLag
+  readonly lag: VersionLag
   private isAwaitingVersion = false
 
   constructor (private readonly context: PeerSynchronizerContext) {
@@ -214,7 +214,7 @@
     const { clock } = this.context
     this.isAwaitingVersion = true
     try {
-      if (!this.wantsConfiguration) await clock.sleep(MAX_VERSION_LAG_MS)
+      if (!this.wantsConfiguration) await clock.sleep(this.lag.allowedMs)
       if (this.wantsConfiguration) await this.exchange(peer, EMPTY_PAYLOAD)
     } finally {
       this.isAwaitingVersion = false
