Count calls that a target did not answer within their objective against it, whoever ended them

A deadline that the caller had shortened, as all calls of targets have, counted as saying nothing about the target, so these targets kept their work.

--- a/src/request/tasks/attempt.ts
+++ b/src/request/tasks/attempt.ts
@@ -11,7 +11,8 @@
 import type { TargetResponse, HttpClient, OutgoingRequest } from '../httpclient.js'
 import { parseLoad } from '../load.js'
 import type { Headers } from '../headers.js'
-import type { AttemptOutcome, Picker } from '../picker.js'
+import type { Picker } from '../picker.js'
+import { deriveFailureOutcome, deriveResponseOutcome } from '../queries/outcome.js'
 import type { ResolvedRoute } from '../queries/route.js'
 import { HEADERS } from '../schema.js'
 import type { Call } from '../schema.js'
@@ -32,9 +33,6 @@
 /** `release` frees the slot if the target is on this host. */
 interface ReceivedResponse { targetResponse: TargetResponse, release: () => void }
 
-/** Rejections which mean that the target is busy or leaving, not that it is failing. */
-const BUSY_OR_LEAVING_CODES = new Set(['queue_full', 'shed', 'leaving', 'no_target', 'deadline_in_queue', 'suspect_waits', 'quarantined'])
-
 export async function attemptTarget (context: AttemptContext, attempt: Attempt): Promise<Result<AttemptResponse, Failure>> {
   const { picker, clock } = context
   const { target, activeCall } = attempt
@@ -42,16 +40,18 @@
   picker.beginAttempt(target)
   const received = target.host === context.host ? await attemptLocal(context, attempt) : await attemptRemote(context, attempt)
   // The duration of a streamed upload mostly depends on the caller.
-  const latencyMs = activeCall.call.hasBody && !activeCall.body.canResend ? undefined : clock.monotonic() - startedAt
+  const elapsedMs = clock.monotonic() - startedAt
+  const latencyMs = activeCall.call.hasBody && !activeCall.body.canResend ? undefined : elapsedMs
   if (received.err) {
     const failure = activeCall.body.isAboveLimit ? makeBodyLimitFailure(received.val) : received.val
-    picker.endAttempt(target, latencyMs, deriveFailureOutcome(failure, activeCall), failure.code)
+    const { scope: { isCallerDisconnected }, call: { deadlineMs: callDeadlineMs }, resolved: { route } } = activeCall
+    picker.endAttempt(target, latencyMs, deriveFailureOutcome({ failure, isCallerDisconnected, callDeadlineMs, route, elapsedMs }), failure.code)
     return Err(failure)
   }
   const { targetResponse, release } = received.val
   const finish = (delivery: DeliveryOutcome): void => {
     release()
-    picker.endAttempt(target, latencyMs, deriveResponseOutcome(targetResponse, delivery))
+    picker.endAttempt(target, latencyMs, deriveResponseOutcome(targetResponse.statusCode, delivery))
   }
   return Ok({ targetResponse, finish })
 }
@@ -128,16 +128,3 @@
 function makeBodyLimitFailure ({ verdict }: Failure): Failure {
   return makeFailure(verdict, 413, 'body_too_large', 'the request body exceeds the limit of its route')
 }
-
-function deriveFailureOutcome (failure: Failure, { scope, call, resolved }: ActiveCall): AttemptOutcome {
-  if (scope.isCallerDisconnected || failure.status < 500) return 'cancelled'
-  if (failure.verdict === 'not-run' && BUSY_OR_LEAVING_CODES.has(failure.code)) return 'refused'
-  // A timeout after a deadline that the caller shortened says nothing about the target.
-  if (failure.status === 504 && (call.deadlineMs ?? Infinity) < resolved.route.deadlineMs) return 'cancelled'
-  return 'failed'
-}
-
-function deriveResponseOutcome ({ statusCode }: TargetResponse, delivery: DeliveryOutcome): AttemptOutcome {
-  if (delivery === 'left') return 'cancelled'
-  return delivery === 'cut' || statusCode >= 500 ? 'failed' : 'answered'
-}
