--- a/src/node/start.ts
+++ b/src/node/start.ts
@@ -41,6 +41,8 @@
 const INBOUND_HEADER_TIMEOUT_MS = 10_000
 /** Two nodes with the same host name supersede each other endlessly. This minimum interval bounds the load on the fleet. */
 const SUPERSEDE_INTERVAL_MS = 500
+/** Where a configuration came from that no peer sent. */
+const STORE = 'store'
 /** Maximum wait at shutdown until the local host's object is removed from the store. */
 const REMOVE_WAIT_MS = 200
 
@@ -258,14 +260,14 @@
     this.peers.lag.recordSourceResponse()
     if (update.kind === 'faulty') this.telemetry.recordInvalidConfiguration(update.reason)
     if (update.kind !== 'configuration') return
-    const previous = this.state.version
-    this.applyConfiguration(update.configuration, 'store')
-    if (this.state.version > previous) void this.peers.announceVersion(previous)
+    this.applyConfiguration(update.configuration, STORE)
   }
 
   private applyConfiguration (configuration: Configuration, from: string): void {
+    const previous = this.state.version
     const result = applyConfiguration(this.state, configuration)
     if (result === undefined) return
+    this.peers.announceVersion(previous, from === STORE)
     const { callerLimits } = configuration
     if (callerLimits !== undefined) this.callerPort.setTimeouts(callerLimits.headerTimeoutMs, callerLimits.idleTimeoutMs)
     this.localTargets.applyLimits()
--- a/src/node/tasks/peers.ts
+++ b/src/node/tasks/peers.ts
@@ -2,7 +2,7 @@
  * The tasks that synchronize this node with its peers. Each local change is sent to peers immediately, and at
  * intervals the node compares its state with one peer, which repairs the effects of lost messages and partitions.
  */
-import { applyChange, deriveChange } from '../../configuration/index.js'
+import { applyChange } from '../../configuration/index.js'
 import type { Configuration, ConfigurationChange } from '../../configuration/index.js'
 import { Channel } from '../../core/index.js'
 import type { Clock, Random, StructuredLog } from '../../core/index.js'
@@ -19,6 +19,7 @@
 import { deriveZoneRoles } from '../queries/readers.js'
 import type { ZoneRoles } from '../queries/readers.js'
 import type { NodeState } from '../state.js'
+import { VersionAnnouncer } from './versions.js'
 
 export interface PeerSynchronizerContext {
   state: NodeState
@@ -49,10 +50,15 @@
   /** The monotonic time since which a host has not responded to this node. */
   private readonly unreachableSince = new Map<string, number>()
   readonly lag: VersionLag
+  private readonly announcer: VersionAnnouncer
   private isAwaitingVersion = false
 
   constructor (private readonly context: PeerSynchronizerContext) {
-    this.lag = new VersionLag(context.clock)
+    const { state, clock } = context
+    this.lag = new VersionLag(clock)
+    this.announcer = new VersionAnnouncer({
+      state, clock, deriveRoles: () => this.deriveRoles(), sendChange: async (host, change) => { await this.sendChange(host, change) }
+    })
   }
 
   /** Handles the exchange request of a peer and returns the response. */
@@ -164,14 +170,14 @@
     return this.deriveRoles().readers.includes(this.context.state.identity.host)
   }
 
-  /** Tells the nodes of the zone that do not follow the store of the version in force, which this node had from the store. */
-  async announceVersion (previous: number): Promise<void> {
-    const { state } = this.context
-    const base = state.history.find(previous)
-    if (base === undefined || state.configuration === undefined) return
-    const configurationChange = deriveChange(base, state.configuration)
-    const followers = this.deriveRoles().listFollowers(state.identity.host).flatMap(host => state.members.get(host) ?? [])
-    await Promise.all(followers.map(async peer => { await this.exchange(peer, { ...EMPTY_PAYLOAD, configurationChange }) }))
+  /** Tells other nodes of the zone of the version in force, if this node is a reader. */
+  announceVersion (previous: number, isFromStore: boolean): void {
+    this.announcer.announce(previous, isFromStore)
+  }
+
+  private async sendChange (host: string, configurationChange: ConfigurationChange): Promise<void> {
+    const peer = this.context.state.members.get(host)
+    if (peer !== undefined) await this.exchange(peer, { ...EMPTY_PAYLOAD, configurationChange })
   }
 
   private deriveRoles (): ZoneRoles {
--- a/tests/readers.test.ts
+++ b/tests/readers.test.ts
@@ -13,21 +13,23 @@
 const START_MS = 10_000
 /** Time within which an accepted version is in force on every node. */
 const CONVERGENCE_LIMIT_MS = 5_000
+/** The users' limit for a deployment of this size, in which the store serves most nodes. */
+const USERS_LIMIT_MS = 3_000
 const SEED = 7
 
 let fleet = makeFleet(0, SEED)
 
 afterEach(() => { fleet.stop() })
 
-async function startFleet (): Promise<void> {
-  fleet = makeFleet(NODES, SEED)
+async function startFleet (seed = SEED): Promise<void> {
+  fleet = makeFleet(NODES, seed)
   fleet.edit('desk')
   await fleet.time.advance(START_MS)
 }
 
-async function expectInForce (version: number): Promise<void> {
+async function expectInForce (version: number, limitMs = CONVERGENCE_LIMIT_MS): Promise<void> {
   const isInForce = (): boolean => fleet.runningNodes.every(node => fleet.readInForce(node, 'desk') === version)
-  expect(await fleet.time.advanceUntil(isInForce, CONVERGENCE_LIMIT_MS)).toBe(true)
+  expect(await fleet.time.advanceUntil(isInForce, limitMs)).toBe(true)
 }
 
 function listReaders (): FleetNode[] {
@@ -72,3 +74,16 @@
     await expectInForce(newest)
   })
 })
+
+test.each([1, 2, 3, 4, 5])('an edit is in force in time while the store serves one reader of each zone only (seed %i)', async seed => {
+  await startFleet(seed)
+  const served = new Set<string>()
+  for (const { index, state: { identity: { zone } } } of listReaders()) {
+    if (served.has(zone)) fleet.setStoreOutage(index, true)
+    served.add(zone)
+  }
+  for (let edit = 0; edit < 5; edit += 1) {
+    await expectInForce(fleet.edit('desk'), USERS_LIMIT_MS)
+    await fleet.time.advance(300 * edit)
+  }
+})
