Take a rejection for lack of time for a slot as a sign of load, not of failure

Cause: the codes no_time and target_refused were missing from the rejections that mean a busy target, so each of them counted as a failure, for which a target is rated up to 600 ms worse and longer than a second. Change: both codes count as rejections, which the picker backs off from for 40 ms and takes into the share of rejected attempts. Result: five cases of tests/outcome.test.ts, two of which fail without the change.

--- a/src/request/queries/outcome.ts
+++ b/src/request/queries/outcome.ts
@@ -19,7 +19,9 @@
 }
 
 /** Rejections which mean that the target is busy or leaving, not that it is failing. */
-const BUSY_OR_LEAVING_CODES = new Set(['queue_full', 'shed', 'leaving', 'no_target', 'deadline_in_queue', 'suspect_waits', 'quarantined'])
+const BUSY_OR_LEAVING_CODES = new Set([
+  'queue_full', 'shed', 'no_time', 'deadline_in_queue', 'target_refused', 'leaving', 'no_target', 'suspect_waits', 'quarantined'
+])
 const FIRST_SERVER_ERROR_STATUS = 500
 
 export function deriveFailureOutcome ({ failure, isCallerDisconnected, callDeadlineMs, route, elapsedMs }: EndedAttempt): AttemptOutcome {
--- a/tests/outcome.test.ts
+++ b/tests/outcome.test.ts
@@ -50,3 +50,7 @@
   }
   expect(sentToSlow).toBeLessThan(5)
 })
+
+test.each(['queue_full', 'shed', 'no_time', 'deadline_in_queue', 'target_refused'])('a rejection for lack of room (%s) is no failure of the target', code => {
+  expect(derive({ failure: makeFailure('not-run', 503, code, 'no room'), callDeadlineMs: undefined })).toBe('refused')
+})
