Let the readers of a small zone tell each other nothing

Cause: in zones of up to three hosts every node follows the store, so telling the other readers of a version only repeats what they read. Change: a reader tells other readers of a version only where the zone has other nodes. Nothing changes in larger zones. Result: tests/readers.test.ts.

--- a/src/node/queries/readers.ts
+++ b/src/node/queries/readers.ts
@@ -9,6 +9,8 @@
 
 export interface ZoneRoles {
   readers: readonly string[]
+  /** False in a small zone, whose hosts are all readers. */
+  hasFollowers: boolean
   /** The hosts that a reader tells of a new version. Each host that is no reader is told by one of them. */
   listFollowers: (reader: string) => string[]
 }
@@ -22,7 +24,7 @@
     const position = readers.indexOf(reader)
     return position < 0 ? [] : followers.filter((_, index) => index % readers.length === position)
   }
-  return { readers, listFollowers }
+  return { readers, hasFollowers: followers.length > 0, listFollowers }
 }
 
 interface RankedHost { host: string, rank: number }
--- a/src/node/tasks/versions.ts
+++ b/src/node/tasks/versions.ts
@@ -49,8 +49,8 @@
   private async sendPending (from: number): Promise<void> {
     const { state, deriveRoles, sendChange } = this.context
     const { host } = state.identity
-    const { readers, listFollowers } = deriveRoles()
-    const otherReaders = this.isForReaders ? readers.filter(reader => reader !== host) : []
+    const { readers, hasFollowers, listFollowers } = deriveRoles()
+    const otherReaders = this.isForReaders && hasFollowers ? readers.filter(reader => reader !== host) : []
     this.base = undefined
     this.isForReaders = false
     const base = state.history.find(from)
--- a/tests/readers.test.ts
+++ b/tests/readers.test.ts
@@ -3,9 +3,14 @@
  * reach the nodes of a zone in time because the few nodes that follow the store for it have failed.
  */
 import { afterEach, describe, expect, test } from '@jest/globals'
+import { applyConfiguration } from '../src/node/commands/apply.js'
 import { deriveZoneRoles } from '../src/node/queries/readers.js'
+import { VersionAnnouncer } from '../src/node/tasks/versions.js'
+import { makeClock } from './fixtures/clock.js'
+import { makeEntry } from './fixtures/entry.js'
 import { makeFleet } from './fixtures/fleet.js'
 import type { FleetNode } from './fixtures/fleet.js'
+import { makeState } from './fixtures/state.js'
 
 const NODES = 60
 const ZONES = 6
@@ -87,3 +92,25 @@
     await fleet.time.advance(300 * edit)
   }
 })
+
+/** Returns the hosts that a reader of a zone of this size tells of a version. */
+function listReceivers (zoneSize: number, isFromStore: boolean): string[] {
+  const hosts = Array.from({ length: zoneSize }, (_, index) => ({ host: `host-${index}` }))
+  const roles = deriveZoneRoles(hosts)
+  const clock = makeClock()
+  const state = makeState({ host: roles.readers[0] ?? '' }, clock)
+  for (const version of [1, 2]) applyConfiguration(state, { version, entries: [makeEntry('desk', version)], replacesAll: true })
+  const receivers: string[] = []
+  const announcer = new VersionAnnouncer({ state, clock, deriveRoles: () => roles, sendChange: async host => { receivers.push(host) } })
+  announcer.announce(1, isFromStore)
+  return receivers
+}
+
+test('a version from the store goes to the other readers and a part of the zone, one from a peer to that part only', () => {
+  expect(listReceivers(9, true).length).toBe(4)
+  expect(listReceivers(9, false).length).toBe(2)
+})
+
+test('the readers of a small zone, who all follow the store, tell each other nothing', () => {
+  expect(listReceivers(3, true)).toEqual([])
+})
