Prefer the target on the own host while it has free slots

Cause: a call to another host passes two nodes. The rating of the own target had the same random share as any other, and its load was known only from the last call that this node sent to it. Change: the own target is rated without jitter and with its load of the moment; another host of the zone counts 20 ms more.

--- a/src/request/delaypicker.ts
+++ b/src/request/delaypicker.ts
@@ -12,8 +12,11 @@
 
 export interface NodeLocality { host: string, zone: string, region: string }
 
-/** Penalties for distance, in milliseconds of delay. They exceed the network delay, since bytes between zones and regions are billed. */
-const SAME_ZONE_PENALTY_MS = 2
+/**
+ * Penalties for distance, in milliseconds of delay. They exceed the network delay, since bytes between zones and regions are billed, and
+ * since a call to another host costs processor time at the node of that host, too.
+ */
+const SAME_ZONE_PENALTY_MS = 20
 const SAME_REGION_PENALTY_MS = 120
 const CROSS_REGION_PENALTY_MS = 320
 const SAME_REGION_PENALTY_MS_PER_KB = 1
@@ -25,7 +28,8 @@
 const SAMPLE_SHARE = 0.1
 /**
  * Largest random share by which a rating is increased. Ratings within this share count as equal, so that nodes with the same
- * information do not all pick the same target.
+ * information do not all pick the same target. The target of the local host gets no jitter: only this node prefers it, and a call to
+ * it saves the way over another node.
  */
 const RATING_JITTER_SHARE = 0.15
 /** Delay added to the rating of a target at a failure rate of 1. */
@@ -214,7 +218,8 @@
     for (const target of targets) {
       const averageMs = this.averageServiceMs.get(target.service) ?? DEFAULT_SERVICE_MS
       const delayMs = this.getStats(target, at).computeDelay(at, target.slots, averageMs) + computePenalty(target)
-      const rating = delayMs * (1 + RATING_JITTER_SHARE * this.random.next())
+      const jitterShare = target.host === this.locality.host ? 0 : RATING_JITTER_SHARE * this.random.next()
+      const rating = delayMs * (1 + jitterShare)
       if (rating >= lowest) continue
       lowest = rating
       best = target
--- a/src/request/tasks/attempt.ts
+++ b/src/request/tasks/attempt.ts
@@ -121,7 +121,7 @@
   return route.objectiveMs === undefined ? undefined : Math.max(0, route.objectiveMs - scope.elapsedMs)
 }
 
-function getTargetName (target: Target): string {
+export function getTargetName (target: Target): string {
   return target.id.slice(target.host.length + 1)
 }
 
--- a/src/request/tasks/attempts.ts
+++ b/src/request/tasks/attempts.ts
@@ -8,7 +8,7 @@
 import type { TargetResponse } from '../httpclient.js'
 import type { RetryDecision, RetryPolicy } from '../retry.js'
 import type { Call } from '../schema.js'
-import { attemptTarget } from './attempt.js'
+import { attemptTarget, getTargetName } from './attempt.js'
 import type { AttemptContext, ActiveCall, AttemptResponse } from './attempt.js'
 
 /** An attempt without a response that can be forwarded, and the retry decision that followed. */
@@ -67,6 +67,7 @@
   private pickTarget (): Target | undefined {
     const { resolved, call } = this.activeCall
     const { targets, document: { zones } } = resolved
+    this.recordLocalLoad(targets)
     const target = this.context.picker.pick({
       targets, tried: this.attemptedTargets, needsFreeSlot: this.needsFreeSlot, zones, bytes: call.bodyBytes ?? 0
     })
@@ -74,6 +75,13 @@
     return target
   }
 
+  /** The load of the target on this host is known exactly, including the requests that other nodes sent to it. */
+  private recordLocalLoad (targets: readonly Target[]): void {
+    const { host, picker, inbound: { local } } = this.context
+    const target = targets.find(candidate => candidate.host === host)
+    if (target !== undefined) picker.recordLoad(target, local.measureLoad(getTargetName(target)))
+  }
+
   /** Returns the reason for another attempt: a failure on the path, or a server error response of the target. */
   private recordResult (target: Target, result: Result<AttemptResponse, Failure>): Failure | undefined {
     const failure = result.ok ? findServerError(result.val.targetResponse) : result.val
--- a/tests/delaypicker.test.ts
+++ b/tests/delaypicker.test.ts
@@ -105,6 +105,16 @@
   expect(rejectedAcrossRegions / served).toBeLessThan(0.05)
 })
 
+/** A call to the target on its own host saves the way over another node. */
+test('while the target on the own host has free slots, it gets the calls of its node', () => {
+  const clock = makeClock()
+  const { calls, served, servedLocally } = runSaturation({
+    clock, makePicker: (place, random) => new LeastDelayPicker(place, clock, random), perSecond: 430, seconds: 12, targetsPerZone: 4
+  })
+  expect(served / calls).toBeGreaterThan(0.97)
+  expect(servedLocally / served).toBeGreaterThan(0.75)
+})
+
 /** Nine targets in each zone: a node hears from few of the 54 targets within the time in which a load report counts. */
 test('in a large fleet, a rejected call goes on to a target of unknown load', () => {
   const clock = makeClock()
