Let the successor of a target on a host get the requests that name its previous process

Cause: a request names the process of a target. After a power loss of all hosts every target has a new name, and requests that name the old one were rejected (no_target), each at the cost of an attempt, until the new records had reached the caller-side node. Change: the target-side node gives such a request to its present target if that serves the same service, has no labels by which the route may have selected, and is the only one of its service on the host.

--- a/src/membership/localhost.ts
+++ b/src/membership/localhost.ts
@@ -35,6 +35,10 @@
     return this.registeredTargets.get(target)?.announcement
   }
 
+  listAnnouncements (): Announcement[] {
+    return [...this.registeredTargets.values()].map(({ announcement }) => announcement)
+  }
+
   /** Returns the time of the last heartbeat of each target, on the monotonic clock. */
   listHeartbeats (): Array<{ target: string, at: number }> {
     return [...this.registeredTargets].map(([target, registration]) => ({ target, at: registration.at }))
--- a/src/request/commands/admit.ts
+++ b/src/request/commands/admit.ts
@@ -28,6 +28,17 @@
     private readonly admission?: AdmissionPolicy
   ) {}
 
+  /**
+   * Returns the target that is to get a request for `target`, whose name another node may have learned before its process was replaced.
+   * After a power loss of many hosts all names are new, and a rejection of each request by an old name would cost an attempt. The
+   * successor serves the same service and has no labels, which the route may have selected by.
+   */
+  resolveTarget (target: string, service: string): string {
+    if (this.localHost.findAnnouncement(target) !== undefined) return target
+    const [successor, ...others] = this.localHost.listAnnouncements().filter(announcement => announcement.service === service)
+    return successor === undefined || others.length > 0 || Object.keys(successor.labels).length > 0 ? target : successor.target
+  }
+
   async admit ({ target, routeClass, leftMs, objectiveMs, signal }: AdmitRequest): Promise<Result<AdmittedRequest, Failure>> {
     const announcement = this.localHost.findAnnouncement(target)
     if (announcement === undefined) {
--- a/src/request/queries/inbound.ts
+++ b/src/request/queries/inbound.ts
@@ -14,6 +14,7 @@
 
 export const inboundRequestSchema = z.object({
   request: z.string(),
+  service: z.string(),
   target: z.string(),
   routeClass: routeClassSchema,
   deadlineMs: z.number().int(),
@@ -39,6 +40,7 @@
   const routeClass = String(headers[HEADERS.routeClass] ?? 'normal')
   return Ok({
     request: String(headers[HEADERS.request] ?? ''),
+    service: String(headers[HEADERS.service] ?? ''),
     target: String(headers[HEADERS.target] ?? ''),
     routeClass: routeClass === 'critical' || routeClass === 'bulk' ? routeClass : 'normal',
     deadlineMs: Math.min(deadlineMs, MAX_DEADLINE_MS),
--- a/src/request/tasks/attempt.ts
+++ b/src/request/tasks/attempt.ts
@@ -57,8 +57,10 @@
 }
 
 async function attemptLocal (context: AttemptContext, { activeCall, target, number }: Attempt): Promise<Result<ReceivedResponse, Failure>> {
+  const { local } = context.inbound
+  const name = local.resolveTarget(getTargetName(target), target.service)
   const result = await runLocal(context.inbound, {
-    target: getTargetName(target),
+    target: name,
     routeClass: activeCall.resolved.route.class,
     attempt: number,
     objectiveMs: measureRemainingObjective(activeCall),
@@ -66,7 +68,7 @@
     outgoing: makeOutgoingRequest(activeCall, target, number),
     body: activeCall.call.hasBody ? activeCall.body : undefined
   })
-  context.picker.recordLoad(target, context.inbound.local.measureLoad(getTargetName(target)))
+  context.picker.recordLoad(target, local.measureLoad(name))
   return result.map(({ targetResponse, permit }) => ({ targetResponse, release: permit.release }))
 }
 
--- a/src/request/tasks/inbound.ts
+++ b/src/request/tasks/inbound.ts
@@ -126,17 +126,17 @@
 
 async function forwardInbound (context: InboundContext, inbound: InboundRequest, body: RequestBody, response: ServerResponse): Promise<void> {
   const scope = new RequestScope(context.clock, inbound.deadlineMs, response)
-  const { request, target, routeClass, attempt, objectiveMs, method, path, headers } = inbound
+  const { request, routeClass, attempt, objectiveMs, method, path, headers } = inbound
   const outgoing = { method, path, headers }
   try {
     await scope.awaitPendingClose()
+    const target = context.local.resolveTarget(inbound.target, inbound.service)
     const result = await runLocal(context, { target, routeClass, attempt, objectiveMs, scope, outgoing, body: inbound.hasBody ? body : undefined })
+    response.setHeader(HEADERS.load, formatLoad(context.local.measureLoad(target)))
     if (result.err) {
-      response.setHeader(HEADERS.load, formatLoad(context.local.measureLoad(target)))
       writeFailure(response, result.val, request)
       return
     }
-    response.setHeader(HEADERS.load, formatLoad(context.local.measureLoad(target)))
     await writeResponse(response, result.val.targetResponse, filterResponseHeaders(result.val.targetResponse.headers, request))
     result.val.permit.release()
   } finally {
