Add a randomized soak of the node program as separate processes

Change: npm run soak starts the store stand-in, nodes as processes, targets and callers, and carries out a plan of faults that is drawn from a seed (processes killed, stopped, paused; connections silent, reset, one way, slow; store refusing, silent, slow, losing answers or its history; targets that crash, leave, move to another service, or respond wrongly; edits). It checks answers, runs, refusals, leaving targets, versions in force, stops and recovery from what callers and targets see. The start of a platform node is shared with bench cold.

--- a/standins/bench/cold.ts
+++ b/standins/bench/cold.ts
@@ -4,22 +4,20 @@
  * one after the other, with the stand-in of the platform's store, targets and callers in this process. The rate is that of calls a
  * second at each node.
  */
-import { spawn } from 'node:child_process'
 import type { ChildProcess } from 'node:child_process'
 import { once } from 'node:events'
-import { mkdtempSync, readFileSync, writeFileSync } from 'node:fs'
+import { readFileSync } from 'node:fs'
 import { createServer } from 'node:http'
 import type { Server } from 'node:http'
-import { availableParallelism, tmpdir } from 'node:os'
-import { join } from 'node:path'
+import { availableParallelism } from 'node:os'
 import { setTimeout as delay } from 'node:timers/promises'
 import { parseArgs } from 'node:util'
 import { Agent, request } from 'undici'
+import { makeNodeAddresses, spawnPlatformNode } from '../layout/platformnode.js'
+import type { NodeAddresses } from '../layout/platformnode.js'
 import { findBlock } from '../layout/processes.js'
 import { ObjectsServer } from '../objects/server.js'
 
-const PORTS = ['target', 'caller', 'inbound', 'ready', 'control', 'peer', 'admin'] as const
-const FIRST_PORT = 7_000
 const ZONES = ['a', 'b', 'c', 'd', 'e', 'f'] as const
 const ZONES_PER_REGION = 2
 const SERVICES = ['left', 'right'] as const
@@ -34,12 +32,9 @@
 const CALL_SECONDS = 20
 const SLOTS = 12
 const CLOCK_TICK_MS = 10
-/** The flags of the deploy file. */
-const DEFAULT_FLAGS = ['--max-old-space-size=200', '--max-semi-space-size=2']
+const GRACE_MS = 4_000
 
-type Addresses = Record<typeof PORTS[number], string>
-
-interface FleetNode { host: string, service: string, addresses: Addresses, process: ChildProcess, target: Server }
+interface FleetNode { host: string, service: string, addresses: NodeAddresses, process: ChildProcess, target: Server }
 
 interface ColdOptions { nodes: number, rate: number, profileFolder: string | undefined }
 
@@ -77,21 +72,16 @@
   return Number(/VmRSS:\s+([0-9]+)/.exec(readFileSync(`/proc/${pid ?? 0}/status`, 'utf8'))?.[1] ?? NaN) / 1024
 }
 
-function startNode (program: string, index: number, block: string, store: string, { profileFolder }: ColdOptions): FleetNode {
+function startNode (program: string, index: number, block: number, store: string, { profileFolder }: ColdOptions): FleetNode {
   const host = `h${index}`
   const service = SERVICES[index % SERVICES.length] ?? ''
   const zoneIndex = Math.floor(index / SERVICES.length) % ZONES.length
   const zone = ZONES[zoneIndex] ?? ''
   const region = `r-${Math.floor(zoneIndex / ZONES_PER_REGION)}`
-  const addresses = Object.fromEntries(PORTS.map((port, offset) => [port, `${block}:${FIRST_PORT + index * PORTS.length + offset}`])) as Addresses
-  const values = {
-    host, zone, region, service, store, heartbeat: `${HEARTBEAT_INTERVAL_MS}ms`, grace: '4s', 'retry-ratio': '0.2', 'retry-extra': '64', 'retry-window': '10s', ...addresses
-  }
-  const file = join(mkdtempSync(join(tmpdir(), 'cold-')), 'node.settings')
-  writeFileSync(file, Object.entries(values).map(([name, value]) => `${name}=${value}`).join('\n'))
-  const profile = profileFolder === undefined ? [] : ['--cpu-prof', `--cpu-prof-dir=${profileFolder}`]
-  const child = spawn(process.execPath, [...profile, ...DEFAULT_FLAGS, ...program.split(' ')], {
-    env: { ...process.env, NODE_OPTIONS: '', COMFREYSPOKE_SETTINGS: file }, stdio: 'ignore'
+  const addresses = makeNodeAddresses(block, index)
+  const flags = profileFolder === undefined ? [] : ['--cpu-prof', `--cpu-prof-dir=${profileFolder}`]
+  const child = spawnPlatformNode({
+    host, zone, region, service, store, addresses, program, heartbeatMs: HEARTBEAT_INTERVAL_MS, graceMs: GRACE_MS, flags
   })
   return { host, service, addresses, process: child, target: startTarget(addresses.target) }
 }
@@ -182,7 +172,7 @@
   const store = new ObjectsServer()
   const address = await store.listen()
   store.writeObject('config', 'main', makeConfiguration())
-  const block = `127.${await findBlock()}.0.1`
+  const block = await findBlock()
   const nodes = Array.from({ length: options.nodes }, (_, index) => startNode(program, index, block, address, options))
   const fleet = new ColdFleet(nodes, options.rate)
   let heartbeats: NodeJS.Timeout | undefined
--- /dev/null
+++ b/standins/layout/platformnode.ts
@@ -0,0 +1,49 @@
+/**
+ * Starts the node program of the users' platform as a process on loopback addresses.
+ */
+import { spawn } from 'node:child_process'
+import type { ChildProcess } from 'node:child_process'
+import { mkdtempSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+
+const PORTS = ['target', 'caller', 'inbound', 'ready', 'control', 'peer', 'admin'] as const
+const FIRST_PORT = 7_000
+/** The flags of the deploy file. */
+const DEFAULT_FLAGS = ['--max-old-space-size=200', '--max-semi-space-size=2']
+
+export type NodeAddresses = Record<typeof PORTS[number], string>
+
+export interface PlatformNodeOptions {
+  host: string
+  zone: string
+  region: string
+  service: string
+  store: string
+  addresses: NodeAddresses
+  /** The program and its arguments, separated by spaces. */
+  program: string
+  heartbeatMs: number
+  graceMs: number
+  flags?: readonly string[]
+  /** A file descriptor for the output of the process, which is discarded otherwise. */
+  output?: number
+}
+
+/** Returns the addresses of a node in a block of findBlock, so that no two nodes share a port. */
+export function makeNodeAddresses (block: number, index: number): NodeAddresses {
+  return Object.fromEntries(PORTS.map((port, offset) => [port, `127.${block}.0.1:${FIRST_PORT + index * PORTS.length + offset}`])) as NodeAddresses
+}
+
+export function spawnPlatformNode (options: PlatformNodeOptions): ChildProcess {
+  const { host, zone, region, service, store, addresses, heartbeatMs, graceMs } = options
+  const values = {
+    host, zone, region, service, store, heartbeat: `${heartbeatMs}ms`, grace: `${graceMs}ms`, 'retry-ratio': '0.2', 'retry-extra': '64', 'retry-window': '10s', ...addresses
+  }
+  const file = join(mkdtempSync(join(tmpdir(), 'node-')), 'node.settings')
+  writeFileSync(file, Object.entries(values).map(([name, value]) => `${name}=${value}`).join('\n'))
+  const output = options.output ?? 'ignore'
+  return spawn(process.execPath, [...options.flags ?? [], ...DEFAULT_FLAGS, ...options.program.split(' ')], {
+    env: { ...process.env, NODE_OPTIONS: '', COMFREYSPOKE_SETTINGS: file }, stdio: ['ignore', output, output]
+  })
+}
--- a/standins/objects/server.ts
+++ b/standins/objects/server.ts
@@ -7,6 +7,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { text } from 'node:stream/consumers'
+import { setTimeout as delay } from 'node:timers/promises'
 
 interface Meta { name: string, rev: number, createdAt: number, finalizers: string[], markedForDeletion: boolean }
 interface StoredObject { meta: Meta, spec: unknown, status: unknown }
@@ -21,10 +22,12 @@
   /** Calls are received but get no response. */
   isSilent: boolean
   pageSize: number
+  /** Time until a call is executed. */
+  delayMs: number
 }
 
 export class ObjectsServer {
-  switches: ObjectsSwitches = { refuseWith: undefined, loseAnswers: false, isSilent: false, pageSize: 500 }
+  switches: ObjectsSwitches = { refuseWith: undefined, loseAnswers: false, isSilent: false, pageSize: 500, delayMs: 0 }
   readonly calls: string[] = []
   private readonly objectsByKind = new Map<string, Map<string, StoredObject>>()
   private events: ChangeEvent[] = []
@@ -71,6 +74,7 @@
     const url = new URL(message.url ?? '/', 'http://store')
     const body = await text(message)
     this.calls.push(`${message.method ?? ''} ${url.pathname}${url.search}`)
+    if (this.switches.delayMs > 0) await delay(this.switches.delayMs)
     if (this.switches.isSilent) return
     if (this.switches.refuseWith !== undefined) return writeResponse(response, { status: this.switches.refuseWith })
     const [, , , kind = '', name] = url.pathname.split('/').map(decodeURIComponent)
--- /dev/null
+++ b/standins/soak/target.ts
@@ -0,0 +1,175 @@
+/**
+ * A target of the soak. It runs in the process of the soak, announces itself to its node, and can misbehave in its responses.
+ */
+import { once } from 'node:events'
+import { createServer } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+import { request as sendRequest } from 'undici'
+import type { Random } from '../../src/core/index.js'
+import type { FaultKind } from './plan.js'
+import type { SoakRecord } from './record.js'
+
+export interface SoakTargetOptions {
+  /** Where the target listens, and the address of the proxy in front of it, which is announced. */
+  address: string
+  announcedAddress: string
+  /** Address of the node for heartbeats. */
+  control: string
+  record: SoakRecord
+  random: Random
+}
+
+const HEARTBEAT_INTERVAL_MS = 1_000
+const CALL_TIMEOUT_MS = 1_000
+const SLOTS = 6
+const SERVICE_MS = 30
+/** Share of the requests that a response fault affects. */
+const FAULT_SHARE = 0.4
+const MAX_LATE_MS = 30
+const ENDLESS_CHUNK = Buffer.alloc(16 * 1024, 'a')
+
+/** The body that the request with this id has to get, of a length that differs from id to id. */
+export function makeBody (id: string): string {
+  const length = [...id].reduce((sum, character) => sum * 31 + character.charCodeAt(0) >>> 0, 7) % 6_000
+  return `${id}:${'b'.repeat(length)}`
+}
+
+export class SoakTarget {
+  private server: Server | undefined
+  private service = ''
+  private id = ''
+  private startedAt = 0
+  private sequence = 0
+  private state: 'ready' | 'draining' = 'ready'
+  private running = 0
+  private fault: FaultKind | undefined
+  private heartbeats: NodeJS.Timeout | undefined
+  /** The refusal that a connection carried last, to be repeated. */
+  private readonly refusals = new WeakMap<Socket, string>()
+
+  constructor (private readonly options: SoakTargetOptions) {}
+
+  /** Starts a new process of the target, with a new id and perhaps for another service. */
+  async start (service: string): Promise<void> {
+    this.service = service
+    this.startedAt = Math.max(Date.now(), this.startedAt + 1)
+    this.id = `i-${service}-${this.startedAt}-${this.options.random.pickIndex(1_000_000)}`
+    this.sequence = 0
+    this.state = 'ready'
+    const server = createServer((message, response) => { this.handleRequest(message, response) })
+    server.on('clientError', (_error, socket) => { socket.destroy() })
+    const [host, port] = this.options.address.split(':')
+    server.listen(Number(port), host)
+    await once(server, 'listening')
+    this.server = server
+    void this.sendHeartbeat()
+    this.heartbeats = setInterval(() => { void this.sendHeartbeat() }, HEARTBEAT_INTERVAL_MS)
+  }
+
+  /** Ends the process without notice, as in a crash. */
+  stop (): void {
+    clearInterval(this.heartbeats)
+    this.server?.closeAllConnections()
+    this.server?.close()
+    this.server = undefined
+    this.running = 0
+  }
+
+  setFault (fault: FaultKind | undefined): void {
+    this.fault = fault
+  }
+
+  /** Resolves when the node has acknowledged that this target is leaving, or did not in time. */
+  async announceLeaving (): Promise<void> {
+    this.state = 'draining'
+    await this.sendHeartbeat()
+  }
+
+  /** Ends the process after it has left. */
+  async end (): Promise<void> {
+    await this.call(`/-/Instances.Deregister/${this.id}`, { born: this.startedAt })
+    this.stop()
+  }
+
+  private async sendHeartbeat (): Promise<void> {
+    const { announcedAddress } = this.options
+    const { id, state, service } = this
+    this.sequence += 1
+    const info = { service, version: 'v1', zone: 'a', slots: SLOTS }
+    const status = { state, seq: this.sequence, coldLeft: '0ms' }
+    const isAcknowledged = await this.call(`/-/Instances.Heartbeat/${id}`, { address: announcedAddress, born: this.startedAt, info, status })
+    if (isAcknowledged && state === 'draining') this.options.record.recordLeft(id)
+  }
+
+  private async call (path: string, body: unknown): Promise<boolean> {
+    try {
+      const response = await sendRequest(`http://${this.options.control}${path}`, {
+        method: 'POST', body: JSON.stringify(body), signal: AbortSignal.timeout(CALL_TIMEOUT_MS)
+      })
+      await response.body.dump()
+      return response.statusCode === 200
+    } catch {
+      return false
+    }
+  }
+
+  private handleRequest (message: IncomingMessage, response: ServerResponse): void {
+    message.resume()
+    message.on('error', () => {})
+    response.on('error', () => {})
+    const id = String(message.headers['x-attempt-id'])
+    if (message.headers['x-target-instance'] !== this.id) {
+      response.writeHead(421, { 'x-attempt-id': id }).end()
+      return
+    }
+    const { socket } = message
+    const fault = this.options.random.next() < FAULT_SHARE ? this.fault : undefined
+    if (this.running >= SLOTS || (fault === 'repeated-refusal' && !this.refusals.has(socket))) {
+      this.rejectRequest(socket, response, id)
+      return
+    }
+    this.options.record.recordRun(this.id, id)
+    this.running += 1
+    response.once('close', () => { this.running = Math.max(0, this.running - 1) })
+    if (fault === 'repeated-refusal') socket.write(this.refusals.get(socket) ?? '')
+    setTimeout(() => { this.respond(socket, response, id, fault) }, SERVICE_MS * (0.5 + this.options.random.next()))
+  }
+
+  private rejectRequest (socket: Socket, response: ServerResponse, id: string): void {
+    const isNamed = this.options.random.next() < 0.5
+    this.refusals.set(socket, `HTTP/1.1 503 Full\r\nx-not-executed: 1\r\n${isNamed ? `x-attempt-id: ${id}\r\n` : ''}content-length: 0\r\n\r\n`)
+    response.writeHead(503, { 'x-not-executed': '1', 'x-attempt-id': id, 'content-length': 0 }).end()
+  }
+
+  private respond (socket: Socket, response: ServerResponse, id: string, fault: FaultKind | undefined): void {
+    if (socket.destroyed) return
+    const body = makeBody(id)
+    const headers = { 'x-attempt-id': id, 'x-response-signature': this.id, 'content-length': Buffer.byteLength(body) }
+    switch (fault) {
+      case 'hang': return
+      case 'lost-answer': socket.resetAndDestroy(); return
+      case 'garbage': socket.write('what?\r\n\r\n'); socket.end(); return
+      case 'endless': writeEndlessly(socket); return
+      case 'truncated':
+        response.writeHead(200, headers)
+        response.write(body.slice(0, body.length / 2))
+        setTimeout(() => { socket.destroy() }, 1)
+        return
+      case 'second-answer':
+        response.once('finish', () => {
+          const head = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join('')
+          setTimeout(() => { if (socket.writable) socket.write(`HTTP/1.1 200 OK\r\n${head}\r\n${body}`) }, this.options.random.pickIndex(MAX_LATE_MS))
+        })
+    }
+    response.writeHead(200, headers).end(body)
+  }
+}
+
+function writeEndlessly (socket: Socket): void {
+  socket.write('HTTP/1.1 200 OK\r\nx-long: ')
+  const write = (): void => {
+    if (socket.writable) socket.write(ENDLESS_CHUNK, error => { if (error === undefined || error === null) setImmediate(write) })
+  }
+  write()
+}
