Load the core of consola only

Cause: the log uses consola with its own reporter, but loaded its reporters for terminals. Change: import of consola/core.

--- a/src/core/log.ts
+++ b/src/core/log.ts
@@ -3,8 +3,8 @@
  * change of the process's view of the system. Writing never blocks: lines above the limits are
  * dropped, and a later line reports how many.
  */
-import { createConsola } from 'consola'
-import type { ConsolaInstance } from 'consola'
+import { createConsola } from 'consola/core'
+import type { ConsolaInstance } from 'consola/core'
 import type { Clock } from './clock.js'
 
 export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>
