Let short calls wait longer for a slot, count other zones of a region as nearer, and spend no budget on callers that left

Other zones of the region, one network millisecond away, counted 120 ms. A failed attempt of a caller that had left took from the retry budget. Change: a request may wait for 0.75 of the mean service time, whatever its objective; zones of the same region count 60 ms; attempts.ts does not decide on a retry after the caller has left. Ruled out: 30 ms for zones of the region, which sends calls away from targets with free slots (tests/delaypicker.test.ts) and doubles the bytes between zones.

--- a/src/request/admission.ts
+++ b/src/request/admission.ts
@@ -47,7 +47,7 @@
  * while it serves a request, next to long requests: their objective is shorter than the time until a slot becomes free, and to reject
  * one wastes the run that made it.
  */
-const MIN_SERVICE_WAIT_SHARE = 0.5
+const MIN_SERVICE_WAIT_SHARE = 0.75
 /** The rejection must reach the caller-side node, which may be in another region, before that node stops waiting for the response. */
 const MIN_RESPONSE_MARGIN_MS = 60
 
--- a/src/request/delaypicker.ts
+++ b/src/request/delaypicker.ts
@@ -17,7 +17,7 @@
  * since a call to another host costs processor time at the node of that host, too.
  */
 const SAME_ZONE_PENALTY_MS = 20
-const SAME_REGION_PENALTY_MS = 120
+const SAME_REGION_PENALTY_MS = 60
 const CROSS_REGION_PENALTY_MS = 320
 const SAME_REGION_PENALTY_MS_PER_KB = 1
 const CROSS_REGION_PENALTY_MS_PER_KB = 4
--- a/src/request/tasks/attempts.ts
+++ b/src/request/tasks/attempts.ts
@@ -106,10 +106,11 @@
     return { targetResponse: response.targetResponse, finish }
   }
 
+  /** An attempt for a caller that has left would use the budget in vain. */
   private decide (failure: Failure): RetryDecision {
     const { call, resolved, body, scope } = this.activeCall
     const { route, document, service } = resolved
-    if (call.noRetry) return 'final'
+    if (call.noRetry || scope.signal.aborted) return 'final'
     return this.context.retry.decide({
       service,
       kind: route.kind,
--- a/tests/attempts.test.ts
+++ b/tests/attempts.test.ts
@@ -74,6 +74,17 @@
   expect(runs).toBe(1)
 })
 
+test('a caller that left costs no retry budget', async () => {
+  let decisions = 0
+  await open({ targets: [() => {}, () => {}] })
+  const { retry } = mesh.context
+  mesh.context.retry = Object.assign(Object.create(retry) as typeof retry, { decide: () => { decisions += 1; return 0 } })
+  const left = request(`http://${mesh.caller}/read`, { dispatcher: agent, headers: { 'x-comfreyspoke-service': 'desk' }, signal: AbortSignal.timeout(100) })
+  await expect(left).rejects.toThrow()
+  await mesh.awaitIdle()
+  expect(decisions).toBe(0)
+})
+
 test('a full queue sheds the lowest class with Retry-After, and a raised limit serves queued requests immediately', async () => {
   const running: ServerResponse[] = []
   const arrivals: Array<() => void> = []
