Keep a node running after an unexpected error, and reject heartbeats that no host record can have

Cause: an error that nothing handled ended the process, and one in a task of the node ended the task and then the process. A heartbeat whose id, service, slots or start time do not match the schema of a host record was registered; every other node rejected the record then, with each message that contained it. Change: runSupervised reports a failed task and starts it again after a second; handleUnexpectedErrors reports what reaches the process. Both write an unexpected_error line and count unexpected_errors_total by origin. The adapter checks a heartbeat against the product's schema. The list of tasks has a module of its own. Result: tests/unexpected.test.ts; three cases of tests/platform/control.test.ts, which got 200 with the adapter as it was.

--- a/src/node/start.ts
+++ b/src/node/start.ts
@@ -26,11 +26,11 @@
 import { drainPorts, LEAVE_PROPAGATION_MS } from './shutdown.js'
 import { NodeState } from './state.js'
 import { serveAdmin } from './tasks/admin.js'
-import { followConfiguration } from './tasks/configuration.js'
 import { HostDirectory } from './tasks/directory.js'
-import { expireTargetsPeriodically } from './tasks/expire.js'
+import { listTasks } from './tasks/list.js'
 import { observeHosts } from './tasks/observe.js'
 import { PeerSynchronizer } from './tasks/peers.js'
+import { runSupervised } from './tasks/supervised.js'
 import { NodeTelemetry } from './telemetry.js'
 
 const MAX_TARGET_CONNECTIONS = 130
@@ -138,32 +138,20 @@
     observeHosts({ state, log: telemetry.log, recorder: telemetry.recorder }, signal)
     state.supersedingRecords.stream.observe(record => { this.handleSupersedingRecord(record) }).catch(error => { throw error })
     this.announceRecord(state.localHost.makeRecord())
-    const onUpdate = (update: ConfigurationUpdate): void => { this.handleUpdate(update) }
-    const onSourceState = (isResponding: boolean): void => {
-      state.hasSource = isResponding
-      telemetry.recordSourceState(isResponding)
-    }
-    const onExpired = (expired: readonly Announcement[]): void => { this.handleExpired(expired) }
-    const tasks = [
-      followConfiguration({
-        source,
-        clock,
-        random,
-        log: telemetry.log,
-        onUpdate,
-        onSourceState,
-        isReader: () => peers.isReader,
-        getKnownRevision: () => state.configuration?.revision
-      }, signal),
-      this.directory.run(signal),
-      expireTargetsPeriodically({
-        localHost: state.localHost, clock, getHeartbeatTimeoutMs: () => this.timeouts.heartbeatTimeoutMs, onExpired
-      }, signal),
-      peers.exchangePeriodically(signal),
-      peers.sendCrashMarks(signal),
-      peers.removeUnreachable(host => { void this.directory.remove(host) }, signal)
-    ]
-    Promise.all(tasks).catch(error => { throw error })
+    const tasks = listTasks({
+      source,
+      clock,
+      random,
+      state,
+      peers,
+      directory: this.directory,
+      log: telemetry.log,
+      getHeartbeatTimeoutMs: () => this.timeouts.heartbeatTimeoutMs,
+      onUpdate: update => { this.handleUpdate(update) },
+      onSourceState: isResponding => { this.handleSourceState(isResponding) },
+      onExpired: expired => { this.handleExpired(expired) }
+    }, signal)
+    for (const task of tasks) void runSupervised(task, clock, (origin, error) => { telemetry.recordUnexpectedError(origin, error) }, signal)
     await this.callerPort.listen(settings.caller)
     await this.inboundPort.listen(settings.inbound)
     this.inboundPort.setTimeouts(INBOUND_HEADER_TIMEOUT_MS, INBOUND_IDLE_TIMEOUT_MS)
@@ -263,6 +251,11 @@
     this.applyConfiguration(update.configuration, STORE)
   }
 
+  private handleSourceState (isResponding: boolean): void {
+    this.state.hasSource = isResponding
+    this.telemetry.recordSourceState(isResponding)
+  }
+
   private applyConfiguration (configuration: Configuration, from: string): void {
     const previous = this.state.version
     const result = applyConfiguration(this.state, configuration)
--- /dev/null
+++ b/src/node/tasks/list.ts
@@ -0,0 +1,42 @@
+/**
+ * The tasks of a node, each with its name. They run until the signal aborts.
+ */
+import type { ConfigurationSource, ConfigurationUpdate } from '../../configuration/index.js'
+import type { Clock, Random, StructuredLog } from '../../core/index.js'
+import type { Announcement } from '../../membership/index.js'
+import type { NodeState } from '../state.js'
+import { followConfiguration } from './configuration.js'
+import type { HostDirectory } from './directory.js'
+import { expireTargetsPeriodically } from './expire.js'
+import type { PeerSynchronizer } from './peers.js'
+import type { SupervisedTask } from './supervised.js'
+
+export interface TaskContext {
+  source: ConfigurationSource
+  clock: Clock
+  random: Random
+  state: NodeState
+  peers: PeerSynchronizer
+  directory: HostDirectory
+  log: StructuredLog
+  getHeartbeatTimeoutMs: () => number
+  onUpdate: (update: ConfigurationUpdate) => void
+  onSourceState: (isResponding: boolean) => void
+  onExpired: (expired: readonly Announcement[]) => void
+}
+
+export function listTasks (context: TaskContext, signal: AbortSignal): SupervisedTask[] {
+  const { source, clock, random, state, peers, directory, log, getHeartbeatTimeoutMs, onUpdate, onSourceState, onExpired } = context
+  const configuration = {
+    source, clock, random, log, onUpdate, onSourceState, isReader: () => peers.isReader, getKnownRevision: () => state.configuration?.revision
+  }
+  const expiry = { localHost: state.localHost, clock, getHeartbeatTimeoutMs, onExpired }
+  return [
+    { name: 'configuration', run: async () => { await followConfiguration(configuration, signal) } },
+    { name: 'directory', run: async () => { await directory.run(signal) } },
+    { name: 'expiry', run: async () => { await expireTargetsPeriodically(expiry, signal) } },
+    { name: 'exchange', run: async () => { await peers.exchangePeriodically(signal) } },
+    { name: 'crash marks', run: async () => { await peers.sendCrashMarks(signal) } },
+    { name: 'removal', run: async () => { await peers.removeUnreachable(host => { void directory.remove(host) }, signal) } }
+  ]
+}
--- a/src/node/telemetry.ts
+++ b/src/node/telemetry.ts
@@ -3,7 +3,7 @@
  * of the node's state.
  */
 import type { Configuration } from '../configuration/index.js'
-import { JsonStructuredLog } from '../core/index.js'
+import { describeError, JsonStructuredLog } from '../core/index.js'
 import type { Clock, Failure, StructuredLog } from '../core/index.js'
 import type { Announcement, HeartbeatResult, HostRecord } from '../membership/index.js'
 import { Metrics } from '../metrics/index.js'
@@ -78,6 +78,13 @@
     this.recorder.record('target-joined', 'announced again: superseded by another record of this host', { host: this.state.identity.host })
   }
 
+  /** `origin` is the task that failed, or where the process caught the error. */
+  recordUnexpectedError (origin: string, error: unknown): void {
+    this.metrics.count('unexpected_errors_total', { origin })
+    const place = error instanceof Error ? error.stack?.split('\n')[1]?.trim() : undefined
+    this.log.log('failure', 'unexpected_error', { origin, reason: describeError(error), place })
+  }
+
   logFailedAttempt ({ call, service, target, number, failure, decision, leftMs }: FailedAttempt): void {
     this.log.log('detail', 'attempt_failed', {
       request: call.request,
--- a/src/program/command.ts
+++ b/src/program/command.ts
@@ -8,7 +8,7 @@
 import { DocumentSource } from '../configuration/index.js'
 import { formatEnvironmentVariable, readSettings, SystemClock } from '../core/index.js'
 import { HEARTBEAT_TIMEOUT_MS } from '../membership/index.js'
-import { addressSchema, Node, nodeSettingsSchema, startServer } from '../node/index.js'
+import { addressSchema, handleUnexpectedErrors, Node, nodeSettingsSchema, startServer } from '../node/index.js'
 import type { RequestPolicies } from '../node/index.js'
 import { loadCredentials } from '../peer/index.js'
 import type { Dialer, PeerCredentials } from '../peer/index.js'
@@ -64,6 +64,7 @@
     process.exit(EXIT.badSetting)
   }
   const node = await startNativeNode(settings.val, credentials.val, dialer)
+  handleUnexpectedErrors((origin, error) => { node.telemetry.recordUnexpectedError(origin, error) })
   for (const signal of ['SIGTERM', 'SIGINT'] as const) {
     // The listener stays installed, because a second signal without a listener would end the process during the drain.
     process.on(signal, () => { node.stop().then(result => { process.exit(result === 'cut' ? EXIT.cut : 0) }, () => { process.exit(EXIT.failed) }) })
--- a/standins/objects/server.ts
+++ b/standins/objects/server.ts
@@ -19,6 +19,8 @@
   refuseWith: number | undefined
   /** Writes take effect, and their connection is then closed without a response. */
   loseAnswers: boolean
+  /** Body of the response to each call that reads, instead of what was asked for. */
+  answerWith: string | undefined
   /** Calls are received but get no response. */
   isSilent: boolean
   pageSize: number
@@ -27,7 +29,7 @@
 }
 
 export class ObjectsServer {
-  switches: ObjectsSwitches = { refuseWith: undefined, loseAnswers: false, isSilent: false, pageSize: 500, delayMs: 0 }
+  switches: ObjectsSwitches = { refuseWith: undefined, answerWith: undefined, loseAnswers: false, isSilent: false, pageSize: 500, delayMs: 0 }
   readonly calls: string[] = []
   private readonly objectsByKind = new Map<string, Map<string, StoredObject>>()
   private events: ChangeEvent[] = []
@@ -77,6 +79,10 @@
     if (this.switches.delayMs > 0) await delay(this.switches.delayMs)
     if (this.switches.isSilent) return
     if (this.switches.refuseWith !== undefined) return writeResponse(response, { status: this.switches.refuseWith })
+    if (this.switches.answerWith !== undefined && message.method === 'GET') {
+      response.end(this.switches.answerWith)
+      return
+    }
     const [, , , kind = '', name] = url.pathname.split('/').map(decodeURIComponent)
     const apiResponse = message.method === 'GET'
       ? await this.read(kind, name, url.searchParams)
--- a/tests/platform/control.test.ts
+++ b/tests/platform/control.test.ts
@@ -102,6 +102,14 @@
   expect(listStates()).toEqual(['i-1 ready'])
 })
 
+/** The record of such a target would be rejected by all other nodes, together with every message that contains it. */
+test.each([
+  ['an id', 'Bad_Id', {}], ['a number of slots', 'i-2', { slots: 20_000 }], ['a start time', 'i-2', { born: -1 }]
+])('a heartbeat with %s that no record can have names no target', async (_case, target, change) => {
+  expect(await sendHeartbeat(target, change)).toBe(400)
+  expect(listStates()).toEqual([])
+})
+
 test('a heartbeat without end is rejected and its connection closed', async () => {
   const socket = connect((server.address() as AddressInfo).port, '127.0.0.1')
   let response = ''
