Give the parts of a node and the match of paths modules of their own

Change: the interfaces of what a node is assembled from move to parts.ts, matchesRoute to match.ts, FormattedFailure to response.ts.

--- /dev/null
+++ b/src/node/parts.ts
@@ -0,0 +1,39 @@
+/**
+ * What a node is assembled from.
+ */
+import type { ConfigurationSource } from '../configuration/index.js'
+import type { SystemClock, SystemRandom } from '../core/index.js'
+import type { Dialer, PeerCredentials } from '../peer/index.js'
+import type { AdmissionPolicy, Picker, ProtocolAdapter, RetryPolicy } from '../request/index.js'
+import type { ObjectStore } from '../store/index.js'
+import type { NodeSettings, NodeTimeouts } from './settings.js'
+
+/** The policies by which requests are handled. */
+export interface RequestPolicies {
+  picker: Picker
+  retry: RetryPolicy
+  admission: AdmissionPolicy
+  /** Request bodies up to this many bytes are buffered before a target is picked. If absent, those of a known, short length are. */
+  requestBufferBytes?: number
+  /** Responses up to this many bytes are forwarded only once they are complete. */
+  responseBufferBytes: number
+  /** An idle connection to a target is closed after this time. */
+  targetIdleMs: number
+}
+
+/** How this node and the rest of the fleet reach each other and prove their identity. */
+export interface AccessOptions { credentials?: PeerCredentials, dialer?: Dialer, peerToken?: string | undefined, operatorToken?: string | undefined }
+
+export interface NodeParts {
+  settings: NodeSettings
+  timeouts: NodeTimeouts
+  store: ObjectStore
+  source: ConfigurationSource
+  adapter: ProtocolAdapter
+  /** `countNodes` returns the number of nodes in the fleet that this node knows of. */
+  makePolicies: (clock: SystemClock, random: SystemRandom, countNodes: () => number) => RequestPolicies
+  access?: AccessOptions
+}
+
+/** `cut`: requests were still in flight after the drain timeout. */
+export type StopResult = 'whole' | 'cut'
--- a/src/node/start.ts
+++ b/src/node/start.ts
@@ -3,26 +3,26 @@
  * adapter and the policies are passed in, so that the node does not depend on a platform.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import type { Configuration, ConfigurationSource, ConfigurationUpdate } from '../configuration/index.js'
+import type { Configuration, ConfigurationUpdate } from '../configuration/index.js'
 import { makeFailure, SystemClock, SystemRandom } from '../core/index.js'
 import { markHostLeaving, registerTarget, supersedeRecord, TargetProcesses } from '../membership/index.js'
 import type { Announcement, Heartbeat, HeartbeatResult, HostRecord } from '../membership/index.js'
 import { ControlMeter, Dialer, MsgpackCodec, PeerClient, startPeerServer } from '../peer/index.js'
-import type { DrainRequest, DrainResponse, PeerCredentials, PeerHandlers } from '../peer/index.js'
+import type { DrainRequest, DrainResponse, PeerHandlers } from '../peer/index.js'
 import {
   CrashTracker, isConnectionRefused, LocalTargets, matchesSecret, serveCaller, serveInbound, verifyToken, TokenHttpClient, UndiciHttpClient,
   writeFailure
 } from '../request/index.js'
-import type { AdmissionPolicy, CallerContext, HttpClient, Picker, ProtocolAdapter, RetryPolicy } from '../request/index.js'
+import type { CallerContext, HttpClient } from '../request/index.js'
 import { CountingObjectStore } from '../store/index.js'
-import type { ObjectStore } from '../store/index.js'
 import { filterEvents } from '../timeline/index.js'
 import { applyConfiguration } from './commands/apply.js'
 import { storeLocalRecord } from './commands/records.js'
 import { startServer } from './http.js'
 import { HttpPort } from './port.js'
 import { makeStatus } from './queries/status.js'
-import type { NodeSettings, NodeTimeouts } from './settings.js'
+import type { NodeParts, RequestPolicies, StopResult } from './parts.js'
+import type { NodeTimeouts } from './settings.js'
 import { drainPorts, LEAVE_PROPAGATION_MS } from './shutdown.js'
 import { NodeState } from './state.js'
 import { serveAdmin } from './tasks/admin.js'
@@ -46,36 +46,6 @@
 /** Maximum wait at shutdown until the local host's object is removed from the store. */
 const REMOVE_WAIT_MS = 200
 
-/** The policies by which requests are handled. */
-export interface RequestPolicies {
-  picker: Picker
-  retry: RetryPolicy
-  admission: AdmissionPolicy
-  /** Request bodies up to this many bytes are buffered before a target is picked. If absent, those of a known, short length are. */
-  requestBufferBytes?: number
-  /** Responses up to this many bytes are forwarded only once they are complete. */
-  responseBufferBytes: number
-  /** An idle connection to a target is closed after this time. */
-  targetIdleMs: number
-}
-
-/** How this node and the rest of the fleet reach each other and prove their identity. */
-export interface AccessOptions { credentials?: PeerCredentials, dialer?: Dialer, peerToken?: string | undefined, operatorToken?: string | undefined }
-
-export interface NodeParts {
-  settings: NodeSettings
-  timeouts: NodeTimeouts
-  store: ObjectStore
-  source: ConfigurationSource
-  adapter: ProtocolAdapter
-  /** `countNodes` returns the number of nodes in the fleet that this node knows of. */
-  makePolicies: (clock: SystemClock, random: SystemRandom, countNodes: () => number) => RequestPolicies
-  access?: AccessOptions
-}
-
-/** `cut`: requests were still in flight after the drain timeout. */
-export type StopResult = 'whole' | 'cut'
-
 export class Node {
   readonly telemetry: NodeTelemetry
   private readonly clock = new SystemClock()
--- a/src/request/front.ts
+++ b/src/request/front.ts
@@ -5,6 +5,7 @@
 import type { IncomingHttpHeaders, IncomingMessage } from 'node:http'
 import type { Failure, Result } from '../core/index.js'
 import { formatFailure } from './response.js'
+import type { FormattedFailure } from './response.js'
 import type { ResponseHead } from './httpclient.js'
 import { filterResponseHeaders, filterCallerHeaders } from './headers.js'
 import type { Headers } from './headers.js'
@@ -15,8 +16,6 @@
 /** Input for the headers that the target-side node sends to a target. `headers` are the headers that this node received. */
 export interface TargetCall { headers: Headers, target: string, leftMs: number }
 
-export interface FormattedFailure { status: number, headers: Record<string, string | number>, body: string }
-
 export abstract class ProtocolAdapter {
   abstract readCall (message: IncomingMessage): Result<Call, Failure>
   /** Returns the headers of the request of the caller that are forwarded to the target-side node. */
--- a/src/request/queries/host.ts
+++ b/src/request/queries/host.ts
@@ -4,7 +4,7 @@
 import type { Route } from '../../document/index.js'
 import type { Entry, EntryMap } from '../../snapshot/index.js'
 import type { Call } from '../schema.js'
-import { matchesRoute } from './route.js'
+import { matchesRoute } from './match.js'
 
 export interface HostRoute { entry: Entry, name: string, route: Route }
 
--- a/src/request/queries/route.ts
+++ b/src/request/queries/route.ts
@@ -8,6 +8,7 @@
 import type { Snapshot } from '../../snapshot/index.js'
 import type { Call } from '../schema.js'
 import { findHostRoute } from './host.js'
+import { matchesRoute } from './match.js'
 
 export interface ResolvedRoute { document: Document, version: number, name: string, route: Route, service: string, targets: readonly Target[] }
 
@@ -63,11 +64,6 @@
   return best
 }
 
-export function matchesRoute ({ path: prefix, below }: Route, path: string): boolean {
-  if (below === true && path === prefix && prefix !== '/') return false
-  return path === prefix || path.startsWith(prefix.endsWith('/') ? prefix : `${prefix}/`)
-}
-
 /** Returns undefined when the route names no destination; the service of its document serves it then. */
 function pickDestination (route: Route, random: Random): Destination | undefined {
   const destinations = Object.entries(route.to)
--- a/src/request/response.ts
+++ b/src/request/response.ts
@@ -5,10 +5,12 @@
 import type { Readable } from 'node:stream'
 import type { Failure } from '../core/index.js'
 import type { TargetResponse } from './httpclient.js'
-import type { FormattedFailure } from './front.js'
 import type { Headers } from './headers.js'
 import { HEADERS } from './schema.js'
 
+/** A failure as the response to a caller. */
+export interface FormattedFailure { status: number, headers: Record<string, string | number>, body: string }
+
 export function formatFailure (failure: Failure, request: string): { headers: Record<string, string | number>, body: string } {
   const body = JSON.stringify({ ...failure, request })
   const headers: Record<string, string | number> = {
