Count the crash of a successor once for a request that named its predecessor

Cause: since a target-side node gives a request to the successor of the target that it names, the caller-side node would mark the crash under the old name and the target-side node under the new one. Two marks block a request, so an unrelated request beside a crash could have been refused for a minute. Change: the failure names the target that crashed, and the caller-side node marks that one. Result: a case of tests/successor.test.ts.

--- a/src/request/commands/suspect.ts
+++ b/src/request/commands/suspect.ts
@@ -38,10 +38,14 @@
     if (this.fingerprint !== undefined) clearCompleted(this.suspects, this.fingerprint, this.informedHosts)
   }
 
-  /** `target` is the id of the target of the attempt. The node of its host reported the crash and announces the mark. */
-  recordFailure (target: string, { code }: Failure): void {
+  /**
+   * `id` is that of the target of the attempt. The node of its host reported the crash and announces the mark. Two names of one crashed
+   * target would count as two crashes, so the mark has the name that this node reported.
+   */
+  recordFailure (id: string, { code, target }: Failure): void {
     if (this.fingerprint === undefined || code !== TARGET_CRASHED) return
-    addCrashMarks(this.suspects, [{ fingerprint: this.fingerprint, target, ageMs: 0 }], findHost(target))
+    const host = findHost(id)
+    addCrashMarks(this.suspects, [{ fingerprint: this.fingerprint, target: target === undefined ? id : `${host}/${target}`, ageMs: 0 }], host)
   }
 }
 
--- a/src/request/tasks/inbound.ts
+++ b/src/request/tasks/inbound.ts
@@ -108,7 +108,7 @@
     return failure
   }
   const isCrashed = await inFlight.fail(address)
-  return isCrashed ? { ...failure, code: TARGET_CRASHED, message: `target ${target} crashed with the request in flight` } : failure
+  return isCrashed ? { ...failure, code: TARGET_CRASHED, message: `target ${target} crashed with the request in flight`, target } : failure
 }
 
 /** Forbids further retries after a retry meets a full queue again, since more retries would keep the queue full. */
--- a/tests/successor.test.ts
+++ b/tests/successor.test.ts
@@ -4,8 +4,12 @@
  * excluded by its labels, must not get such a request.
  */
 import { describe, expect, test } from '@jest/globals'
+import { makeFailure } from '../src/core/index.js'
 import { announcementSchema, LocalHost, registerTarget } from '../src/membership/index.js'
 import { LocalTargets } from '../src/request/index.js'
+import { SuspectCall } from '../src/request/commands/suspect.js'
+import { TARGET_CRASHED } from '../src/request/commands/crash.js'
+import { addCrashMarks, SuspectTable } from '../src/suspect/index.js'
 import { makeClock } from './fixtures/clock.js'
 
 const ADDRESS = '127.0.0.1:9000'
@@ -39,3 +43,13 @@
     expect((await makeLocalTargets({ target: 'new', state: 'leaving' }).admit('old')).val).toMatchObject({ verdict: 'not-run', code: 'leaving' })
   })
 })
+
+test('the crash of a successor counts once for the request that named its predecessor', () => {
+  const suspects = new SuspectTable(makeClock())
+  const call = new SuspectCall(suspects, { method: 'POST', path: '/write', service: 'desk', caller: 'gallery', key: undefined } as never, Buffer.from('x'))
+  call.recordFailure('h1/old', { ...makeFailure('may-have-run', 502, TARGET_CRASHED, 'crashed'), target: 'new' })
+  const [mark] = suspects.listMarks()
+  addCrashMarks(suspects, [{ fingerprint: mark?.fingerprint ?? '', target: 'h1/new', ageMs: 0 }], 'h1')
+  expect(suspects.listTargets(mark?.fingerprint ?? '')).toEqual(['h1/new'])
+  expect(call.reject()).toBeUndefined()
+})
