Compare a bounded number of targets in each pick

Cause: a pick filtered and rated all targets of a service: 49 us at 122 targets and 1,718 us at 3,000 (281 and 8,900 us without optimized code, which a freshly started node runs). Change: CandidateSelector groups a list of targets by distance once, and a pick compares up to 16 targets of the zone, 12 of the rest of the region and 12 beyond; farther ones are drawn at random for each pick. When none of them can be used, all are compared. Weighed: a fixed subset for each node (fewer connections, but a subset may be full while others are free), and two random choices (a near target that is free would often be missed).

--- a/src/request/delaypicker.ts
+++ b/src/request/delaypicker.ts
@@ -4,14 +4,13 @@
  * those in which all targets are full: a call is then rejected near its caller instead of being sent from one full target to the next.
  */
 import type { Clock, Random } from '../core/index.js'
-import { selectUsable } from '../membership/index.js'
 import type { Target } from '../membership/index.js'
+import { CandidateSelector } from './candidates.js'
+import type { NodeLocality } from './candidates.js'
 import type { TargetLoad } from './load.js'
 import { Picker } from './picker.js'
 import type { AttemptOutcome, PickRequest } from './picker.js'
 
-export interface NodeLocality { host: string, zone: string, region: string }
-
 /**
  * Penalties for distance, in milliseconds of delay. They exceed the network delay, since bytes between zones and regions are billed, and
  * since a call to another host costs processor time at the node of that host, too.
@@ -152,15 +151,27 @@
   private readonly averageServiceMs = new Map<string, number>()
   /** The share of the recent attempts that a service rejected. */
   private readonly rejectionShares = new Map<string, number>()
+  private readonly candidates: CandidateSelector
   private evictedAt = 0
 
   constructor (private readonly locality: NodeLocality, private readonly clock: Clock, private readonly random: Random) {
     super()
+    this.candidates = new CandidateSelector(locality, random)
+  }
+
+  override pick (request: PickRequest): Target | undefined {
+    const { targets } = request
+    const candidates = this.candidates.select(targets)
+    const picked = this.pickFrom(candidates, request)
+    const all = this.candidates.selectAll(targets)
+    // After a rejection for lack of room, no other target is better than a farther one that may be full as well.
+    if (picked !== undefined || request.needsFreeSlot || candidates === all) return picked
+    return this.pickFrom(all, request)
   }
 
-  override pick ({ targets, tried, needsFreeSlot, zones, bytes = 0 }: PickRequest): Target | undefined {
+  private pickFrom (candidates: readonly Target[], { tried, needsFreeSlot, zones, bytes = 0 }: PickRequest): Target | undefined {
     const at = this.clock.monotonic()
-    const untried = selectUsable(targets).filter(target => !tried.has(target.id))
+    const untried = candidates.filter(target => !tried.has(target.id))
     const reachable = untried.filter(target => !this.getStats(target, at).isUnreachable(at))
     const available = reachable.filter(target => !this.getStats(target, at).isBackingOff(at))
     const computePenalty = zones === 'any' ? (): number => 0 : (target: Target): number => this.computeDistancePenalty(target, bytes)
