Keep all targets of the own host among the candidates, and ignore errors of standard output

Of two targets of a service on the own host a pick in a large service considered one. With the handler of unexpected errors, a log line that cannot be written would have caused the next one. Change: the group of the own host is a list; errors of standard output are ignored.

--- a/src/node/tasks/supervised.ts
+++ b/src/node/tasks/supervised.ts
@@ -30,6 +30,8 @@
  * error in one of them leaves the others intact.
  */
 export function handleUnexpectedErrors (reportError: ReportError): void {
+  // A log line that cannot be written would otherwise cause the next one.
+  process.stdout.on('error', () => {})
   process.on('uncaughtException', error => { reportError('process', error) })
   process.on('unhandledRejection', error => { reportError('promise', error) })
 }
--- a/src/request/candidates.ts
+++ b/src/request/candidates.ts
@@ -14,8 +14,8 @@
 
 type Distance = keyof typeof MAX_CANDIDATES
 
-/** The usable targets of a service by distance, in random order. `local` is the target on this host. */
-interface TargetGroups { all: readonly Target[], local: Target | undefined, byDistance: Record<Distance, Target[]> }
+/** The usable targets of a service by distance, in random order. `local` are those on this host. */
+interface TargetGroups { all: readonly Target[], local: Target[], byDistance: Record<Distance, Target[]> }
 
 export class CandidateSelector {
   /** Lists of targets are replaced, never changed. */
@@ -28,17 +28,17 @@
     return this.getGroups(targets).all
   }
 
-  /** Returns the target on this host, the near ones, and a sample of the farther ones. */
+  /** Returns the targets on this host, the near ones, and a sample of the farther ones. */
   select (targets: readonly Target[]): readonly Target[] {
     const { all, local, byDistance: { zone, region, beyond } } = this.getGroups(targets)
     const isSmall = zone.length <= MAX_CANDIDATES.zone && region.length <= MAX_CANDIDATES.region && beyond.length <= MAX_CANDIDATES.beyond
     if (isSmall) return all
-    const sampled = [
+    return [
+      local,
       this.pickSample(zone, MAX_CANDIDATES.zone),
       this.pickSample(region, MAX_CANDIDATES.region),
       this.pickSample(beyond, MAX_CANDIDATES.beyond)
     ].flat()
-    return local === undefined ? sampled : [local, ...sampled]
   }
 
   /** The order of the group is random, so a run of it from a random start is a random sample. */
@@ -58,10 +58,10 @@
   }
 
   private makeGroups (all: readonly Target[]): TargetGroups {
-    const groups: TargetGroups = { all, local: undefined, byDistance: { zone: [], region: [], beyond: [] } }
+    const groups: TargetGroups = { all, local: [], byDistance: { zone: [], region: [], beyond: [] } }
     const ranked = all.map(target => ({ target, rank: this.random.next() })).sort((left, right) => left.rank - right.rank)
     for (const { target } of ranked) {
-      if (target.host === this.locality.host) groups.local = target
+      if (target.host === this.locality.host) groups.local.push(target)
       else groups.byDistance[this.findDistance(target)].push(target)
     }
     return groups
--- a/src/request/delaypicker.ts
+++ b/src/request/delaypicker.ts
@@ -164,7 +164,7 @@
     const candidates = this.candidates.select(targets)
     const picked = this.pickFrom(candidates, request)
     const all = this.candidates.selectAll(targets)
-    // After a rejection for lack of room, no other target is better than a farther one that may be full as well.
+    // After a rejection for lack of room, targets beyond the sample are not worth another attempt: they may be full as well.
     if (picked !== undefined || request.needsFreeSlot || candidates === all) return picked
     return this.pickFrom(all, request)
   }
