--- a/standins/soak/host.ts
+++ b/standins/soak/host.ts
@@ -44,6 +44,8 @@
   incarnation = 0
   /** Time of the last fault that affected this host or its node, in milliseconds since the start of the run. */
   disturbedAt = 0
+  /** True while a fault replaces the target. */
+  isTargetReplaced = false
   private node: ChildProcess | undefined
   private readonly storeLinkAddress: string
   private readonly ownAddress: string
