Let the picker read the load of the own host, and give the responses of faulty soak targets classes

Each attempt searched all targets of its service for the one on the own host, which grows with the fleet. The soak told the behaviours of a target apart by a switch, kept a counter of requests in a module, and leaked a file descriptor for each start of a node. supervised.ts had two jobs. A crash mark task that failed would have stayed subscribed. The wait of short calls, the distance within a region and the load of the own host had no test that fails with the old values. An entry of KNOWN-RED.txt did not show the group of its test. Change: PickRequest carries measureLocalLoad, and CandidateSelector knows the targets of the own host; ResponseBehaviour has a class for each behaviour; the soak's record makes the ids; unexpected.ts handles what reaches the process; entries of KNOWN-RED.txt name file, group and test.

--- a/src/node/index.ts
+++ b/src/node/index.ts
@@ -6,4 +6,4 @@
 export { addressSchema, nodeSettingsSchema } from './settings.js'
 export type { NodeSettings, NodeTimeouts } from './settings.js'
 export { startServer, writeJson } from './http.js'
-export { handleUnexpectedErrors } from './tasks/supervised.js'
+export { handleUnexpectedErrors } from './unexpected.js'
--- a/src/node/tasks/peers.ts
+++ b/src/node/tasks/peers.ts
@@ -101,11 +101,14 @@
       complete: () => {}
     })
     signal.addEventListener('abort', () => { wakeUps.close() }, { once: true })
-    while (await wakeUps.receive() !== undefined) {
-      await clock.sleep(CRASH_MARK_COLLECT_MS, signal)
-      if (!announcer.isIdle) await this.sendSuspectMessages(announcer.consume())
+    try {
+      while (await wakeUps.receive() !== undefined) {
+        await clock.sleep(CRASH_MARK_COLLECT_MS, signal)
+        if (!announcer.isIdle) await this.sendSuspectMessages(announcer.consume())
+      }
+    } finally {
+      subscription.unsubscribe()
     }
-    subscription.unsubscribe()
   }
 
   private async sendSuspectMessages ({ marks, cleared, clearedByHost }: SuspectMessages): Promise<void> {
--- a/src/request/candidates.ts
+++ b/src/request/candidates.ts
@@ -28,6 +28,10 @@
     return this.getGroups(targets).all
   }
 
+  selectLocal (targets: readonly Target[]): readonly Target[] {
+    return this.getGroups(targets).local
+  }
+
   /** Returns the targets on this host, the near ones, and a sample of the farther ones. */
   select (targets: readonly Target[]): readonly Target[] {
     const { all, local, byDistance: { zone, region, beyond } } = this.getGroups(targets)
--- a/src/request/delaypicker.ts
+++ b/src/request/delaypicker.ts
@@ -160,7 +160,8 @@
   }
 
   override pick (request: PickRequest): Target | undefined {
-    const { targets } = request
+    const { targets, measureLocalLoad } = request
+    if (measureLocalLoad !== undefined) for (const target of this.candidates.selectLocal(targets)) this.recordLoad(target, measureLocalLoad(target))
     const candidates = this.candidates.select(targets)
     const picked = this.pickFrom(candidates, request)
     const all = this.candidates.selectAll(targets)
--- a/src/request/picker.ts
+++ b/src/request/picker.ts
@@ -13,6 +13,8 @@
   zones: 'same-first' | 'any'
   /** Length of the request body, which is transferred to the target. */
   bytes?: number
+  /** Returns the present load of a target on this host, including the requests that other nodes sent to it. */
+  measureLocalLoad?: (target: Target) => TargetLoad
 }
 
 /**
--- a/src/request/tasks/attempts.ts
+++ b/src/request/tasks/attempts.ts
@@ -6,6 +6,7 @@
 import type { Target } from '../../membership/index.js'
 import type { DeliveryOutcome } from '../response.js'
 import type { TargetResponse } from '../httpclient.js'
+import type { TargetLoad } from '../load.js'
 import type { RetryDecision, RetryPolicy } from '../retry.js'
 import type { Call } from '../schema.js'
 import { attemptTarget, getTargetName } from './attempt.js'
@@ -67,21 +68,15 @@
   private pickTarget (): Target | undefined {
     const { resolved, call } = this.activeCall
     const { targets, document: { zones } } = resolved
-    this.recordLocalLoad(targets)
+    const { local } = this.context.inbound
+    const measureLocalLoad = (candidate: Target): TargetLoad => local.measureLoad(getTargetName(candidate))
     const target = this.context.picker.pick({
-      targets, tried: this.attemptedTargets, needsFreeSlot: this.needsFreeSlot, zones, bytes: call.bodyBytes ?? 0
+      targets, tried: this.attemptedTargets, needsFreeSlot: this.needsFreeSlot, zones, bytes: call.bodyBytes ?? 0, measureLocalLoad
     })
     if (target !== undefined) this.attemptedTargets.add(target.id)
     return target
   }
 
-  /** The load of the target on this host is known exactly, including the requests that other nodes sent to it. */
-  private recordLocalLoad (targets: readonly Target[]): void {
-    const { host, picker, inbound: { local } } = this.context
-    const target = targets.find(candidate => candidate.host === host)
-    if (target !== undefined) picker.recordLoad(target, local.measureLoad(getTargetName(target)))
-  }
-
   /** Returns the reason for another attempt: a failure on the path, or a server error response of the target. */
   private recordResult (target: Target, result: Result<AttemptResponse, Failure>): Failure | undefined {
     const failure = result.ok ? findServerError(result.val.targetResponse) : result.val
--- a/standins/soak/caller.ts
+++ b/standins/soak/caller.ts
@@ -1,5 +1,5 @@
 /**
- * The callers on one host. Each is a task that sends one request after the other, on a kept connection or a new one for each request.
+ * The callers on one host. Each is a task that sends one request after the other, on a keep-alive connection or a new one for each request.
  */
 import { setTimeout as delay } from 'node:timers/promises'
 import { Client } from 'undici'
@@ -8,7 +8,7 @@
 import type { RequestRecord, SoakRecord } from './record.js'
 import { makeBody } from './target.js'
 
-export interface CallerOptions { host: SoakHost, services: readonly string[], record: SoakRecord, random: Random, isKept: boolean }
+export interface CallerOptions { host: SoakHost, services: readonly string[], record: SoakRecord, random: Random, isKeepAlive: boolean }
 
 const TIMEOUT_MS = 1_500
 const MAX_PAUSE_MS = 60
@@ -20,11 +20,11 @@
 const MAX_BODY_BYTES = 40_000
 
 export async function runCaller (options: CallerOptions, signal: AbortSignal): Promise<void> {
-  const { host, random, isKept } = options
+  const { host, random, isKeepAlive } = options
   let client = makeClient(host)
   while (!signal.aborted) {
     const isUsable = await sendRequest(options, client)
-    if (!isUsable || !isKept) {
+    if (!isUsable || !isKeepAlive) {
       void client.destroy()
       client = makeClient(host)
     }
@@ -37,15 +37,12 @@
   return new Client(`http://${addresses.caller}`, { pipelining: 1, headersTimeout: 2 * TIMEOUT_MS, bodyTimeout: 2 * TIMEOUT_MS, connectTimeout: TIMEOUT_MS })
 }
 
-let sent = 0
-
 /** Returns false if the connection must not be used again. */
 async function sendRequest ({ host, services, record, random }: CallerOptions, client: Client): Promise<boolean> {
-  sent += 1
-  const id = `a${sent}`
   const kind = random.next() < PLAIN_SHARE ? 'plain' : 'idempotent'
   const service = services[random.pickIndex(services.length)] ?? ''
-  const request = record.beginRequest(id, kind, host.options.index)
+  const request = record.beginRequest(kind, host.options.index)
+  const { id } = request
   const leaveAfterMs = random.next() < LEAVE_SHARE ? LEAVE_AFTER_MS : 2 * TIMEOUT_MS
   try {
     const response = await client.request({
--- a/standins/soak/faults.ts
+++ b/standins/soak/faults.ts
@@ -7,6 +7,10 @@
 import type { SoakOperator } from './operator.js'
 import type { FaultKind } from './plan.js'
 import type { FaultProxy, ProxyState } from './proxy.js'
+import {
+  EndlessResponse, LostResponse, MalformedResponse, NoResponse, RepeatedRefusal, SecondResponse, TruncatedResponse
+} from './responses.js'
+import type { ResponseBehaviour } from './responses.js'
 
 export interface FaultContext {
   hosts: readonly SoakHost[]
@@ -142,14 +146,14 @@
 }
 
 class ResponseFault extends SoakFault {
-  constructor (private readonly kind: FaultKind) {
+  constructor (private readonly behaviour: ResponseBehaviour) {
     super()
   }
 
   override async run (_context: FaultContext, { host: { target }, forMs }: FaultPlace): Promise<void> {
-    target.setFault(this.kind)
+    target.setBehaviour(this.behaviour)
     await delay(forMs)
-    target.setFault(undefined)
+    target.setBehaviour()
   }
 }
 
@@ -192,13 +196,13 @@
   'target-crash': new CrashFault(),
   'target-leave': new LeaveFault(),
   'target-reuse': new ReuseFault(),
-  'lost-answer': new ResponseFault('lost-answer'),
-  'repeated-refusal': new ResponseFault('repeated-refusal'),
-  'second-answer': new ResponseFault('second-answer'),
-  garbage: new ResponseFault('garbage'),
-  endless: new ResponseFault('endless'),
-  truncated: new ResponseFault('truncated'),
-  hang: new ResponseFault('hang'),
+  'lost-answer': new ResponseFault(new LostResponse()),
+  'repeated-refusal': new ResponseFault(new RepeatedRefusal()),
+  'second-answer': new ResponseFault(new SecondResponse()),
+  garbage: new ResponseFault(new MalformedResponse()),
+  endless: new ResponseFault(new EndlessResponse()),
+  truncated: new ResponseFault(new TruncatedResponse()),
+  hang: new ResponseFault(new NoResponse()),
   edit: new EditFault(),
   'edit-storm': new EditStormFault()
 }
--- a/standins/soak/host.ts
+++ b/standins/soak/host.ts
@@ -3,7 +3,7 @@
  */
 import type { ChildProcess } from 'node:child_process'
 import { once } from 'node:events'
-import { openSync } from 'node:fs'
+import { closeSync, openSync } from 'node:fs'
 import { join } from 'node:path'
 import { setTimeout as delay } from 'node:timers/promises'
 import { request } from 'undici'
@@ -84,6 +84,7 @@
       graceMs: GRACE_MS,
       output
     })
+    closeSync(output)
     this.node = node
     node.once('exit', (code, signal) => {
       if (this.node === node) record.recordViolation(`the node of host ${index} ended by itself with ${String(code ?? signal)}`)
--- a/standins/soak/operator.ts
+++ b/standins/soak/operator.ts
@@ -11,9 +11,10 @@
 const COLUMNS = ['name', 'host', 'pathPrefix', 'kind', 'timeout', 'targetLatency', 'priority', 'service', 'maxAttempts']
 /** Routes of this many versions are in force at a time. */
 const KEPT_VERSIONS = 3
-const FORCE_BOUND_MS = 5_000
+/** An accepted version has to be in force on every undisturbed node within this time. */
+const CONVERGENCE_BOUND_MS = 5_000
 /** A node that was disturbed within this time need not know the newest version yet. */
-const CALM_MS = 6_000
+const SETTLE_MS = 6_000
 const PROBE_INTERVAL_MS = 150
 const PROBE_TIMEOUT_MS = 1_000
 const NOT_FOUND = 404
@@ -22,11 +23,10 @@
 
 export class SoakOperator {
   private version = 0
-  private probes = 0
   private readonly acceptedAt = new Map<number, number>()
   /** The newest version that each host has served. */
   private readonly seen = new Map<number, SeenVersion>()
-  /** Time until which the store was disturbed, in milliseconds since the start of the run. */
+  /** Time of the last disturbance of the store, in milliseconds since the start of the run. */
   storeDisturbedAt = 0
 
   constructor (private readonly store: ObjectsServer, private readonly services: readonly string[], private readonly record: SoakRecord) {}
@@ -63,8 +63,8 @@
     if (!isRemoved && status === NOT_FOUND && isKnown && seen.version >= version && seen.version < version + KEPT_VERSIONS) {
       record.recordViolation(`host ${index} went back: it had version ${seen.version} in force and has no route of version ${version}`)
     }
-    if (this.isInTouch(host, sentAt) && this.isDue(newest, sentAt)) {
-      if (!isRemoved && status === NOT_FOUND) record.recordViolation(`host ${index} has no route of version ${version} ${FORCE_BOUND_MS} ms after its acceptance`)
+    if (this.isUndisturbed(host, sentAt) && this.isDue(newest, sentAt)) {
+      if (!isRemoved && status === NOT_FOUND) record.recordViolation(`host ${index} has no route of version ${version} ${CONVERGENCE_BOUND_MS} ms after its acceptance`)
       if (isRemoved && status !== NOT_FOUND) record.recordViolation(`host ${index} still serves a route that version ${newest} removed: ${status}`)
     }
     const isServed = !isRemoved && status !== NOT_FOUND && status < 500
@@ -73,12 +73,11 @@
 
   /** Returns the status of the response, or undefined without one. */
   private async queryRoute (host: SoakHost, version: number): Promise<number | undefined> {
-    this.probes += 1
-    const id = `probe-${this.probes}`
-    const probe = this.record.beginRequest(id, 'idempotent', host.options.index)
+    const probe = this.record.beginRequest('idempotent', host.options.index)
     try {
       const response = await request(`http://${host.addresses.caller}/version-${version}/x`, {
-        headers: { host: 'soak.example', 'x-attempt-id': id, 'x-timeout-ms': String(PROBE_TIMEOUT_MS) }, signal: AbortSignal.timeout(2 * PROBE_TIMEOUT_MS)
+        headers: { host: 'soak.example', 'x-attempt-id': probe.id, 'x-timeout-ms': String(PROBE_TIMEOUT_MS) },
+        signal: AbortSignal.timeout(2 * PROBE_TIMEOUT_MS)
       })
       await response.body.dump()
       probe.status = response.statusCode
@@ -89,11 +88,11 @@
   }
 
   private isDue (version: number, at: number): boolean {
-    return at - (this.acceptedAt.get(version) ?? Infinity) > FORCE_BOUND_MS
+    return at - (this.acceptedAt.get(version) ?? Infinity) > CONVERGENCE_BOUND_MS
   }
 
-  private isInTouch (host: SoakHost, at: number): boolean {
-    return at - Math.max(host.disturbedAt, this.storeDisturbedAt) > CALM_MS
+  private isUndisturbed (host: SoakHost, at: number): boolean {
+    return at - Math.max(host.disturbedAt, this.storeDisturbedAt) > SETTLE_MS
   }
 
   private makeConfiguration (): unknown {
--- a/standins/soak/plan.ts
+++ b/standins/soak/plan.ts
@@ -1,5 +1,5 @@
 /**
- * The faults of one soak run, derived from its seed. Faults come in series and overlap; the run ends with a calm part, in which the
+ * The faults of one soak run, derived from its seed. Faults come in series and overlap; the run ends without faults, so that the
  * fleet has to recover.
  */
 import * as fc from 'fast-check'
--- a/standins/soak/record.ts
+++ b/standins/soak/record.ts
@@ -42,7 +42,9 @@
     return [...this.requests.values()].filter(request => request.status === status).length
   }
 
-  beginRequest (id: string, kind: RequestKind, host: number): RequestRecord {
+  /** Makes the id of the request, by which callers and targets report on it. */
+  beginRequest (kind: RequestKind, host: number): RequestRecord {
+    const id = `r${this.requests.size + 1}`
     const request: RequestRecord = { id, kind, host, sentAt: this.elapsedMs, runs: [] }
     this.requests.set(id, request)
     return request
--- a/standins/soak/run.ts
+++ b/standins/soak/run.ts
@@ -37,9 +37,9 @@
 const ZONES = 4
 const ZONES_PER_REGION = 2
 const READY_TIMEOUT_MS = 30_000
-/** Calm time at the end, in which the last faults end and the fleet recovers. */
+/** Time without faults at the end, in which the fleet recovers. */
 const RECOVERY_MS = 12_000
-/** The requests of this last part of the calm time must succeed, but for a few. */
+/** Most requests of this last part of the recovery must succeed. */
 const RECOVERED_MS = 4_000
 const MIN_RECOVERED_SHARE = 0.9
 /** After the recovery, this many nodes are stopped as planned work, under load. */
@@ -73,7 +73,9 @@
   try {
     for (const host of hosts) await host.start()
     for (const host of hosts) if (!await host.awaitReady(READY_TIMEOUT_MS)) record.recordViolation(`host ${host.options.index} did not become ready`)
-    const callers = hosts.flatMap(host => [true, false].map(isKept => runCaller({ host, services: SERVICES, record, random, isKept }, ended.signal)))
+    const callers = hosts.flatMap(host => [true, false].map(async isKeepAlive => {
+      await runCaller({ host, services: SERVICES, record, random, isKeepAlive }, ended.signal)
+    }))
     const checks = operator.checkPeriodically(hosts, ended.signal)
     const injector = new FaultInjector({ hosts, services: SERVICES, store, operator, record })
     await injector.run(faults, onFault ?? (() => {}))
--- a/standins/soak/target.ts
+++ b/standins/soak/target.ts
@@ -7,8 +7,9 @@
 import type { Socket } from 'node:net'
 import { request as sendRequest } from 'undici'
 import type { Random } from '../../src/core/index.js'
-import type { FaultKind } from './plan.js'
 import type { SoakRecord } from './record.js'
+import { CorrectResponse } from './responses.js'
+import type { ResponseBehaviour } from './responses.js'
 
 export interface SoakTargetOptions {
   /** Where the target listens, and the address of the proxy in front of it, which is announced. */
@@ -26,8 +27,7 @@
 const SERVICE_MS = 30
 /** Share of the requests that a response fault affects. */
 const FAULT_SHARE = 0.4
-const MAX_LATE_MS = 30
-const ENDLESS_CHUNK = Buffer.alloc(16 * 1024, 'a')
+const CORRECT = new CorrectResponse()
 
 /** The body that the request with this id has to get, of a length that differs from id to id. */
 export function makeBody (id: string): string {
@@ -43,10 +43,8 @@
   private sequence = 0
   private state: 'ready' | 'draining' = 'ready'
   private running = 0
-  private fault: FaultKind | undefined
+  private behaviour: ResponseBehaviour = CORRECT
   private heartbeats: NodeJS.Timeout | undefined
-  /** The refusal that a connection carried last, to be repeated. */
-  private readonly refusals = new WeakMap<Socket, string>()
 
   constructor (private readonly options: SoakTargetOptions) {}
 
@@ -76,8 +74,9 @@
     this.running = 0
   }
 
-  setFault (fault: FaultKind | undefined): void {
-    this.fault = fault
+  /** Sets how a share of the requests is responded to. Without an argument, all responses are correct again. */
+  setBehaviour (behaviour: ResponseBehaviour = CORRECT): void {
+    this.behaviour = behaviour
   }
 
   /** Resolves when the node has acknowledged that this target is leaving, or did not in time. */
@@ -124,52 +123,23 @@
       return
     }
     const { socket } = message
-    const fault = this.options.random.next() < FAULT_SHARE ? this.fault : undefined
-    if (this.running >= SLOTS || (fault === 'repeated-refusal' && !this.refusals.has(socket))) {
-      this.rejectRequest(socket, response, id)
+    const { random, record } = this.options
+    const behaviour = random.next() < FAULT_SHARE ? this.behaviour : CORRECT
+    if (this.running >= SLOTS || !behaviour.admit(socket, id, random)) {
+      response.writeHead(503, { 'x-not-executed': '1', 'x-attempt-id': id, 'content-length': 0 }).end()
       return
     }
-    this.options.record.recordRun(this.id, id)
+    record.recordRun(this.id, id)
     this.running += 1
     response.once('close', () => { this.running = Math.max(0, this.running - 1) })
-    if (fault === 'repeated-refusal') socket.write(this.refusals.get(socket) ?? '')
-    setTimeout(() => { this.respond(socket, response, id, fault) }, SERVICE_MS * (0.5 + this.options.random.next()))
+    behaviour.begin(socket)
+    setTimeout(() => { this.respond(socket, response, id, behaviour) }, SERVICE_MS * (0.5 + random.next()))
   }
 
-  private rejectRequest (socket: Socket, response: ServerResponse, id: string): void {
-    const isNamed = this.options.random.next() < 0.5
-    this.refusals.set(socket, `HTTP/1.1 503 Full\r\nx-not-executed: 1\r\n${isNamed ? `x-attempt-id: ${id}\r\n` : ''}content-length: 0\r\n\r\n`)
-    response.writeHead(503, { 'x-not-executed': '1', 'x-attempt-id': id, 'content-length': 0 }).end()
-  }
-
-  private respond (socket: Socket, response: ServerResponse, id: string, fault: FaultKind | undefined): void {
+  private respond (socket: Socket, response: ServerResponse, id: string, behaviour: ResponseBehaviour): void {
     if (socket.destroyed) return
     const body = makeBody(id)
     const headers = { 'x-attempt-id': id, 'x-response-signature': this.id, 'content-length': Buffer.byteLength(body) }
-    switch (fault) {
-      case 'hang': return
-      case 'lost-answer': socket.resetAndDestroy(); return
-      case 'garbage': socket.write('what?\r\n\r\n'); socket.end(); return
-      case 'endless': writeEndlessly(socket); return
-      case 'truncated':
-        response.writeHead(200, headers)
-        response.write(body.slice(0, body.length / 2))
-        setTimeout(() => { socket.destroy() }, 1)
-        return
-      case 'second-answer':
-        response.once('finish', () => {
-          const head = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join('')
-          setTimeout(() => { if (socket.writable) socket.write(`HTTP/1.1 200 OK\r\n${head}\r\n${body}`) }, this.options.random.pickIndex(MAX_LATE_MS))
-        })
-    }
-    response.writeHead(200, headers).end(body)
-  }
-}
-
-function writeEndlessly (socket: Socket): void {
-  socket.write('HTTP/1.1 200 OK\r\nx-long: ')
-  const write = (): void => {
-    if (socket.writable) socket.write(ENDLESS_CHUNK, error => { if (error === undefined || error === null) setImmediate(write) })
+    behaviour.respond({ socket, response, headers, body, random: this.options.random })
   }
-  write()
 }
--- a/tests/admission.test.ts
+++ b/tests/admission.test.ts
@@ -12,9 +12,11 @@
 
 const SERVICE_MS = 217.3
 
-function makeLimiter (queue: number): { limiter: SlotLimiter, clock: ManualClock, acquire: (leftMs: number) => Promise<Result<Permit, Failure>> } {
+interface LimiterFixture { limiter: SlotLimiter, clock: ManualClock, acquire: (leftMs: number) => Promise<Result<Permit, Failure>> }
+
+function makeLimiter (queue: number, slots = 2): LimiterFixture {
   const clock = new ManualClock()
-  const limiter = new SlotLimiter({ slots: 2, queue }, clock, new ExpectedWaitAdmissionPolicy())
+  const limiter = new SlotLimiter({ slots, queue }, clock, new ExpectedWaitAdmissionPolicy())
   return { limiter, clock, acquire: async leftMs => await limiter.acquire('normal', leftMs, new AbortController().signal) }
 }
 
@@ -73,6 +75,17 @@
   expect(results.filter(result => result !== 'waits' && result.err && result.val.verdict === 'not-run')).toHaveLength(20 - waiting)
 })
 
+test('several short calls next to long requests wait for one of many slots, and no more than are served in time', async () => {
+  const fixture = makeLimiter(100, 4)
+  await fillLimiter(fixture)
+  for (let slot = 2; slot < 4; slot += 1) await fixture.acquire(10_000)
+  const results = await Promise.all(Array.from({ length: 6 }, async () => {
+    const settled = fixture.limiter.acquire('normal', 500, new AbortController().signal, 150)
+    return await Promise.race([settled, settle().then(() => 'waits' as const)])
+  }))
+  expect(results.filter(result => result === 'waits')).toHaveLength(3)
+})
+
 test('a short call next to long requests waits for the next free slot, although that takes longer than its share of the objective', async () => {
   const fixture = makeLimiter(100)
   const release = await fillLimiter(fixture)
--- a/tests/delaypicker.test.ts
+++ b/tests/delaypicker.test.ts
@@ -36,6 +36,22 @@
   expect(pick()?.host).toBe('h3')
 })
 
+test('a call goes to a free target in another zone of the region instead of waiting for one near by', () => {
+  const { picker, pick } = makePicker()
+  picker.recordLoad(NEAR, { used: 6, waiting: 3, slots: 6, freeInMs: 0 })
+  expect(Array.from({ length: 20 }, () => pick()?.host)).toEqual(new Array(20).fill('h2'))
+})
+
+test('the load of the target on the own host is that of the moment', () => {
+  const { picker } = makePicker()
+  const own = makeTarget({ host: 'h0', zone: 'a', region: 'r' })
+  const pickWith = (used: number, waiting: number) => picker.pick({
+    targets: [own, NEAR], tried: new Set(), needsFreeSlot: false, zones: 'same-first', measureLocalLoad: () => ({ used, waiting, slots: 6, freeInMs: 0 })
+  })
+  expect(pickWith(6, 12)?.host).toBe('h1')
+  expect(pickWith(0, 0)?.host).toBe('h0')
+})
+
 test('a large body is sent to another region only for a longer wait', () => {
   const { picker, pick } = makePicker()
   for (const target of [NEAR, REGION]) picker.recordLoad(target, { used: 6, waiting: 20, slots: 6, freeInMs: 0 })
--- a/tests/run.js
+++ b/tests/run.js
@@ -1,6 +1,6 @@
 /**
  * Runs jest and passes over the failures that KNOWN-RED.txt names, and no others; prints those.
- * An entry begins at the left margin with `FILE › NAME OF THE TEST`.
+ * An entry begins at the left margin with `FILE › GROUP › NAME OF THE TEST`, where a test outside any group has no GROUP.
  */
 import { spawnSync } from 'node:child_process'
 import { existsSync, mkdtempSync, readFileSync } from 'node:fs'
@@ -16,7 +16,7 @@
 const listed = existsSync('KNOWN-RED.txt') ? readFileSync('KNOWN-RED.txt', 'utf8').split('\n').filter(line => /^tests\//.test(line)) : []
 const failed = result.testResults.flatMap(file => {
   const name = relative(process.cwd(), file.name)
-  const tests = file.assertionResults.filter(test => test.status === 'failed').map(test => `${name} › ${test.fullName}`)
+  const tests = file.assertionResults.filter(test => test.status === 'failed').map(test => [name, ...test.ancestorTitles, test.title].join(' › '))
   return file.status === 'failed' && tests.length === 0 ? [`${name} did not run`] : tests
 })
 const unknown = failed.filter(test => !listed.includes(test))
--- a/tests/unexpected.test.ts
+++ b/tests/unexpected.test.ts
@@ -27,7 +27,7 @@
 })
 
 test('an error that nothing handles is reported, and the process goes on', () => {
-  const module = pathToFileURL('dist/src/node/tasks/supervised.js').href
+  const module = pathToFileURL('dist/src/node/unexpected.js').href
   const script = `
     import { handleUnexpectedErrors } from ${JSON.stringify(module)}
     handleUnexpectedErrors((origin, error) => { console.log(origin + ' ' + error.message) })
