Report the epoch of the store, and log when it was restored from an older copy

The logs could not tell a restore of the store from an outage followed by a lost history: both showed store_lost with too-old. Responses of the platform's store now carry an epoch, from the header Store-Era, and a configuration has a position, which is the epoch and the revision, in place of a revision alone. configuration_applied logs both, and store_restored the positions before and after a restore. No comparison changes: positions are still compared by their revisions.

The stand-in store can be restored from a copy: changes since are lost, revisions are assigned again, a watch from a revision that it does not have gets 410, and Store-Era rises.

--- a/src/configuration/documents.ts
+++ b/src/configuration/documents.ts
@@ -8,7 +8,7 @@
 import type { Clock, Result } from '../core/index.js'
 import { convertStoredObject, findLastValidVersion, readPastEdits } from '../document/index.js'
 import type { Entry } from '../snapshot/index.js'
-import type { ObjectStore, StoredObject, StoreFault, WatchEvent } from '../store/index.js'
+import type { ObjectStore, StoredObject, StoreFault, StorePosition, WatchEvent } from '../store/index.js'
 import type { Configuration, RefusedVersion } from './schema.js'
 import { ConfigurationSource } from './source.js'
 import type { ConfigurationUpdate, WatchResult } from './source.js'
@@ -16,6 +16,8 @@
 /** An unresponsive connection looks like a store without edits, so each watch is reopened after this time. */
 const WATCH_TIMEOUT_MS = 2_000
 const MAX_REASON_CHARACTERS = 300
+/** The operators' store is never restored from a copy. */
+const EPOCH = 0
 
 export class DocumentSource extends ConfigurationSource {
   private readonly entries = new Map<string, Entry>()
@@ -25,15 +27,15 @@
     super()
   }
 
-  override async read (): Promise<Result<{ update: ConfigurationUpdate, revision: number }, StoreFault>> {
+  override async read (): Promise<Result<{ update: ConfigurationUpdate, position: StorePosition }, StoreFault>> {
     const listed = await this.store.queries.list('service')
     if (listed.err) return listed
     const { revision, objects } = listed.val
     const stored = await this.storeObjects(objects)
-    return stored.err ? stored : Ok({ update: this.makeUpdate(revision), revision })
+    return stored.err ? stored : Ok({ update: this.makeUpdate(revision), position: { epoch: EPOCH, revision } })
   }
 
-  override async watch (revision: number, signal: AbortSignal): Promise<Result<WatchResult, StoreFault>> {
+  override async watch ({ revision }: StorePosition, signal: AbortSignal): Promise<Result<WatchResult, StoreFault>> {
     const watchAbort = new AbortController()
     const watchSignal = AbortSignal.any([signal, watchAbort.signal])
     void this.clock.sleep(WATCH_TIMEOUT_MS, watchSignal).then(() => { watchAbort.abort() })
@@ -49,9 +51,9 @@
   /** An object that was removed without the tool changes nothing: its current version stays in force. */
   private async applyEvents (events: readonly WatchEvent[], from: number): Promise<Result<WatchResult, StoreFault>> {
     const last = events.at(-1)
-    if (last === undefined) return Ok({ updates: [], revision: from })
+    if (last === undefined) return Ok({ updates: [], position: { epoch: EPOCH, revision: from } })
     const stored = await this.storeObjects(events.filter(({ removed }) => !removed).map(({ object }) => object))
-    return stored.err ? stored : Ok({ updates: [this.makeUpdate(last.revision)], revision: last.revision })
+    return stored.err ? stored : Ok({ updates: [this.makeUpdate(last.revision)], position: { epoch: EPOCH, revision: last.revision } })
   }
 
   /** Revisions start at 0, but versions are positive. */
--- a/src/configuration/schema.ts
+++ b/src/configuration/schema.ts
@@ -4,6 +4,7 @@
  */
 import * as z from 'zod'
 import { entrySchema } from '../snapshot/index.js'
+import { storePositionSchema } from '../store/index.js'
 
 /** Limits for the requests and connections of callers. Times are in milliseconds, sizes in bytes. */
 export const callerLimitsSchema = z.object({
@@ -24,8 +25,8 @@
   entries: z.array(entrySchema),
   /** If true, a service without an entry is deleted. If false, its current version stays, and a deletion is an entry without a document. */
   replacesAll: z.boolean(),
-  /** A watch of the store from this revision returns all later versions. */
-  revision: z.number().int().nonnegative().optional(),
+  /** A watch of the store from this position returns all later versions. */
+  position: storePositionSchema.optional(),
   callerLimits: callerLimitsSchema.optional(),
   refused: z.array(refusedVersionSchema).optional()
 })
--- a/src/configuration/source.ts
+++ b/src/configuration/source.ts
@@ -2,23 +2,23 @@
  * The interface of the sources of the configuration.
  */
 import type { Result } from '../core/index.js'
-import type { StoreFault } from '../store/index.js'
+import type { StoreFault, StorePosition } from '../store/index.js'
 import type { Configuration } from './schema.js'
 
 /** `faulty`: the source holds an invalid configuration, which cannot be applied. */
 export type ConfigurationUpdate = { kind: 'configuration', configuration: Configuration } | { kind: 'faulty', reason: string } | { kind: 'none' }
 
-/** The updates from a watch, in order, and the revision from which the next watch continues. */
-export interface WatchResult { updates: ConfigurationUpdate[], revision: number }
+/** The updates from a watch, in order, and the position from which the next watch continues. */
+export interface WatchResult { updates: ConfigurationUpdate[], position: StorePosition }
 
 export abstract class ConfigurationSource {
-  /** Reads the newest configuration. A watch from `revision` misses no later change. */
-  abstract read (): Promise<Result<{ update: ConfigurationUpdate, revision: number }, StoreFault>>
-  /** Waits for changes after the revision. Returns no updates if the wait ended without a change. */
-  abstract watch (revision: number, signal: AbortSignal): Promise<Result<WatchResult, StoreFault>>
+  /** Reads the newest configuration. A watch from `position` misses no later change. */
+  abstract read (): Promise<Result<{ update: ConfigurationUpdate, position: StorePosition }, StoreFault>>
+  /** Waits for changes after the position. Returns no updates if the wait ended without a change. */
+  abstract watch (position: StorePosition, signal: AbortSignal): Promise<Result<WatchResult, StoreFault>>
 
-  /** Returns the changes after the revision that the source knows now, which may be some seconds behind. A source without a cheaper call watches. */
-  async poll (revision: number, signal: AbortSignal): Promise<Result<WatchResult, StoreFault>> {
-    return await this.watch(revision, signal)
+  /** Returns the changes after the position that the source knows now, which may be some seconds behind. A source without a cheaper call watches. */
+  async poll (position: StorePosition, signal: AbortSignal): Promise<Result<WatchResult, StoreFault>> {
+    return await this.watch(position, signal)
   }
 }
--- a/src/node/tasks/configuration.ts
+++ b/src/node/tasks/configuration.ts
@@ -5,7 +5,7 @@
 import type { ConfigurationSource, ConfigurationUpdate } from '../../configuration/index.js'
 import { computeBackoff } from '../../core/index.js'
 import type { Clock, Random, StructuredLog } from '../../core/index.js'
-import type { StoreFault } from '../../store/index.js'
+import type { StoreFault, StorePosition } from '../../store/index.js'
 
 export interface ConfigurationContext {
   source: ConfigurationSource
@@ -15,8 +15,8 @@
   onUpdate: (update: ConfigurationUpdate) => void
   /** True if this node watches the source; otherwise peers tell it of changes, and it only polls. */
   isReader: () => boolean
-  /** The revision of the version in force, which may come from a peer. */
-  getKnownRevision: () => number | undefined
+  /** The position of the version in force, which may come from a peer. */
+  getKnownPosition: () => StorePosition | undefined
   /** Called when the source stops responding, and when it responds again. */
   onSourceState: (isResponding: boolean) => void
 }
@@ -30,16 +30,18 @@
 /** A watch that ends without a change before this time was interrupted. */
 const MIN_WATCH_MS = 1_000
 const POLL_INTERVAL_MS = 2_000
+/** After these faults a watch may have missed a change, so the source is read again. */
+const READ_AGAIN_CODES: ReadonlySet<StoreFault['code']> = new Set(['too-old', 'invalid'])
 
 export async function followConfiguration (context: ConfigurationContext, signal: AbortSignal): Promise<void> {
   const { source, clock, random, log } = context
   let failures = 0
-  let revision: number | undefined
+  let position: StorePosition | undefined
+  let mustRead = true
   let hadUpdate = false
   while (!signal.aborted) {
     const startedAt = clock.monotonic()
-    const from = revision === undefined ? undefined : Math.max(revision, context.getKnownRevision() ?? 0)
-    const step: SourceStep = from === undefined ? await readOnce(source) : await awaitChange(context, from, signal)
+    const step = position === undefined || mustRead ? await readOnce(source) : await awaitChange(context, getWatchStart(context, position), signal)
     if (signal.aborted) return
     if (step.fault !== undefined) {
       failures += 1
@@ -47,8 +49,7 @@
         log.log('change', 'store_lost', { code: step.fault.code, reason: step.fault.message })
         context.onSourceState(false)
       }
-      // If the history is no longer available or the response is invalid, the source is read again.
-      revision = step.fault.code === 'too-old' || step.fault.code === 'invalid' ? undefined : revision
+      mustRead ||= READ_AGAIN_CODES.has(step.fault.code)
       await clock.sleep(computeBackoff(failures, BACKOFF, random), signal)
       continue
     }
@@ -58,7 +59,9 @@
     }
     failures = 0
     step.updates.forEach(context.onUpdate)
-    revision = step.revision
+    logRestore(log, position, step.position)
+    position = step.position
+    mustRead = false
     const waitedMs = clock.monotonic() - startedAt
     const isBurst = hadUpdate && waitedMs < BURST_INTERVAL_MS
     hadUpdate = step.updates.length > 0
@@ -67,17 +70,28 @@
   }
 }
 
-interface SourceStep { updates: ConfigurationUpdate[], revision: number | undefined, fault?: StoreFault }
+type SourceStep = { updates: ConfigurationUpdate[], position: StorePosition, fault?: undefined } | { fault: StoreFault }
+
+function getWatchStart ({ getKnownPosition }: ConfigurationContext, position: StorePosition): StorePosition {
+  return { ...position, revision: Math.max(position.revision, getKnownPosition()?.revision ?? 0) }
+}
+
+/** Logs that the store has lost changes that it had acknowledged. */
+function logRestore (log: StructuredLog, previous: StorePosition | undefined, { epoch, revision }: StorePosition): void {
+  if (previous === undefined || epoch <= previous.epoch) return
+  log.log('change', 'store_restored', { epoch, revision, previousEpoch: previous.epoch, previousRevision: previous.revision })
+}
 
 async function readOnce (source: ConfigurationSource): Promise<SourceStep> {
   const read = await source.read()
-  if (read.err) return { updates: [], revision: undefined, fault: read.val }
-  return { updates: [read.val.update], revision: read.val.revision }
+  return read.ok ? { updates: [read.val.update], position: read.val.position } : { fault: read.val }
 }
 
-async function awaitChange ({ source, clock, random, isReader }: ConfigurationContext, from: number, signal: AbortSignal): Promise<SourceStep> {
+async function awaitChange (
+  { source, clock, random, isReader }: ConfigurationContext, from: StorePosition, signal: AbortSignal
+): Promise<SourceStep> {
   const isWatching = isReader()
   if (!isWatching) await clock.sleep(POLL_INTERVAL_MS * (0.5 + random.next()), signal)
   const changed = isWatching ? await source.watch(from, signal) : await source.poll(from, signal)
-  return changed.ok ? changed.val : { updates: [], revision: from, fault: changed.val }
+  return changed.ok ? changed.val : { fault: changed.val }
 }
--- a/src/node/tasks/list.ts
+++ b/src/node/tasks/list.ts
@@ -28,7 +28,7 @@
 export function listTasks (context: TaskContext, signal: AbortSignal): SupervisedTask[] {
   const { source, clock, random, state, peers, directory, log, getHeartbeatTimeoutMs, onUpdate, onSourceState, onExpired } = context
   const configuration = {
-    source, clock, random, log, onUpdate, onSourceState, isReader: () => peers.isReader, getKnownRevision: () => state.configuration?.revision
+    source, clock, random, log, onUpdate, onSourceState, isReader: () => peers.isReader, getKnownPosition: () => state.configuration?.position
   }
   const expiry = { localHost: state.localHost, clock, getHeartbeatTimeoutMs, onExpired }
   return [
--- a/src/node/telemetry.ts
+++ b/src/node/telemetry.ts
@@ -43,8 +43,8 @@
     else this.recorder.record('source-lost', 'the store does not respond')
   }
 
-  recordConfiguration ({ version, entries }: Configuration, { staged, applied, pending }: ApplyResult, from: string): void {
-    this.log.log('change', 'configuration_applied', { version, from, services: entries.length, changed: applied.length, held: pending.length })
+  recordConfiguration ({ version, entries, position }: Configuration, { staged, applied, pending }: ApplyResult, from: string): void {
+    this.log.log('change', 'configuration_applied', { version, from, services: entries.length, changed: applied.length, held: pending.length, ...position })
     for (const entry of staged) this.recorder.record('document-staged', `from ${from}`, getEventDetail(entry))
     for (const entry of applied) {
       this.recorder.record('document-applied', 'in force', getEventDetail(entry))
--- a/src/store/schema.ts
+++ b/src/store/schema.ts
@@ -18,8 +18,17 @@
 })
 export type StoredObject = z.infer<typeof storedObjectSchema>
 
+/**
+ * A point in the history of the store. Revisions are ordered within an epoch only: a store that was restored from an older copy has lost
+ * the changes after that copy and assigns their revisions again, in a higher epoch.
+ */
+export const storePositionSchema = z.object({ epoch: z.number().int().nonnegative(), revision: z.number().int().nonnegative() })
+export type StorePosition = z.infer<typeof storePositionSchema>
+
 /** A watch that starts from `revision` misses no change after this list. */
 export const objectListSchema = z.object({
+  /** Absent for a store that is never restored. */
+  epoch: z.number().int().nonnegative().optional(),
   revision: z.number().int().nonnegative(),
   objects: z.array(storedObjectSchema)
 })
--- a/standins/objects/server.ts
+++ b/standins/objects/server.ts
@@ -1,6 +1,6 @@
 /**
  * An in-memory stand-in for the platform's object store, with objects by kind and name, conditional
- * writes, paged lists and watches, and with switches for outages, lost responses and expired history.
+ * writes, paged lists and watches, with switches for outages, lost responses and expired history, and with restores from a copy.
  */
 import { once } from 'node:events'
 import { createServer } from 'node:http'
@@ -12,8 +12,12 @@
 interface Meta { name: string, rev: number, createdAt: number, finalizers: string[], markedForDeletion: boolean }
 interface StoredObject { meta: Meta, spec: unknown, status: unknown }
 interface ChangeEvent { rev: number, kind: string, object: StoredObject, deleted: boolean }
+type ObjectsByKind = Map<string, Map<string, StoredObject>>
 interface ApiResponse { status: number, body?: unknown }
 
+/** The state of the store at a time. */
+export interface StoreCopy { objectsByKind: ObjectsByKind, events: ChangeEvent[], rev: number }
+
 export interface ObjectsSwitches {
   /** Status of the response to each call. */
   refuseWith: number | undefined
@@ -31,11 +35,13 @@
 export class ObjectsServer {
   switches: ObjectsSwitches = { refuseWith: undefined, answerWith: undefined, loseAnswers: false, isSilent: false, pageSize: 500, delayMs: 0 }
   readonly calls: string[] = []
-  private readonly objectsByKind = new Map<string, Map<string, StoredObject>>()
+  private objectsByKind: ObjectsByKind = new Map()
   private events: ChangeEvent[] = []
   private rev = 1
   /** Watches from an earlier revision get a response with status 410. */
   private oldestRev = 0
+  /** Rises with each restore, and is in the header of each response. */
+  private era = 1
   private readonly waiters = new Set<() => void>()
   private readonly server: Server
 
@@ -66,6 +72,22 @@
     return this.getObjects(kind).get(name)
   }
 
+  /** Returns the state of the store for `restoreCopy`. */
+  makeCopy (): StoreCopy {
+    const objects = [...this.objectsByKind].map(([kind, byName]): [string, Map<string, StoredObject>] => [kind, new Map(byName)])
+    return { objectsByKind: new Map(objects), events: [...this.events], rev: this.rev }
+  }
+
+  /** Loses all changes since the copy was made. Their revisions are assigned again. */
+  restoreCopy ({ objectsByKind, events, rev }: StoreCopy): void {
+    this.objectsByKind = new Map([...objectsByKind].map(([kind, byName]) => [kind, new Map(byName)]))
+    this.events = [...events]
+    this.rev = rev
+    this.era += 1
+    this.server.closeAllConnections()
+    this.wakeWaiters()
+  }
+
   discardHistory (): void {
     this.events = []
     this.oldestRev = this.rev
@@ -78,6 +100,7 @@
     this.calls.push(`${message.method ?? ''} ${url.pathname}${url.search}`)
     if (this.switches.delayMs > 0) await delay(this.switches.delayMs)
     if (this.switches.isSilent) return
+    response.setHeader('store-era', this.era)
     if (this.switches.refuseWith !== undefined) return writeResponse(response, { status: this.switches.refuseWith })
     if (this.switches.answerWith !== undefined && message.method === 'GET') {
       response.end(this.switches.answerWith)
@@ -108,7 +131,7 @@
   private async watch (kind: string, from: number, waitMs: number): Promise<ApiResponse> {
     const deadlineMs = Date.now() + waitMs
     while (true) {
-      if (from < this.oldestRev) return { status: 410 }
+      if (from < this.oldestRev || from > this.rev) return { status: 410 }
       const events = this.events.filter(event => event.kind === kind && event.rev > from).map(({ object, deleted }) => ({ object, deleted }))
       const remainingMs = deadlineMs - Date.now()
       if (events.length > 0 || remainingMs <= 0) return { status: 200, body: { events, currentRev: this.rev } }
--- a/tests/platform/configuration.test.ts
+++ b/tests/platform/configuration.test.ts
@@ -86,9 +86,9 @@
 test('a watch returns the newest version after the revision of the read', async () => {
   const source = new PlatformConfigurationSource(fixture.client)
   fixture.server.writeObject('config', 'main', makePlatformConfiguration(1))
-  const { revision } = (await source.read()).unwrap()
+  const { position } = (await source.read()).unwrap()
   for (const version of [2, 5]) fixture.server.writeObject('config', 'main', makePlatformConfiguration(version))
-  const { updates } = (await source.watch(revision, new AbortController().signal)).unwrap()
+  const { updates } = (await source.watch(position, new AbortController().signal)).unwrap()
   expect(updates).toMatchObject([{ kind: 'configuration', configuration: { version: 5 } }])
 })
 
