Order positions of the store by epoch, so that a restore hides no version

Callers saw own 404s for routes that the operator had added, and versions came into force too late (CONFIG), after the store had been restored from an older copy.

Cause: a node watched from the highest revision that it had seen. A restored store assigns revisions again, so it answered 410 until its revisions had passed that one, and from then on the watch skipped all changes in between. Where no 410 came in between, the watch simply began at a revision of the lost history.

Positions are now compared by epoch first. A response from another epoch than the position that was asked for is the fault restored, after which the node reads the store. A watch that begins after a failure or a pause is preceded by a call that returns at once, since a watch would show the restore only at its end; a call that waits ends when any other response shows a later epoch. For 10 s after a restore a node that polls asks for current data, as a copy for stale reads may still contain what was lost. A position of a later epoch that comes from a peer makes the node read as well.

--- a/src/configuration/source.ts
+++ b/src/configuration/source.ts
@@ -2,7 +2,7 @@
  * The interface of the sources of the configuration.
  */
 import type { Result } from '../core/index.js'
-import type { StoreFault, StorePosition } from '../store/index.js'
+import type { Freshness, StoreFault, StorePosition } from '../store/index.js'
 import type { Configuration } from './schema.js'
 
 /** `faulty`: the source holds an invalid configuration, which cannot be applied. */
@@ -17,8 +17,11 @@
   /** Waits for changes after the position. Returns no updates if the wait ended without a change. */
   abstract watch (position: StorePosition, signal: AbortSignal): Promise<Result<WatchResult, StoreFault>>
 
-  /** Returns the changes after the position that the source knows now, which may be some seconds behind. A source without a cheaper call watches. */
-  async poll (position: StorePosition, signal: AbortSignal): Promise<Result<WatchResult, StoreFault>> {
+  /**
+   * Returns the changes after the position that the source knows now; with `stale`, it may be some seconds behind. A source without a
+   * cheaper call watches.
+   */
+  async poll (position: StorePosition, _freshness: Freshness, signal: AbortSignal): Promise<Result<WatchResult, StoreFault>> {
     return await this.watch(position, signal)
   }
 }
--- a/src/store/schema.ts
+++ b/src/store/schema.ts
@@ -63,11 +63,12 @@
  * `conflict`: the object has another version (`version`, 0 when there is no object); nothing was
  * written. `unreachable`: the request did not reach the platform. `unknown`: no response arrived,
  * and a write may have taken effect. `throttled`: rejected by the platform's rate limit.
- * `too-old`: a watch from a revision that the platform no longer has. `invalid`: the platform
- * rejected the request, or its response does not parse.
+ * `too-old`: a watch from a revision that the platform no longer has. `restored`: a watch from a
+ * position of an earlier epoch. `invalid`: the platform rejected the request, or its response does
+ * not parse.
  */
 export const storeFaultSchema = z.object({
-  code: z.enum(['conflict', 'unreachable', 'unknown', 'throttled', 'too-old', 'too-large', 'invalid']),
+  code: z.enum(['conflict', 'unreachable', 'unknown', 'throttled', 'too-old', 'restored', 'too-large', 'invalid']),
   message: z.string(),
   version: z.number().int().optional()
 })
--- a/standins/objects/server.ts
+++ b/standins/objects/server.ts
@@ -30,10 +30,15 @@
   pageSize: number
   /** Time until a call is executed. */
   delayMs: number
+  /** Serves the calls that allow stale data. */
+  staleCopy: StoreCopy | undefined
 }
 
 export class ObjectsServer {
-  switches: ObjectsSwitches = { refuseWith: undefined, answerWith: undefined, loseAnswers: false, isSilent: false, pageSize: 500, delayMs: 0 }
+  switches: ObjectsSwitches = {
+    refuseWith: undefined, answerWith: undefined, loseAnswers: false, isSilent: false, pageSize: 500, delayMs: 0, staleCopy: undefined
+  }
+
   readonly calls: string[] = []
   private objectsByKind: ObjectsByKind = new Map()
   private events: ChangeEvent[] = []
@@ -78,13 +83,14 @@
     return { objectsByKind: new Map(objects), events: [...this.events], rev: this.rev }
   }
 
-  /** Loses all changes since the copy was made. Their revisions are assigned again. */
-  restoreCopy ({ objectsByKind, events, rev }: StoreCopy): void {
+  /** Loses all changes since the copy was made. Their revisions are assigned again. Watches on kept connections get no response. */
+  restoreCopy ({ objectsByKind, events, rev }: StoreCopy, connections: 'close' | 'keep-silent' = 'close'): void {
     this.objectsByKind = new Map([...objectsByKind].map(([kind, byName]) => [kind, new Map(byName)]))
     this.events = [...events]
     this.rev = rev
     this.era += 1
-    this.server.closeAllConnections()
+    if (connections === 'close') this.server.closeAllConnections()
+    else this.waiters.clear()
     this.wakeWaiters()
   }
 
@@ -115,7 +121,9 @@
   }
 
   private async read (kind: string, name: string | undefined, query: URLSearchParams): Promise<ApiResponse> {
+    const { staleCopy } = this.switches
     const watch = query.get('watch')
+    if (query.has('mayBeStale') && staleCopy !== undefined) return readCopy(staleCopy, kind, watch)
     if (watch !== null) return await this.watch(kind, Number(watch), Number(query.get('waitMs') ?? 0))
     if (name !== undefined) {
       const object = this.getObjects(kind).get(name)
@@ -132,7 +140,7 @@
     const deadlineMs = Date.now() + waitMs
     while (true) {
       if (from < this.oldestRev || from > this.rev) return { status: 410 }
-      const events = this.events.filter(event => event.kind === kind && event.rev > from).map(({ object, deleted }) => ({ object, deleted }))
+      const events = listEvents(this.events, kind, from)
       const remainingMs = deadlineMs - Date.now()
       if (events.length > 0 || remainingMs <= 0) return { status: 200, body: { events, currentRev: this.rev } }
       await new Promise<void>(resolve => {
@@ -191,6 +199,16 @@
   }
 }
 
+/** Returns the changes after the revision `watch`, or without it the objects. */
+function readCopy ({ objectsByKind, events, rev }: StoreCopy, kind: string, watch: string | null): ApiResponse {
+  if (watch === null) return { status: 200, body: { items: [...objectsByKind.get(kind)?.values() ?? []], hasMore: false, currentRev: rev } }
+  return { status: 200, body: { events: listEvents(events, kind, Number(watch)), currentRev: rev } }
+}
+
+function listEvents (events: readonly ChangeEvent[], kind: string, from: number): Array<Pick<ChangeEvent, 'object' | 'deleted'>> {
+  return events.filter(event => event.kind === kind && event.rev > from).map(({ object, deleted }) => ({ object, deleted }))
+}
+
 function makeMeta (name: string): Meta {
   return { name, rev: 0, createdAt: Date.now(), finalizers: [], markedForDeletion: false }
 }
--- a/tests/platform/restored.test.ts
+++ b/tests/platform/restored.test.ts
@@ -3,7 +3,7 @@
  * and are assigned again.
  */
 import { setTimeout as delay } from 'node:timers/promises'
-import { afterEach, beforeEach, expect, test } from '@jest/globals'
+import { afterEach, beforeEach, describe, expect, test } from '@jest/globals'
 import { startFollower } from '../fixtures/follower.js'
 import type { Follower } from '../fixtures/follower.js'
 import { makePlatformConfiguration, makeStoreFixture } from '../fixtures/platform.js'
@@ -11,6 +11,8 @@
 
 /** Time within which a version that the store acknowledged is in force. */
 const IN_FORCE_LIMIT_MS = 2_500
+/** The same for a node that only polls, without peers that tell it of versions. */
+const POLLED_LIMIT_MS = 5_000
 
 let fixture: StoreFixture
 let follower: Follower
@@ -26,9 +28,14 @@
   fixture.server.writeObject('config', 'main', makePlatformConfiguration(version))
 }
 
-async function followUpTo (version: number): Promise<void> {
-  follower = startFollower(fixture)
-  expect(await follower.awaitVersion(version, IN_FORCE_LIMIT_MS)).toBe(true)
+/** Assigns this many revisions to objects of another kind, as the nodes do that write their host records again. */
+function writeOtherObjects (count: number): void {
+  for (let index = 0; index < count; index += 1) fixture.server.writeObject('comfreyspoke-host', `host-${index}`, {})
+}
+
+async function followUpTo (version: number, isReader = true): Promise<void> {
+  follower = startFollower(fixture, isReader)
+  expect(await follower.awaitVersion(version, POLLED_LIMIT_MS)).toBe(true)
 }
 
 test('a restore is logged with the positions before and after it', async () => {
@@ -41,3 +48,55 @@
   const restores = follower.log.entries.filter(({ event }) => event === 'store_restored')
   expect(restores).toMatchObject([{ epoch: 2, revision: 2, previousEpoch: 1, previousRevision: 5 }])
 })
+
+describe.each([['watches the store', true, IN_FORCE_LIMIT_MS], ['polls the store', false, POLLED_LIMIT_MS]])('a node that %s', (_name, isReader, limitMs) => {
+  test('puts a version in force in time that gets a revision from before the restore', async () => {
+    edit(1)
+    const copy = fixture.server.makeCopy()
+    for (const version of [2, 3, 4]) edit(version)
+    await followUpTo(4, isReader)
+    fixture.server.restoreCopy(copy)
+    await delay(IN_FORCE_LIMIT_MS)
+    expect(follower.state.version).toBe(4)
+    edit(5)
+    writeOtherObjects(10)
+    expect(await follower.awaitVersion(5, limitMs)).toBe(true)
+  })
+
+  test('puts a version in force in time that is written before the node calls the restored store', async () => {
+    edit(1)
+    const copy = fixture.server.makeCopy()
+    for (const version of [2, 3, 4]) edit(version)
+    await followUpTo(4, isReader)
+    fixture.server.restoreCopy(copy)
+    edit(5)
+    writeOtherObjects(10)
+    expect(await follower.awaitVersion(5, limitMs)).toBe(true)
+  })
+})
+
+test('a node that polls is not misled by a copy that serves stale reads and still contains what the store lost', async () => {
+  edit(1)
+  const copy = fixture.server.makeCopy()
+  for (const version of [2, 3, 4]) edit(version)
+  await followUpTo(4, false)
+  fixture.server.switches.staleCopy = fixture.server.makeCopy()
+  fixture.server.restoreCopy(copy)
+  await delay(POLLED_LIMIT_MS)
+  fixture.server.switches.staleCopy = undefined
+  edit(5)
+  writeOtherObjects(10)
+  expect(await follower.awaitVersion(5, POLLED_LIMIT_MS)).toBe(true)
+})
+
+test('a watch on a connection that has become silent ends when another call shows that the store was restored', async () => {
+  edit(1)
+  const copy = fixture.server.makeCopy()
+  for (const version of [2, 3, 4]) edit(version)
+  await followUpTo(4)
+  await delay(IN_FORCE_LIMIT_MS)
+  fixture.server.restoreCopy(copy, 'keep-silent')
+  edit(5)
+  await fixture.client.call({ method: 'GET', kind: 'comfreyspoke-host' })
+  expect(await follower.awaitVersion(5, IN_FORCE_LIMIT_MS)).toBe(true)
+})
