Reject a request without a route as not run while a peer has a newer configuration

Callers got 404 (or 413 for a limit that had been raised) from a node that already knew of a newer version at a peer and waited up to 1.2 s for it to come from the store. A client does not repeat a request after such a status, though the newer version may allow it. The node now responds with 503, code outdated, and a Retry-After, as a starting node does.

--- a/src/node/start.ts
+++ b/src/node/start.ts
@@ -286,6 +286,7 @@
       retry,
       getSnapshot: () => state.snapshotTable.current,
       isReady: () => state.isReady,
+      isOutdated: () => this.peers.lag.isOutdated(state.version),
       ...requestBufferBytes === undefined ? {} : { requestBufferBytes },
       getTimeToShutdownMs: () => this.getTimeToShutdownMs(),
       onFailure: (call, failure) => { telemetry.recordFailedCall(call, failure) },
--- a/src/request/tasks/caller.ts
+++ b/src/request/tasks/caller.ts
@@ -25,6 +25,8 @@
   suspects: SuspectTable
   getSnapshot: () => Snapshot
   isReady: () => boolean
+  /** True if a peer has a newer configuration than this node. */
+  isOutdated?: () => boolean
   /**
    * Time until this node stops, defined once callers have had time to notice that it is stopping. A request that may take
    * longer is rejected.
@@ -67,12 +69,17 @@
   writeFormattedFailure(response, context.inbound.adapter.formatFailure(failure, call?.request ?? ''))
 }
 
+/** The newer configuration may allow the request, and callers do not repeat a request that is called wrong. */
+function makeOutdatedFailure ({ message }: Failure): Failure {
+  return makeFailure('not-run', 503, 'outdated', `${message} in the configuration of this node, and a peer has a newer one`, RETRY_AFTER_MS)
+}
+
 async function runCall (
   context: CallerContext, call: Call, body: RequestBody, message: IncomingMessage, response: ServerResponse
 ): Promise<Result<AttemptResponse, Failure>> {
   if (!context.isReady()) return Err(makeFailure('not-run', 503, 'not_ready', 'this node has no configuration yet', RETRY_AFTER_MS))
   const resolved = resolveRoute(context.getSnapshot(), call, context.random)
-  if (resolved.err) return resolved
+  if (resolved.err) return Err(context.isOutdated?.() === true ? makeOutdatedFailure(resolved.val) : resolved.val)
   const { route, service } = resolved.val
   body.setLimit(route.maxBodyBytes)
   if (context.requestBufferBytes !== undefined) body.bufferUpTo(context.requestBufferBytes)
