Write and read host records again that a restored store lost

After a restore of the store from an older copy, the object of a host stayed in the state of the copy until the host's record changed again, for example as serving for a host that leaves; and a record that got a version which the node had seen before the restore was not read. A node that starts from such a list begins with targets that have left and without new ones. Other nodes were told by their peers, so callers saw this only through nodes that had just started.

Cause: versions of objects were compared across the restore, and the own object counted as written as long as it existed. The versions are now forgotten when the epoch of the store rises, a record of another host is read whenever its version differs from the last one, and the local record is written again when a list shows another one, twice in a row as before, or once after a restore. The first list of a node, which precedes its first write, no longer counts as one that misses the record.

--- a/src/node/tasks/directory.ts
+++ b/src/node/tasks/directory.ts
@@ -16,15 +16,16 @@
 /** Hosts that start together do not find each other in their first lists, so the next lists follow soon. */
 const FIRST_REFRESH_INTERVAL_MS = 500
 const REFRESH_INTERVAL_MS = 5_000
-/** After this many lists in a row without the local host's object, the object counts as removed. */
+/** After this many lists in a row without the local record, it is written again. */
 const MISSED_LISTS_LIMIT = 2
 const BACKOFF = { baseMs: 100, maxMs: 2_000 }
 
 export class HostDirectory {
-  /** Known versions of the hosts' objects in the store. */
+  /** Known versions of the hosts' objects in the store, of the epoch `epoch`. */
   private readonly versions = new Map<string, number>()
+  private epoch: number | undefined
   private writtenStamp = ''
-  /** The number of lists in a row without the local host's object. */
+  /** The number of lists in a row without the local record that was written. */
   private missedLists = 0
   private wakeTask: (() => void) | undefined
 
@@ -64,31 +65,52 @@
     const { state, store, clock } = this.context
     const listed = await store.queries.list('host', hasRead ? 'stale' : 'current')
     if (listed.err) return listed.val
-    const { objects } = listed.val
+    const { objects, epoch = 0 } = listed.val
+    const isRestored = this.advanceEpoch(epoch)
     storeRecords(state, { records: objects.flatMap(object => this.readRecord(object)) }, clock)
     state.knowsHosts = true
     const names = new Set(objects.map(object => object.name))
     for (const name of this.versions.keys()) if (name !== state.identity.host && !names.has(name)) this.versions.delete(name)
-    this.checkLocalObject(names)
+    this.checkLocalObject(objects.find(({ name }) => name === state.identity.host), isRestored)
     return undefined
   }
 
-  /** A peer that could not reach this host for a long time removes its object. A single list may be older than the last write of this node. */
-  private checkLocalObject (names: ReadonlySet<string>): void {
-    const { host } = this.context.state.identity
-    this.missedLists = names.has(host) ? 0 : this.missedLists + 1
-    if (this.missedLists < MISSED_LISTS_LIMIT || !this.versions.delete(host)) return
+  /** A store that was restored has lost changes and assigns their versions again. Returns true if that was noticed now. */
+  private advanceEpoch (epoch: number): boolean {
+    const isRestored = this.epoch !== undefined && epoch > this.epoch
+    this.epoch = Math.max(epoch, this.epoch ?? 0)
+    if (isRestored) this.versions.clear()
+    return isRestored
+  }
+
+  /**
+   * A peer that could not reach this host for a long time removes its object, and a restore of the store may lose its last state. A
+   * single list may be older than the last write of this node.
+   */
+  private checkLocalObject (object: StoredObject | undefined, isRestored: boolean): void {
+    if (this.writtenStamp === '') return
+    const stored = hostRecordSchema.safeParse(object?.value)
+    if (stored.success && formatRecordStamp(stored.data) === this.writtenStamp) {
+      this.missedLists = 0
+      return
+    }
+    this.missedLists += 1
+    if (this.missedLists < MISSED_LISTS_LIMIT && !isRestored) return
+    if (object === undefined) this.versions.delete(this.context.state.identity.host)
+    this.context.log.log('change', 'own_record_lost', { lists: this.missedLists, epoch: this.epoch, isStored: object !== undefined })
     this.writtenStamp = ''
-    this.context.log.log('change', 'own_object_missing', { lists: this.missedLists })
+    this.missedLists = 0
   }
 
   /** Returns no record if the object is invalid, so that it does not affect other hosts, or if this version of it was read before. */
   private readRecord ({ name, version, value }: StoredObject): HostRecord[] {
     const { log, state: { identity } } = this.context
-    const knownVersion = this.versions.get(name) ?? 0
+    const knownVersion = this.versions.get(name)
+    const isLocal = name === identity.host
     // The version of the local host's object may be known from a write that failed, without its record.
-    if (version <= knownVersion && name !== identity.host) return []
-    this.versions.set(name, Math.max(knownVersion, version))
+    if (version === knownVersion && !isLocal) return []
+    // A list that is stale must not undo the version that a write of this node returned.
+    this.versions.set(name, isLocal ? Math.max(knownVersion ?? 0, version) : version)
     const parsed = hostRecordSchema.safeParse(value)
     if (parsed.success && parsed.data.host === name) return [parsed.data]
     log.log('detail', 'host_record_unreadable', { name, version })
