Compare the version of a starting node with its peers before it is ready

A node that starts after the store was restored from an older copy, and before the operator has written the newest version again, took the older version from the store and was ready with it: a route that its peers served got a 404, and an older version was in force again on its host (CONFIG).

Cause: a node counted as ready with any version that the store returned, though only a store that never loses a version guarantees that it is at least the one in force elsewhere. A starting node that knows a version and the hosts now asks up to three peers, of its zone first, and takes a newer configuration from their responses. It waits 0.5 s at most, and not at all without peers.

Evidence: tests/firstversion.test.ts; without the comparison a node is ready with version 9 beside a peer with version 11.

--- a/src/node/start.ts
+++ b/src/node/start.ts
@@ -91,7 +91,7 @@
     const onConfiguration = (configuration: Configuration, from: string): void => { this.applyConfiguration(configuration, from) }
     this.peers = new PeerSynchronizer({ state: this.state, transport: this.client, clock, random, log, onConfiguration })
     const store = new CountingObjectStore(parts.store, (call, kind) => { metrics.count('store_calls_total', { call, kind }) })
-    this.directory = new HostDirectory({ state: this.state, store, clock, random, log })
+    this.directory = new HostDirectory({ state: this.state, store, clock, random, log, onListed: () => { void this.peers.compareVersions() } })
     this.targetHttpClient = new UndiciHttpClient(MAX_TARGET_CONNECTIONS, undefined, clock, this.policies.targetIdleMs)
     const plainPeerHttpClient = new UndiciHttpClient(MAX_PEER_CONNECTIONS, address => dialer.resolve(address), clock, PEER_IDLE_TIMEOUT_MS)
     this.peerHttpClient = access.peerToken === undefined ? plainPeerHttpClient : new TokenHttpClient(plainPeerHttpClient, access.peerToken)
@@ -230,6 +230,7 @@
     const previous = this.state.version
     const result = applyConfiguration(this.state, configuration)
     if (result === undefined) return
+    void this.peers.compareVersions()
     this.peers.announceVersion(previous, from === STORE)
     const { callerLimits } = configuration
     if (callerLimits !== undefined) this.callerPort.setTimeouts(callerLimits.headerTimeoutMs, callerLimits.idleTimeoutMs)
--- a/src/node/state.ts
+++ b/src/node/state.ts
@@ -29,6 +29,11 @@
   readonly history = new ConfigurationHistory()
   /** True once the hosts have been read from the store or from a peer. */
   knowsHosts = false
+  /**
+   * True once the version in force has been compared with the versions of some peers. A store that was restored from an older copy may
+   * return an older version to a starting node than its peers have in force.
+   */
+  hasComparedVersion = false
   /** True while the source of the configuration responds to this node. */
   hasSource = true
 
@@ -46,9 +51,9 @@
     return this.configuration?.refused ?? []
   }
 
-  /** True if callers may be served, which needs a version that is the newest known to the store or a peer. */
+  /** True if callers may be served, which needs a version that is the newest known to the store and the peers. */
   get isReady (): boolean {
-    return this.configuration !== undefined && this.knowsHosts
+    return this.configuration !== undefined && this.knowsHosts && this.hasComparedVersion
   }
 
   listPeers (): HostRecord[] {
--- a/src/node/tasks/directory.ts
+++ b/src/node/tasks/directory.ts
@@ -11,7 +11,15 @@
 import { storeRecords } from '../commands/records.js'
 import type { NodeState } from '../state.js'
 
-export interface HostDirectoryContext { state: NodeState, store: ObjectStore, clock: Clock, random: Random, log: StructuredLog }
+export interface HostDirectoryContext {
+  state: NodeState
+  store: ObjectStore
+  clock: Clock
+  random: Random
+  log: StructuredLog
+  /** Called after each list of the hosts. */
+  onListed?: () => void
+}
 
 /** Hosts that start together do not find each other in their first lists, so the next lists follow soon. */
 const FIRST_REFRESH_INTERVAL_MS = 500
@@ -69,6 +77,7 @@
     const isRestored = this.advanceEpoch(epoch)
     storeRecords(state, { records: objects.flatMap(object => this.readRecord(object)) }, clock)
     state.knowsHosts = true
+    this.context.onListed?.()
     const names = new Set(objects.map(object => object.name))
     for (const name of this.versions.keys()) if (name !== state.identity.host && !names.has(name)) this.versions.delete(name)
     this.checkLocalObject(objects.find(({ name }) => name === state.identity.host), isRestored)
--- a/src/node/tasks/peers.ts
+++ b/src/node/tasks/peers.ts
@@ -38,6 +38,9 @@
 const REGION_SHARE = 0.2
 const STORE_LOST_ANY_ZONE_SHARE = 0.5
 const REMOVAL_CHECK_INTERVAL_MS = 10_000
+/** Peers with which a starting node compares its version, and the maximum time for that, since some of them may not respond. */
+const COMPARED_PEERS = 3
+const COMPARISON_TIMEOUT_MS = 500
 /** Most requests whose target ended complete elsewhere within this time. */
 const CRASH_MARK_COLLECT_MS = 300
 
@@ -52,6 +55,7 @@
   readonly lag: VersionLag
   private readonly announcer: VersionAnnouncer
   private isAwaitingVersion = false
+  private isComparingVersions = false
 
   constructor (private readonly context: PeerSynchronizerContext) {
     const { state, clock } = context
@@ -61,6 +65,20 @@
     })
   }
 
+  /**
+   * Called when the hosts or a version have become known. Once a starting node knows both, it compares its version with those of some
+   * peers, and takes a newer one from them.
+   */
+  async compareVersions (): Promise<void> {
+    const { state, clock, random } = this.context
+    if (this.isComparingVersions || state.configuration === undefined || !state.knowsHosts) return
+    this.isComparingVersions = true
+    const peers = selectNotifiedPeers(state.listPeers(), state.identity.zone, 'some', random).slice(0, COMPARED_PEERS)
+    const compared = Promise.all(peers.map(async peer => { await this.exchange(peer, EMPTY_PAYLOAD) }))
+    await Promise.race([compared, clock.sleep(COMPARISON_TIMEOUT_MS)])
+    state.hasComparedVersion = true
+  }
+
   /** Handles the exchange request of a peer and returns the response. */
   respond (request: ExchangeRequest): ExchangeResponse {
     const { state, clock } = this.context
@@ -165,6 +183,7 @@
     this.checkVersion(peer, version)
     storeRecords(state, { records, from: peer.host }, clock)
     state.knowsHosts = true
+    void this.compareVersions()
     if (payload.records.length === 0 && payload.complete === undefined) await this.sendMissing(peer, result.val)
   }
 
@@ -191,8 +210,8 @@
 
   /** A node that follows the store gets new versions from there, unless it stays behind. */
   private get wantsConfiguration (): boolean {
-    const { hasSource, configuration, version } = this.context.state
-    return !hasSource || !this.isReader || configuration === undefined || this.lag.isBehind(version)
+    const { hasSource, hasComparedVersion, configuration, version } = this.context.state
+    return !hasSource || !this.isReader || configuration === undefined || !hasComparedVersion || this.lag.isBehind(version)
   }
 
   private receiveConfiguration (peer: HostRecord, { configuration, configurationChange }: ExchangeResponse): void {
