Restore the store from a copy as a fault of the soak

The store loses the changes of the last seconds, its revisions go back, and the operator writes its newest version again.

The trace shows a node that had been started 0.6 s before, as planned work, with not_ready: it had version 56 in force for 68 ms and had not yet compared it with its peers. A node that is starting serves no route, so the check of the operator now ignores a 503 with not_ready; that a node does not become ready in time is checked elsewhere (awaitReady). The check holds for all other responses as before.

--- a/standins/soak/faults.ts
+++ b/standins/soak/faults.ts
@@ -61,6 +61,18 @@
   }
 }
 
+/** The store loses the changes of the last milliseconds. The operator writes its newest version again. */
+class RestoreFault extends SoakFault {
+  override readonly affectsStore = true
+
+  override async run ({ store, operator }: FaultContext, { forMs }: FaultPlace): Promise<void> {
+    const copy = store.makeCopy()
+    await delay(forMs)
+    store.restoreCopy(copy)
+    operator.writeNewest()
+  }
+}
+
 class LinkFault extends SoakFault {
   constructor (private readonly getLink: (host: SoakHost) => FaultProxy, private readonly state: ProxyState) {
     super()
@@ -186,6 +198,7 @@
   'store-loses-answers': new StoreFault({ loseAnswers: true }, { loseAnswers: false }),
   'store-slow': new StoreFault({ delayMs: SLOW_STORE_MS }, { delayMs: 0 }),
   'store-forgets': new HistoryFault(),
+  'store-restored': new RestoreFault(),
   'store-link-silent': new LinkFault(getStoreLink, 'silent'),
   'store-link-reset': new LinkFault(getStoreLink, 'reset'),
   'store-link-one-way': new LinkFault(getStoreLink, 'one-way'),
--- a/standins/soak/operator.ts
+++ b/standins/soak/operator.ts
@@ -18,6 +18,8 @@
 const PROBE_INTERVAL_MS = 150
 const PROBE_TIMEOUT_MS = 1_000
 const NOT_FOUND = 404
+const REJECTED = 503
+const NOT_READY_CODE = '"code":"not_ready"'
 
 interface SeenVersion { version: number, at: number, incarnation: number }
 
@@ -33,10 +35,15 @@
 
   edit (): void {
     this.version += 1
-    this.store.writeObject('config', 'main', this.makeConfiguration())
+    this.writeNewest()
     this.acceptedAt.set(this.version, this.record.elapsedMs)
   }
 
+  /** Writes the newest version, which the store may have lost. */
+  writeNewest (): void {
+    this.store.writeObject('config', 'main', this.makeConfiguration())
+  }
+
   /** Sends a request for a route of the newest or of a removed version to a node, one after the other. */
   async checkPeriodically (hosts: readonly SoakHost[], signal: AbortSignal): Promise<void> {
     for (let round = 0; !signal.aborted; round += 1) {
@@ -71,7 +78,7 @@
     if (isServed && (!isKnown || seen.version < version)) this.seen.set(index, { version, at: record.elapsedMs, incarnation })
   }
 
-  /** Returns the status of the response, or undefined without one. */
+  /** Returns the status of the response, or undefined without one and from a starting node, which does not know its routes yet. */
   private async queryRoute (host: SoakHost, version: number): Promise<number | undefined> {
     const probe = this.record.beginRequest('idempotent', host.options.index)
     try {
@@ -79,9 +86,9 @@
         headers: { host: 'soak.example', 'x-attempt-id': probe.id, 'x-timeout-ms': String(PROBE_TIMEOUT_MS) },
         signal: AbortSignal.timeout(2 * PROBE_TIMEOUT_MS)
       })
-      await response.body.dump()
+      const text = await response.body.text()
       probe.status = response.statusCode
-      return response.statusCode
+      return response.statusCode === REJECTED && text.includes(NOT_READY_CODE) ? undefined : response.statusCode
     } catch {
       return undefined
     }
--- a/standins/soak/plan.ts
+++ b/standins/soak/plan.ts
@@ -9,7 +9,7 @@
   // Of a node process: restarted after the fault, except for a pause.
   'node-kill', 'node-stop', 'node-pause', 'herd-kill',
   // Of the store, for all nodes.
-  'store-refuses', 'store-silent', 'store-loses-answers', 'store-slow', 'store-forgets',
+  'store-refuses', 'store-silent', 'store-loses-answers', 'store-slow', 'store-forgets', 'store-restored',
   // Of the connection of one node to the store.
   'store-link-silent', 'store-link-reset', 'store-link-one-way',
   // Of the connections of one node to its target.
