Let the target-side node read each head that the caller-side node accepted

Callers saw 431 for requests whose head was just within the 16 KiB that the platform allows, if the target was on another host. The parsers of the caller port and of the inbound port had the same limit, but the caller-side node adds headers of its own, so a head of almost 16 KiB was accepted by one node and rejected by the other, and the 431 was passed on.

Evidence: the new test in tests/edge.test.ts (a head of 16.3 KB over two nodes) got 431 before and gets 200 now.

The parser's limit is now 256 KiB on both ports and only bounds memory; the limit for callers is checked once, where a call enters the system. A head of 20 KB still gets 431 as not run.

--- a/src/request/headers.ts
+++ b/src/request/headers.ts
@@ -54,6 +54,12 @@
   return passed
 }
 
+/** The separators between the parts of a head are not counted. */
+export function checkHeadSize ({ url = '', rawHeaders }: IncomingMessage, limitBytes: number): Failure | undefined {
+  const bytes = rawHeaders.reduce((sum, part) => sum + part.length, url.length)
+  return bytes <= limitBytes ? undefined : makeFailure('not-run', 431, 'head_too_large', `the request head exceeds ${limitBytes} bytes`)
+}
+
 export function checkHead (message: IncomingMessage): Failure | undefined {
   const seen = new Set<string>()
   for (let index = 0; index < message.rawHeaders.length; index += 2) {
--- a/src/request/httpserver.ts
+++ b/src/request/httpserver.ts
@@ -12,7 +12,11 @@
 
 /** A request head that takes longer is rejected, so that slow senders cannot occupy connections without a request. */
 const HEAD_TIMEOUT_MS = 10_000
-const MAX_HEAD_BYTES = 16 * 1024
+/**
+ * Bounds the memory that a request head may take on any port. Above the limit for callers, since the caller-side node adds headers for
+ * the target-side node, which must not reject a head that the caller was allowed to send.
+ */
+const MAX_HEAD_BYTES = 256 * 1024
 
 const PARSER_FAILURES: Record<string, Failure> = {
   HPE_HEADER_OVERFLOW: makeFailure('not-run', 431, 'head_too_large', `request head exceeds ${MAX_HEAD_BYTES} bytes`),
--- a/src/request/tasks/caller.ts
+++ b/src/request/tasks/caller.ts
@@ -7,6 +7,7 @@
 import type { Failure, Random, Result } from '../../core/index.js'
 import type { Metrics } from '../../metrics/index.js'
 import type { Snapshot } from '../../snapshot/index.js'
+import { checkHeadSize } from '../headers.js'
 import { writeResponse, writeFormattedFailure } from '../response.js'
 import { SuspectCall } from '../commands/suspect.js'
 import type { SuspectTable } from '../../suspect/index.js'
@@ -36,10 +37,11 @@
 }
 
 const RETRY_AFTER_MS = 200
+const MAX_HEAD_BYTES = 16 * 1024
 
 export async function serveCaller (context: CallerContext, message: IncomingMessage, response: ServerResponse): Promise<void> {
   const body = new RequestBody(message, response)
-  const call = context.inbound.adapter.readCall(message)
+  const call = readCall(context, message)
   if (call.err) {
     rejectCall(context, response, call.val)
   } else {
@@ -50,6 +52,11 @@
   body.discardRest()
 }
 
+function readCall ({ inbound }: CallerContext, message: IncomingMessage): Result<Call, Failure> {
+  const failure = checkHeadSize(message, MAX_HEAD_BYTES)
+  return failure === undefined ? inbound.adapter.readCall(message) : Err(failure)
+}
+
 async function respondToCall (
   context: CallerContext, response: ServerResponse, { targetResponse, finish }: AttemptResponse, call: Call
 ): Promise<void> {
--- a/tests/edge.test.ts
+++ b/tests/edge.test.ts
@@ -2,20 +2,24 @@
  * Guards against requests that two HTTP parsers interpret differently, that stop the node, or that reach a target although
  * the verdict says that they were not run. Repeated headers, wrong framing and malformed bytes are typical causes.
  */
+import { createServer } from 'node:http'
 import type { RequestListener } from 'node:http'
 import { buffer } from 'node:stream/consumers'
 import { afterAll, beforeAll, describe, expect, test } from '@jest/globals'
 import fc from 'fast-check'
-import { startMesh } from './fixtures/mesh.js'
-import type { Mesh } from './fixtures/mesh.js'
+import { startMesh, startTestServer } from './fixtures/mesh.js'
+import type { Mesh, TestServer } from './fixtures/mesh.js'
 import { readPropertyParameters } from './fixtures/property.js'
 import { exchangeRaw, openRawConnection, readRawResponse } from './fixtures/raw.js'
 
 const RUNS = 150
 /** The sender closes a request without a proper end after this time; the response is checked like any other. */
 const SEND_TIMEOUT_MS = 20
+/** The target accepts larger heads than the nodes let callers send. */
+const TARGET_HEAD_BYTES = 64 * 1024
 
 let mesh: Mesh
+let target: TestServer
 /** Values of x-echo that a target received. */
 const seen = new Set<string>()
 
@@ -24,8 +28,14 @@
   buffer(message).then(body => { response.end(`${String(message.headers['x-echo'])}:${body.toString('latin1')}`) }, () => {})
 }
 
-beforeAll(async () => { mesh = await startMesh({ targets: [respondWithEcho] }) })
-afterAll(async () => { await mesh.close() })
+beforeAll(async () => {
+  target = await startTestServer(createServer({ maxHeaderSize: TARGET_HEAD_BYTES }, respondWithEcho))
+  mesh = await startMesh({ targets: [target.address] })
+})
+afterAll(async () => {
+  await mesh.close()
+  await target.close()
+})
 
 function makeHead (method: string, path: string, headers: readonly string[]): string {
   return [`${method} ${path} HTTP/1.1`, 'host: desk', 'connection: close', ...headers, '', ''].join('\r\n')
@@ -82,6 +92,16 @@
   })
 })
 
+describe('a large head', () => {
+  test('that is just within the limit for callers reaches its target, although the caller-side node adds headers', async () => {
+    const echo = makeEcho()
+    const head = makeHead('GET', '/read', [`x-echo: ${echo}`, `x-a: ${'a'.repeat(16_200)}`])
+    expect(head.length).toBeLessThan(16 * 1024)
+    expect(await exchangeRaw(mesh.caller, [head], Infinity)).toMatchObject({ status: 200 })
+    expect(seen.has(echo)).toBe(true)
+  })
+})
+
 describe('a chunked body', () => {
   test.each(['zz\r\nabc\r\n', '3\r\nabcd\r\n0\r\n\r\n', '-1\r\n\r\n', 'ffffffffffffffffff\r\nabc'])('that is malformed (%j) never gets a success response', async body => {
     const response = await exchangeRaw(mesh.caller, [makeHead('POST', '/small', ['transfer-encoding: chunked', `x-echo: ${makeEcho()}`]) + body])
