Take the limit for request heads from the configuration in force

Callers would get 431 for heads that the configuration allows, if an operator set maxHeaderBytes above 16 KiB: the limit was a constant, and the field of the configuration was read but never used.

Evidence: the new test in tests/platform/path.test.ts (a limit of 64 KiB, a head of 60 KB, a connection from before the first configuration) got 431 before and gets 200 now; a head of 66 KB gets 431. Not seen in play, where the limit is 16 KiB.

The limit is now read for each request from the version in force, and not from the parser, whose limit is fixed when a connection is opened: a connection that a caller keeps follows a change at once.

--- a/src/node/start.ts
+++ b/src/node/start.ts
@@ -286,6 +286,7 @@
       retry,
       getSnapshot: () => state.snapshotTable.current,
       isReady: () => state.isReady,
+      getMaxHeadBytes: () => state.configuration?.callerLimits?.headerBytes,
       ...requestBufferBytes === undefined ? {} : { requestBufferBytes },
       getTimeToShutdownMs: () => this.getTimeToShutdownMs(),
       onFailure: (call, failure) => { telemetry.recordFailedCall(call, failure) },
--- a/src/request/tasks/caller.ts
+++ b/src/request/tasks/caller.ts
@@ -31,13 +31,16 @@
    * longer is rejected.
    */
   getTimeToShutdownMs?: () => number | undefined
+  /** The size of a request head that the configuration in force allows. */
+  getMaxHeadBytes?: () => number | undefined
   /** Request bodies up to this size are buffered before a target is picked. Without a value, only bodies with a short content-length are. */
   requestBufferBytes?: number
   onFailure: (call: Call, failure: Failure) => void
 }
 
 const RETRY_AFTER_MS = 200
-const MAX_HEAD_BYTES = 16 * 1024
+/** Applies while no configuration sets a limit. */
+const DEFAULT_HEAD_BYTES = 16 * 1024
 
 export async function serveCaller (context: CallerContext, message: IncomingMessage, response: ServerResponse): Promise<void> {
   const body = new RequestBody(message, response)
@@ -52,8 +55,8 @@
   body.discardRest()
 }
 
-function readCall ({ inbound }: CallerContext, message: IncomingMessage): Result<Call, Failure> {
-  const failure = checkHeadSize(message, MAX_HEAD_BYTES)
+function readCall ({ inbound, getMaxHeadBytes }: CallerContext, message: IncomingMessage): Result<Call, Failure> {
+  const failure = checkHeadSize(message, getMaxHeadBytes?.() ?? DEFAULT_HEAD_BYTES)
   return failure === undefined ? inbound.adapter.readCall(message) : Err(failure)
 }
 
--- a/tests/platform/path.test.ts
+++ b/tests/platform/path.test.ts
@@ -1,6 +1,6 @@
 /**
- * Guards against a built program that does not serve requests. The test runs the node as a separate process with a store,
- * a target and a caller, from the first heartbeat to the exit of the process.
+ * Guards against a built program that does not serve requests, and against limits for callers that are not those of the version in
+ * force. The tests run the node as a separate process with a store, a target and a caller.
  */
 import { spawn } from 'node:child_process'
 import type { ChildProcess } from 'node:child_process'
@@ -20,6 +20,9 @@
 
 const PORTS = ['caller', 'inbound', 'ready', 'control', 'peer', 'admin'] as const
 
+/** The target accepts larger heads than the node lets callers send. */
+const TARGET_HEAD_BYTES = 128 * 1024
+
 let store: StoreFixture
 let target: Server
 let received: IncomingMessage[]
@@ -47,7 +50,7 @@
   agent = new Agent()
   store = await makeStoreFixture()
   received = []
-  target = createServer((message, response) => {
+  target = createServer({ maxHeaderSize: TARGET_HEAD_BYTES }, (message, response) => {
     received.push(message)
     message.resume()
     response.writeHead(200, { 'x-attempt-id': String(message.headers['x-attempt-id']), 'x-response-signature': 's1' })
@@ -97,3 +100,22 @@
   const [code] = await once(node, 'exit')
   expect(code).toBe(0)
 })
+
+/** The connection is one that was opened before the node had a configuration, as callers keep theirs. */
+test('the limit for request heads is that of the version in force, also on connections that are older', async () => {
+  const single = new Agent({ connections: 1 })
+  const sendHead = async (bytes: number): Promise<number> => {
+    const headers = { host: 'shop.example', 'x-attempt-id': 'a1', 'x-a': 'a'.repeat(bytes) }
+    const response = await request(`http://${addresses.caller ?? ''}/read/a`, { headers, dispatcher: single })
+    await response.body.dump()
+    return response.statusCode
+  }
+  let early = 0
+  while (early !== 503) early = await sendHead(10).catch(async () => await delay(20, 0))
+  store.server.writeObject('config', 'main', makePlatformConfiguration(3, [{}], ['desk'], { maxHeaderBytes: 65_536 }))
+  await awaitReady()
+  const heartbeat = JSON.stringify(makeHeartbeat({ address: addresses.target ?? '', born: 5 }))
+  expect((await send(addresses.control ?? '', '/-/Instances.Heartbeat/i-1', { method: 'POST', body: heartbeat })).status).toBe(200)
+  expect([await sendHead(60_000), await sendHead(66_000)]).toEqual([200, 431])
+  await single.destroy()
+})
