Treat a 4xx of another node as a failure of that node, not of the request

Callers got the status of a target-side node that rejected the message of the caller-side node (400, 403 for another token, 431), with no attempt at another target. The caller-side node had accepted the request itself by then, so such a status is about the message between the nodes; callers take it for a final verdict on their request and do not retry it.

Evidence: the new test in tests/attempts.test.ts (one of two nodes rejects with 400, 403 or 431) got that status before. Now the other target serves the call, and if all nodes reject, the caller gets 503 as not run.

A rejection becomes 503, or 502 if the request may have run, so the usual rules for attempts apply to it.

--- a/src/request/tasks/attempt.ts
+++ b/src/request/tasks/attempt.ts
@@ -20,6 +20,8 @@
 import { runLocal } from './inbound.js'
 import type { InboundContext } from './inbound.js'
 
+const FIRST_SERVER_ERROR_STATUS = 500
+
 /** A call after route resolution: the state that all its attempts share. */
 export interface ActiveCall { call: Call, resolved: ResolvedRoute, headers: Headers, body: RequestBody, scope: RequestScope, suspect: SuspectCall }
 
@@ -88,10 +90,15 @@
   return received.map(targetResponse => ({ targetResponse, release: () => {} }))
 }
 
-/** Parses the failure that the target-side node reported. */
+/**
+ * Parses the failure that the target-side node reported. The request itself was accepted by this node, so a status below 500 is about
+ * the message between the nodes. The caller cannot correct that, and another target-side node may accept the message.
+ */
 async function readPeerFailure ({ body }: TargetResponse): Promise<Failure> {
   try {
-    return failureSchema.parse(Buffer.isBuffer(body) ? JSON.parse(body.toString()) : await json(body))
+    const failure = failureSchema.parse(Buffer.isBuffer(body) ? JSON.parse(body.toString()) : await json(body))
+    if (failure.status >= FIRST_SERVER_ERROR_STATUS) return failure
+    return { ...failure, status: failure.verdict === 'not-run' ? 503 : 502, code: 'peer_refused', message: `the target-side node rejected the message: ${failure.code}: ${failure.message}` }
   } catch {
     return makeFailure('may-have-run', 502, 'bad_answer', 'the response of the target-side node does not parse')
   }
--- a/tests/attempts.test.ts
+++ b/tests/attempts.test.ts
@@ -1,19 +1,24 @@
 /**
  * Guards against a body that is lost between attempts, retries that multiply because each hop retries, a target's own failure treated
- * as a failure of the path to it, and limits that still apply after their document changed.
+ * as a failure of the path to it, a node's rejection of another node treated as one of the caller, and limits that still apply after
+ * their document changed.
  */
 import type { RequestListener, ServerResponse } from 'node:http'
 import { buffer } from 'node:stream/consumers'
 import { afterEach, expect, test } from '@jest/globals'
 import { Agent, request } from 'undici'
-import { startMesh } from './fixtures/mesh.js'
-import type { Mesh, MeshOptions } from './fixtures/mesh.js'
+import { makeFailure } from '../src/core/index.js'
+import { createHttpServer, writeFailure } from '../src/request/index.js'
+import { startMesh, startTestServer } from './fixtures/mesh.js'
+import type { Mesh, MeshOptions, TestServer } from './fixtures/mesh.js'
 
 /** An address that refuses connections: listening on port 1 of loopback needs privileges that tests do not have. */
 const REFUSING = '127.0.0.1:1'
 
 let mesh: Mesh
 let agent: Agent
+/** A node that rejects the messages of other nodes. */
+let rejecting: TestServer | undefined
 
 async function open (options: MeshOptions): Promise<void> {
   agent = new Agent()
@@ -32,6 +37,8 @@
 afterEach(async () => {
   await agent.destroy()
   await mesh.close()
+  await rejecting?.close()
+  rejecting = undefined
 })
 
 const respondWithLength: RequestListener = (message, response) => { void buffer(message).then(body => { response.end(String(body.length)) }) }
@@ -51,6 +58,16 @@
   expect(retried.headers).not.toHaveProperty('x-comfreyspoke-no-retry')
 })
 
+test.each([400, 403, 431])('a node that rejects the message of another node with status %i is replaced, and the caller does not get that status', async status => {
+  await open({ targets: [respondWithLength, respondWithLength], document: { retries: { minPerSecond: 1000 } } })
+  rejecting = await startTestServer(createHttpServer(async (_message, response) => { writeFailure(response, makeFailure('not-run', status, 'x', ''), '') }))
+  const [, second = ''] = mesh.inbound
+  mesh.setInbound([rejecting.address, second])
+  for (let round = 0; round < 10; round += 1) expect(await send('/read')).toMatchObject({ status: 200 })
+  mesh.setInbound([rejecting.address, rejecting.address])
+  expect(await send('/read')).toMatchObject({ status: 503, headers: { 'x-comfreyspoke-verdict': 'not-run' } })
+})
+
 test('a target is informed that it serves a retry', async () => {
   const retries = { minPerSecond: 1000 }
   await open({ document: { retries }, targets: [REFUSING, REFUSING, (message, response) => { response.end(JSON.stringify(message.headers)) }] })
