Let nodes pass on each configuration that they put in force

Evidence: seven new cases in tests/platform/configuration.test.ts failed to decode before and pass now. Not seen in play, where names and weights fit both schemas.

--- a/src/document/schema.ts
+++ b/src/document/schema.ts
@@ -93,3 +93,19 @@
   needs: z.array(nameSchema).max(MAX_SERVICE_NAMES).default([])
 })
 export type Document = z.infer<typeof documentSchema>
+
+/**
+ * Documents as nodes send them to each other. A configuration of another format, converted into documents, may have names and values
+ * that the rules for operators exclude. A node that applied these rules would reject every message with that version.
+ */
+const sentDestinationSchema = destinationSchema.extend({ service: z.string().optional(), weight: z.number().nonnegative() })
+const sentRouteSchema = routeSchema.extend({
+  host: z.string().optional(),
+  path: z.string(),
+  deadlineMs: z.number().nonnegative(),
+  objectiveMs: z.number().nonnegative().optional(),
+  attempts: z.number().int().positive().optional(),
+  maxBodyBytes: z.number().nonnegative(),
+  to: z.record(z.string(), sentDestinationSchema)
+})
+export const sentDocumentSchema = documentSchema.extend({ service: z.string(), routes: z.record(z.string(), sentRouteSchema) })
--- a/src/snapshot/schema.ts
+++ b/src/snapshot/schema.ts
@@ -2,7 +2,7 @@
  * Versions of documents, as sent between nodes and as part of a snapshot.
  */
 import * as z from 'zod'
-import { documentSchema } from '../document/index.js'
+import { sentDocumentSchema } from '../document/index.js'
 import type { Target } from '../membership/index.js'
 
 /** One version of one service. Without a document the service is deleted at this version. */
@@ -12,7 +12,7 @@
   /** Wall-clock milliseconds, 0 if unknown. */
   acceptedAt: z.number(),
   hash: z.string(),
-  document: documentSchema.optional()
+  document: sentDocumentSchema.optional()
 })
 export type Entry = z.infer<typeof entrySchema>
 
--- a/tests/platform/configuration.test.ts
+++ b/tests/platform/configuration.test.ts
@@ -1,5 +1,5 @@
 /**
- * Guards against a configuration that is applied in part, that replaces a newer version, or that a watch misses.
+ * Guards against a configuration that is applied in part, that replaces a newer version, that a watch misses, or that other nodes reject.
  */
 import { afterEach, beforeEach, expect, test } from '@jest/globals'
 import { ConfigurationParser, PlatformConfigurationSource } from '../../platform/configuration.js'
@@ -7,6 +7,7 @@
 import { SystemClock } from '../../src/core/index.js'
 import { applyConfiguration } from '../../src/node/commands/apply.js'
 import { NodeState } from '../../src/node/state.js'
+import { MsgpackCodec } from '../../src/peer/index.js'
 import { resolveRoute } from '../../src/request/index.js'
 import { SeededRandom } from '../../src/core/index.js'
 import type { RouteRow } from '../fixtures/platform.js'
@@ -41,6 +42,23 @@
   expect(gallery?.routes['r-1']).toMatchObject({ kind: 'plain', class: 'critical' })
 })
 
+const UNUSUAL_ROWS: ReadonlyArray<[string, RouteRow]> = [
+  ['weights that are fractions', { split: [{ service: 'desk', weight: 0.75 }, { service: 'gallery', weight: 0.25 }], service: null }],
+  ['large weights', { split: [{ service: 'desk', weight: 9_000 }, { service: 'gallery', weight: 1_000 }], service: null }],
+  ['a name with other characters', { name: 'Read_V2.a' }],
+  ['a long name', { name: 'r'.repeat(100) }],
+  ['a prefix with an empty segment', { pathPrefix: '/read//new/' }],
+  ['a prefix with other characters', { pathPrefix: '/a|b/"c"/' }],
+  ['a long time limit', { timeout: '900s' }]
+]
+
+/** A node that the store does not serve has no other way to get the version. */
+test.each(UNUSUAL_ROWS)('a version that has %s passes from node to node', (_name, row) => {
+  const codec = new MsgpackCodec()
+  const configuration = convert(7, [{}, { pathPrefix: '/new/', ...row }])
+  expect(codec.decode(codec.encode(configuration), nativeSchema)).toEqual(configuration)
+})
+
 test('the longest matching prefix of the host is used, and a path without the trailing slash does not match', () => {
   const state = makeState()
   applyConfiguration(state, convert(1, [{}, { pathPrefix: '/read/new/', service: 'gallery' }, { host: 'other.example', pathPrefix: '/' }]))
