Let callers of the platform repeat headers that mean nothing to a node

Callers saw 400 if a request repeated Idempotency-Key or a header with the prefix of the nodes. The check against heads that two parsers could read differently also covered the headers of the project's own interface; on the platform these are forwarded without a meaning, or removed.

On the platform only the headers that frame a message or name its host must not be repeated.

--- a/src/request/headers.ts
+++ b/src/request/headers.ts
@@ -18,7 +18,10 @@
 ]
 
 /** A repetition of these headers could be interpreted in two ways. Node.js silently joins or discards repeated headers. */
-const SINGLE_VALUED = new Set<string>(['host', 'content-length', 'transfer-encoding', HEADERS.key, HEADERS.service, HEADERS.deadline, HEADERS.hops, HEADERS.target])
+export const FRAMING_HEADERS: ReadonlySet<string> = new Set(['host', 'content-length', 'transfer-encoding'])
+const SINGLE_VALUED_HEADERS: ReadonlySet<string> = new Set([
+  ...FRAMING_HEADERS, HEADERS.key, HEADERS.service, HEADERS.deadline, HEADERS.hops, HEADERS.target
+])
 
 const INTEGER = /^[0-9]{1,15}$/
 
@@ -60,11 +63,11 @@
   return bytes <= limitBytes ? undefined : makeFailure('not-run', 431, 'head_too_large', `the request head exceeds ${limitBytes} bytes`)
 }
 
-export function checkHead (message: IncomingMessage): Failure | undefined {
+export function checkHead (message: IncomingMessage, singleValued = SINGLE_VALUED_HEADERS): Failure | undefined {
   const seen = new Set<string>()
   for (let index = 0; index < message.rawHeaders.length; index += 2) {
     const name = (message.rawHeaders[index] ?? '').toLowerCase()
-    if (!SINGLE_VALUED.has(name)) continue
+    if (!singleValued.has(name)) continue
     if (seen.has(name)) return makeFailure('not-run', 400, 'repeated_header', `header ${name} is repeated`)
     seen.add(name)
   }
