--- a/src/node/start.ts
+++ b/src/node/start.ts
@@ -288,6 +288,7 @@
       getSnapshot: () => state.snapshotTable.current,
       isReady: () => state.isReady,
       isOutdated: () => this.peers.lag.isOutdated(state.version),
+      getMaxHeadBytes: () => state.configuration?.callerLimits?.headerBytes,
       ...requestBufferBytes === undefined ? {} : { requestBufferBytes },
       getTimeToShutdownMs: () => this.getTimeToShutdownMs(),
       onFailure: (call, failure) => { telemetry.recordFailedCall(call, failure) },
--- a/src/request/tasks/caller.ts
+++ b/src/request/tasks/caller.ts
@@ -7,6 +7,7 @@
 import type { Failure, Random, Result } from '../../core/index.js'
 import type { Metrics } from '../../metrics/index.js'
 import type { Snapshot } from '../../snapshot/index.js'
+import { checkHeadSize } from '../headers.js'
 import { writeResponse, writeFormattedFailure } from '../response.js'
 import { SuspectCall } from '../commands/suspect.js'
 import type { SuspectTable } from '../../suspect/index.js'
@@ -32,16 +33,20 @@
    * longer is rejected.
    */
   getTimeToShutdownMs?: () => number | undefined
+  /** The size of a request head that the configuration in force allows. */
+  getMaxHeadBytes?: () => number | undefined
   /** Request bodies up to this size are buffered before a target is picked. Without a value, only bodies with a short content-length are. */
   requestBufferBytes?: number
   onFailure: (call: Call, failure: Failure) => void
 }
 
 const RETRY_AFTER_MS = 200
+/** Applies while no configuration sets a limit. */
+const DEFAULT_HEAD_BYTES = 16 * 1024
 
 export async function serveCaller (context: CallerContext, message: IncomingMessage, response: ServerResponse): Promise<void> {
   const body = new RequestBody(message, response)
-  const call = context.inbound.adapter.readCall(message)
+  const call = readCall(context, message)
   if (call.err) {
     rejectCall(context, response, call.val)
   } else {
@@ -52,6 +57,11 @@
   body.discardRest()
 }
 
+function readCall ({ inbound, getMaxHeadBytes }: CallerContext, message: IncomingMessage): Result<Call, Failure> {
+  const failure = checkHeadSize(message, getMaxHeadBytes?.() ?? DEFAULT_HEAD_BYTES)
+  return failure === undefined ? inbound.adapter.readCall(message) : Err(failure)
+}
+
 async function respondToCall (
   context: CallerContext, response: ServerResponse, { targetResponse, finish }: AttemptResponse, call: Call
 ): Promise<void> {
