Log requests that are rejected by their head, and the newest version that a node knows of

Own responses with 400 and 431 before a route is looked up left no line in the logs, so they could not be told from those of a target; and a 404 of a node that was behind looked like one for a route that never existed. head_rejected and comfreyspoke_rejected_heads_total name the code, and request_failed has newestSeen, the newest version that a peer has reported, beside the version in force.

Whether a node is outdated is now derived from that version in the state of the node.

--- a/src/node/lag.ts
+++ b/src/node/lag.ts
@@ -33,13 +33,7 @@
     if (version > own) this.awaited ??= { version, since: this.clock.monotonic() }
   }
 
-  /** True if a peer has a version that this node does not have yet. */
-  isOutdated (own: number): boolean {
-    return this.awaited !== undefined && this.awaited.version > own
-  }
-
-  /** True if the newer version has been awaited from the source for long enough. */
   isBehind (own: number): boolean {
-    return this.awaited !== undefined && this.isOutdated(own) && this.clock.monotonic() - this.awaited.since >= this.allowedMs
+    return this.awaited !== undefined && this.awaited.version > own && this.clock.monotonic() - this.awaited.since >= this.allowedMs
   }
 }
--- a/src/node/port.ts
+++ b/src/node/port.ts
@@ -2,6 +2,7 @@
  * An HTTP port that counts its requests in flight and can be closed without aborting any of them.
  */
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { Failure } from '../core/index.js'
 import { createHttpServer } from '../request/index.js'
 import type { HttpHandler } from './http.js'
 import { listenOn } from './http.js'
@@ -13,14 +14,14 @@
   private server: Server | undefined
   private isClosing = false
 
-  constructor (private readonly handle: HttpHandler) {}
+  constructor (private readonly handle: HttpHandler, private readonly onRejected?: (failure: Failure) => void) {}
 
   async listen (address: string): Promise<void> {
     this.server = await listenOn(address, createHttpServer(async (message, response) => {
       const served = this.serve(message, response)
       this.inFlight.track(served)
       await served
-    }))
+    }, this.onRejected))
   }
 
   /** Sets the maximum time to receive the headers of a request, and the maximum idle time of a connection. */
--- a/src/node/start.ts
+++ b/src/node/start.ts
@@ -96,7 +96,7 @@
     const plainPeerHttpClient = new UndiciHttpClient(MAX_PEER_CONNECTIONS, address => dialer.resolve(address), clock, PEER_IDLE_TIMEOUT_MS)
     this.peerHttpClient = access.peerToken === undefined ? plainPeerHttpClient : new TokenHttpClient(plainPeerHttpClient, access.peerToken)
     const context = this.makeCallerContext()
-    this.callerPort = new HttpPort(async (message, response) => { await serveCaller(context, message, response) })
+    this.callerPort = new HttpPort(async (message, response) => { await serveCaller(context, message, response) }, context.onRejected)
     this.inboundPort = new HttpPort(async (message, response) => { await this.serveNode(context, message, response) })
   }
 
@@ -287,11 +287,12 @@
       retry,
       getSnapshot: () => state.snapshotTable.current,
       isReady: () => state.isReady,
-      isOutdated: () => this.peers.lag.isOutdated(state.version),
+      isOutdated: () => state.isOutdated,
       getMaxHeadBytes: () => state.configuration?.callerLimits?.headerBytes,
       ...requestBufferBytes === undefined ? {} : { requestBufferBytes },
       getTimeToShutdownMs: () => this.getTimeToShutdownMs(),
       onFailure: (call, failure) => { telemetry.recordFailedCall(call, failure) },
+      onRejected: failure => { telemetry.recordRejectedHead(failure) },
       onAttemptFailed: failed => { telemetry.logFailedAttempt(failed) }
     }
   }
--- a/src/node/state.ts
+++ b/src/node/state.ts
@@ -27,6 +27,8 @@
   readonly supersedingRecords = new Emitter<HostRecord>()
   configuration: Configuration | undefined
   readonly history = new ConfigurationHistory()
+  /** The newest version that a peer has reported. */
+  newestSeenVersion = 0
   /** True once the hosts have been read from the store or from a peer. */
   knowsHosts = false
   /**
@@ -47,6 +49,11 @@
     return this.configuration?.version ?? 0
   }
 
+  /** True if a peer has a version that this node does not have yet. */
+  get isOutdated (): boolean {
+    return this.newestSeenVersion > this.version
+  }
+
   get refused (): readonly RefusedVersion[] {
     return this.configuration?.refused ?? []
   }
--- a/src/node/telemetry.ts
+++ b/src/node/telemetry.ts
@@ -100,6 +100,12 @@
     })
   }
 
+  /** The request was rejected by its head alone, before its route was looked up. */
+  recordRejectedHead ({ code, status, message }: Failure): void {
+    this.metrics.count('rejected_heads_total', { code })
+    this.log.log('failure', 'head_rejected', { code, status, message })
+  }
+
   recordFailedCall (call: Call, { verdict, code, message, status, retryAfterMs }: Failure): void {
     this.recorder.record('call-failed', `${verdict} ${code}: ${message}`, { service: call.service, request: call.request })
     this.log.log('failure', 'request_failed', {
@@ -112,7 +118,8 @@
       message,
       retryAfterMs,
       deadlineMs: call.deadlineMs,
-      version: this.state.version
+      version: this.state.version,
+      newestSeen: this.state.newestSeenVersion
     })
   }
 }
--- a/src/request/httpserver.ts
+++ b/src/request/httpserver.ts
@@ -26,7 +26,8 @@
 
 export type RequestHandler = (message: IncomingMessage, response: ServerResponse) => Promise<void>
 
-export function createHttpServer (handleRequest: RequestHandler): Server {
+/** `onRejected` is called for each request that the parser rejects. */
+export function createHttpServer (handleRequest: RequestHandler, onRejected: (failure: Failure) => void = () => {}): Server {
   const busySockets = new WeakSet<Duplex>()
   const server = createServer({ headersTimeout: HEAD_TIMEOUT_MS, requestTimeout: 0, maxHeaderSize: MAX_HEAD_BYTES, requireHostHeader: false })
   const handle = (message: IncomingMessage, response: ServerResponse): void => {
@@ -41,8 +42,13 @@
   server.on('checkExpectation', handle)
   server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
     // With a request in flight, a failure response on this connection would be taken for the response to that request.
-    if (busySockets.has(socket) || !socket.writable || error.code === 'ECONNRESET') socket.destroy()
-    else writeRawFailure(socket, PARSER_FAILURES[error.code ?? ''] ?? MALFORMED)
+    if (busySockets.has(socket) || !socket.writable || error.code === 'ECONNRESET') {
+      socket.destroy()
+      return
+    }
+    const failure = PARSER_FAILURES[error.code ?? ''] ?? MALFORMED
+    onRejected(failure)
+    writeRawFailure(socket, failure)
   })
   return server
 }
--- a/src/request/tasks/caller.ts
+++ b/src/request/tasks/caller.ts
@@ -38,6 +38,8 @@
   /** Request bodies up to this size are buffered before a target is picked. Without a value, only bodies with a short content-length are. */
   requestBufferBytes?: number
   onFailure: (call: Call, failure: Failure) => void
+  /** Called for a request that is rejected by its head alone. */
+  onRejected?: (failure: Failure) => void
 }
 
 const RETRY_AFTER_MS = 200
@@ -75,7 +77,8 @@
 
 function rejectCall (context: CallerContext, response: ServerResponse, failure: Failure, call?: Call): void {
   context.metrics.count('calls_total', { service: call?.service ?? 'unknown', verdict: failure.verdict })
-  if (call !== undefined) context.onFailure(call, failure)
+  if (call === undefined) context.onRejected?.(failure)
+  else context.onFailure(call, failure)
   writeFormattedFailure(response, context.inbound.adapter.formatFailure(failure, call?.request ?? ''))
 }
 
--- a/tests/outdated.test.ts
+++ b/tests/outdated.test.ts
@@ -4,10 +4,10 @@
  */
 import { afterEach, beforeEach, expect, test } from '@jest/globals'
 import { request } from 'undici'
-import { VersionLag } from '../src/node/lag.js'
-import { makeClock } from './fixtures/clock.js'
+import { applyConfiguration } from '../src/node/commands/apply.js'
 import { startMesh } from './fixtures/mesh.js'
 import type { Mesh } from './fixtures/mesh.js'
+import { makeState } from './fixtures/state.js'
 
 const LONG_BODY = 'x'.repeat(2_000)
 
@@ -39,9 +39,21 @@
 )
 
 test('a node is outdated from the moment at which a peer reports a newer version until it has that version', () => {
-  const lag = new VersionLag(makeClock())
-  lag.observe(5, 5)
-  expect(lag.isOutdated(5)).toBe(false)
-  lag.observe(6, 5)
-  expect([lag.isOutdated(5), lag.isOutdated(6)]).toEqual([true, false])
+  const state = makeState()
+  const apply = (version: number): void => { applyConfiguration(state, { version, entries: [], replacesAll: true }) }
+  apply(5)
+  state.newestSeenVersion = 5
+  expect(state.isOutdated).toBe(false)
+  state.newestSeenVersion = 6
+  expect(state.isOutdated).toBe(true)
+  apply(6)
+  expect(state.isOutdated).toBe(false)
+})
+
+test('a request that is rejected by its head alone is reported', async () => {
+  const codes: string[] = []
+  mesh.context.onRejected = ({ code }) => { codes.push(code) }
+  const response = await request(`http://${mesh.caller}/read`, { headers: { 'x-comfreyspoke-service': 'desk', 'x-long': 'x'.repeat(20_000) } })
+  await response.body.dump()
+  expect([response.statusCode, codes]).toEqual([431, ['head_too_large']])
 })
