Log the parts of a node's start and the moment of a drain, and show them when a test fails

The node now logs its first call to the store, the first exchange of a peer, the moment in which it is ready, and the moment from which the host is leaving. The event kind node-ready was declared and never recorded. The drain test prints when the tool was started and ended, when the node got the drain, and when each late call began and reached its target. No bound and no check changes.

--- a/src/node/start.ts
+++ b/src/node/start.ts
@@ -90,7 +90,7 @@
     this.client = new PeerClient(this.meter.codec, dialer, access.credentials?.client, [this.meter.clientInterceptor])
     const onConfiguration = (configuration: Configuration, from: string): void => { this.applyConfiguration(configuration, from) }
     this.peers = new PeerSynchronizer({ state: this.state, transport: this.client, clock, random, log, onConfiguration })
-    const store = new CountingObjectStore(parts.store, (call, kind) => { metrics.count('store_calls_total', { call, kind }) })
+    const store = new CountingObjectStore(parts.store, (call, kind) => { this.telemetry.recordStoreCall(call, kind) })
     this.directory = new HostDirectory({ state: this.state, store, clock, random, log })
     this.targetHttpClient = new UndiciHttpClient(MAX_TARGET_CONNECTIONS, undefined, clock, this.policies.targetIdleMs)
     const plainPeerHttpClient = new UndiciHttpClient(MAX_PEER_CONNECTIONS, address => dialer.resolve(address), clock, PEER_IDLE_TIMEOUT_MS)
@@ -106,6 +106,7 @@
     const { clock, random, state, telemetry, peers, stopped: { signal } } = this
     telemetry.recordStart()
     observeHosts({ state, log: telemetry.log, recorder: telemetry.recorder }, signal)
+    state.readiness.stream.observe(() => { telemetry.recordReady() }).catch(error => { throw error })
     state.supersedingRecords.stream.observe(record => { this.handleSupersedingRecord(record) }).catch(error => { throw error })
     this.announceRecord(state.localHost.makeRecord())
     const tasks = listTasks({
@@ -181,6 +182,7 @@
   private startLeaving (): number {
     const record = markHostLeaving(this.state.localHost)
     if (record !== undefined) {
+      this.telemetry.recordLeaving(this.countInFlight())
       this.announceRecord(record)
       this.localTargets.applyLimits()
     }
@@ -253,7 +255,10 @@
 
   private makePeerHandlers (): PeerHandlers {
     return {
-      exchange: request => this.peers.respond(request),
+      exchange: request => {
+        this.telemetry.recordExchange(request.host)
+        return this.peers.respond(request)
+      },
       status: () => makeStatus(this.state),
       timeline: ({ filter }) => ({ events: filterEvents(this.telemetry.eventRing.list(), filter) }),
       drain: request => this.acceptDrain(request)
--- a/src/node/state.ts
+++ b/src/node/state.ts
@@ -25,12 +25,13 @@
   readonly recordUpdates = new Emitter<RecordUpdate>()
   /** Records of the local host from the store or a peer that supersede the newest local record. */
   readonly supersedingRecords = new Emitter<HostRecord>()
-  configuration: Configuration | undefined
+  /** Emits once, when callers may be served for the first time. */
+  readonly readiness = new Emitter<'ready'>()
   readonly history = new ConfigurationHistory()
-  /** True once the hosts have been read from the store or from a peer. */
-  knowsHosts = false
   /** True while the source of the configuration responds to this node. */
   hasSource = true
+  private currentConfiguration: Configuration | undefined
+  private hasHosts = false
 
   constructor (readonly identity: HostIdentity, clock: Clock) {
     this.localHost = new LocalHost(identity)
@@ -38,6 +39,27 @@
     this.time = new HybridLogicalClock(clock)
   }
 
+  get configuration (): Configuration | undefined {
+    return this.currentConfiguration
+  }
+
+  set configuration (configuration: Configuration | undefined) {
+    const wasReady = this.isReady
+    this.currentConfiguration = configuration
+    if (!wasReady && this.isReady) this.readiness.emit('ready')
+  }
+
+  /** True once the hosts have been read from the store or from a peer. */
+  get knowsHosts (): boolean {
+    return this.hasHosts
+  }
+
+  set knowsHosts (knowsHosts: boolean) {
+    const wasReady = this.isReady
+    this.hasHosts = knowsHosts
+    if (!wasReady && this.isReady) this.readiness.emit('ready')
+  }
+
   get version (): number {
     return this.configuration?.version ?? 0
   }
--- a/src/node/telemetry.ts
+++ b/src/node/telemetry.ts
@@ -20,6 +20,8 @@
   readonly eventRing = new EventRing()
   readonly recorder: EventRecorder
   private hasAppliedConfiguration = false
+  private hasCalledStore = false
+  private hasExchanged = false
 
   constructor (private readonly state: NodeState, private readonly clock: Clock) {
     const { host, zone } = state.identity
@@ -33,6 +35,31 @@
     this.recorder.record('node-started', `zone ${zone}`)
   }
 
+  /** Logs the first call only: with the next lines it shows on which part of a slow start the time was spent. */
+  recordStoreCall (call: string, kind: string): void {
+    this.metrics.count('store_calls_total', { call, kind })
+    if (this.hasCalledStore) return
+    this.hasCalledStore = true
+    this.log.log('change', 'first_store_call', { call, kind })
+  }
+
+  /** Logs the first exchange that a peer requested. */
+  recordExchange (peer: string): void {
+    if (this.hasExchanged) return
+    this.hasExchanged = true
+    this.log.log('change', 'first_exchange', { peer })
+  }
+
+  recordReady (): void {
+    this.log.log('change', 'node_ready', { version: this.state.version })
+    this.recorder.record('node-ready', 'serves callers')
+  }
+
+  /** `inFlight` requests were admitted before. */
+  recordLeaving (inFlight: number): void {
+    this.log.log('change', 'host_leaving', { inFlight })
+  }
+
   recordStopping (inFlight: number, drainMs: number): void {
     this.log.log('change', 'node_stopping', { inFlight, drainMs })
     this.recorder.record('node-stopping', 'draining')
--- a/standins/target/server.ts
+++ b/standins/target/server.ts
@@ -91,6 +91,7 @@
       response.end('done')
       return
     }
+    const receivedAt = Date.now()
     if (message.url === '/work') await this.workers.run(this.options.serviceMs, () => response.destroyed)
     const body = await buffer(message)
     const key = message.headers['idempotency-key']
@@ -101,7 +102,8 @@
       method: message.method,
       path: message.url,
       echo: message.headers['x-echo'],
-      bytes: body.length
+      bytes: body.length,
+      receivedAt
     })
     response.writeHead(200, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(responseBody) })
     response.end(responseBody)
--- a/tests/proofs/drain-under-load.test.ts
+++ b/tests/proofs/drain-under-load.test.ts
@@ -45,6 +45,17 @@
   }
 }
 
+/** Returns when the node began to refuse new work, on the clock of this process. */
+function findLeavingAt (host: HostLayout): number {
+  const line = fleet.processes.readLog(host).find(({ event }) => event === 'host_leaving')
+  return line === undefined ? NaN : Date.parse(line.at) - performance.timeOrigin
+}
+
+function describeCall ({ startedAt, receivedAt }: GetResult, since: number): string {
+  const receivedMs = receivedAt === undefined ? NaN : receivedAt - performance.timeOrigin - since
+  return `began ${Math.round(startedAt - since)} ms and reached the target ${Math.round(receivedMs)} ms after the start of the tool`
+}
+
 describe('drain under load', () => {
   test('the target of the drained host receives no new request after 3 s, and no call fails', async () => {
     const drainedHost = getHost(fleet, DRAINED_HOST_INDEX)
@@ -53,12 +64,15 @@
     await delay(1_000)
     const drainedAt = performance.now()
     expect(await runTool('drain', formatAddress(drainedHost, 'peer'))).toContain('no new work')
+    const toolEndedAt = performance.now()
     await delay(LOAD_AFTER_DRAIN_MS)
     stop.abort()
     const calls = await load
     const callsBeforeDrain = calls.filter(call => call.startedAt < drainedAt && call.target === `t-${DRAINED_HOST_INDEX}`)
     expect(callsBeforeDrain.length).toBeGreaterThan(0)
-    expect(calls.filter(call => call.startedAt > drainedAt + DRAIN_LIMIT_MS && call.target === `t-${DRAINED_HOST_INDEX}`)).toEqual([])
+    const late = calls.filter(call => call.startedAt > drainedAt + DRAIN_LIMIT_MS && call.target === `t-${DRAINED_HOST_INDEX}`)
+    const times = { toolEndedMs: toolEndedAt - drainedAt, nodeGotDrainMs: findLeavingAt(drainedHost) - drainedAt }
+    expect({ times, late: late.map(call => describeCall(call, drainedAt)) }).toEqual({ times, late: [] })
     expect(calls.filter(call => call.status !== 200)).toEqual([])
   })
 
