--- a/standins/layout/processes.ts
+++ b/standins/layout/processes.ts
@@ -149,11 +149,11 @@
     return openSync(path, 'a')
   }
 
-  /** Describes the lines of a node's log by the time since the process was started. */
+  /** Describes a node's log by the time since its process was started, without repetitions of an event. */
   private describeStart (host: HostLayout): string {
     const startedAt = this.logFiles.get(host.host)?.startedAt
     if (startedAt === undefined) return 'its output is not kept'
-    const lines = this.readLog(host).map(({ at, event, ...fields }) => `${Date.parse(at) - startedAt} ms ${event} ${JSON.stringify(fields)}`)
+    const lines = this.readLog(host).filter(({ event }, index, all) => event !== all[index - 1]?.event).map(({ at, event, ...fields }) => `${Date.parse(at) - startedAt} ms ${event} ${JSON.stringify(fields)}`)
     return [`started ${Date.now() - startedAt} ms ago; ${this.describeProcessorTime(host)}; its log by the time since the start:`, ...lines].join('\n  ')
   }
 
