Move the local host's record from the assembly of a node into a command of its own

The registration of targets, the announcement of the host's record, and its leaving are now LocalHostRegistration in commands/localhost.ts. The methods of the configuration path and the list of tasks are unchanged.

--- a/src/node/start.ts
+++ b/src/node/start.ts
@@ -5,8 +5,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Configuration, ConfigurationUpdate } from '../configuration/index.js'
 import { makeFailure, SystemClock, SystemRandom } from '../core/index.js'
-import { markHostLeaving, registerTarget, supersedeRecord, TargetProcesses } from '../membership/index.js'
-import type { Announcement, Heartbeat, HeartbeatResult, HostRecord } from '../membership/index.js'
+import type { Announcement, Heartbeat, HeartbeatResult } from '../membership/index.js'
 import { ControlMeter, Dialer, MsgpackCodec, PeerClient, startPeerServer } from '../peer/index.js'
 import type { DrainRequest, DrainResponse, PeerHandlers } from '../peer/index.js'
 import {
@@ -17,7 +16,7 @@
 import { CountingObjectStore } from '../store/index.js'
 import { filterEvents } from '../timeline/index.js'
 import { applyConfiguration } from './commands/apply.js'
-import { storeLocalRecord } from './commands/records.js'
+import { LocalHostRegistration } from './commands/localhost.js'
 import { startServer } from './http.js'
 import { HttpPort } from './port.js'
 import { makeStatus } from './queries/status.js'
@@ -39,8 +38,6 @@
 /** Above PEER_IDLE_TIMEOUT_MS, after which peers close a connection themselves, so that no request arrives while it is being closed. */
 const INBOUND_IDLE_TIMEOUT_MS = 60_000
 const INBOUND_HEADER_TIMEOUT_MS = 10_000
-/** Two nodes with the same host name supersede each other endlessly. This minimum interval bounds the load on the fleet. */
-const SUPERSEDE_INTERVAL_MS = 500
 /** Where a configuration came from that no peer sent. */
 const STORE = 'store'
 /** Maximum wait at shutdown until the local host's object is removed from the store. */
@@ -51,7 +48,6 @@
   private readonly clock = new SystemClock()
   private readonly random = new SystemRandom()
   private readonly state: NodeState
-  private readonly targetProcesses: TargetProcesses
   private readonly policies: RequestPolicies
   private readonly localTargets: LocalTargets
   private readonly crashWatch: CrashTracker
@@ -59,14 +55,13 @@
   private readonly client: PeerClient
   private readonly peers: PeerSynchronizer
   private readonly directory: HostDirectory
+  private readonly registration: LocalHostRegistration
   private readonly targetHttpClient: UndiciHttpClient
   private readonly peerHttpClient: HttpClient
   private readonly callerPort: HttpPort
   private readonly inboundPort: HttpPort
   private readonly stopped = new AbortController()
   private timeouts: NodeTimeouts
-  private supersededAt = -Infinity
-  private leavingSince: number | undefined
   private stopping: Promise<StopResult> | undefined
 
   constructor (private readonly parts: NodeParts) {
@@ -77,7 +72,6 @@
     this.state = new NodeState({ host, zone, region, inbound, peer, admin, incarnation: clock.now() }, clock)
     this.telemetry = new NodeTelemetry(this.state, clock)
     const { log, metrics } = this.telemetry
-    this.targetProcesses = new TargetProcesses(this.state.localHost)
     this.policies = parts.makePolicies(clock, random, () => this.state.members.size)
     this.localTargets = new LocalTargets(this.state.localHost, () => this.state.snapshotTable.current, clock, this.policies.admission)
     this.crashWatch = new CrashTracker(host, this.state.suspects, isConnectionRefused)
@@ -92,6 +86,8 @@
     this.peers = new PeerSynchronizer({ state: this.state, transport: this.client, clock, random, log, onConfiguration })
     const store = new CountingObjectStore(parts.store, (call, kind) => { this.telemetry.recordStoreCall(call, kind) })
     this.directory = new HostDirectory({ state: this.state, store, clock, random, log })
+    const { state, telemetry, localTargets, crashWatch, directory, peers } = this
+    this.registration = new LocalHostRegistration({ state, clock, telemetry, localTargets, crashWatch, directory, peers })
     this.targetHttpClient = new UndiciHttpClient(MAX_TARGET_CONNECTIONS, undefined, clock, this.policies.targetIdleMs)
     const plainPeerHttpClient = new UndiciHttpClient(MAX_PEER_CONNECTIONS, address => dialer.resolve(address), clock, PEER_IDLE_TIMEOUT_MS)
     this.peerHttpClient = access.peerToken === undefined ? plainPeerHttpClient : new TokenHttpClient(plainPeerHttpClient, access.peerToken)
@@ -107,8 +103,8 @@
     telemetry.recordStart()
     observeHosts({ state, log: telemetry.log, recorder: telemetry.recorder }, signal)
     state.readiness.stream.observe(() => { telemetry.recordReady() }).catch(error => { throw error })
-    state.supersedingRecords.stream.observe(record => { this.handleSupersedingRecord(record) }).catch(error => { throw error })
-    this.announceRecord(state.localHost.makeRecord())
+    state.supersedingRecords.stream.observe(record => { this.registration.supersede(record) }).catch(error => { throw error })
+    this.registration.announceRecord(state.localHost.makeRecord())
     const tasks = listTasks({
       source,
       clock,
@@ -146,18 +142,17 @@
 
   /** Handles an announcement of a target of the local host. */
   registerTarget (announcement: Announcement): void {
-    const record = registerTarget(this.state.localHost, announcement, this.clock.monotonic())
-    this.applyHeartbeat(announcement.target, announcement.state, record === undefined ? { outcome: 'taken' } : { outcome: 'taken', record })
+    this.registration.registerTarget(announcement)
   }
 
   /** Handles a heartbeat of the target on the local host, which has one target at a time. */
   receiveHeartbeat (heartbeat: Heartbeat): HeartbeatResult {
-    return this.applyHeartbeat(heartbeat.target, heartbeat.state, this.targetProcesses.receiveHeartbeat(heartbeat, this.clock.monotonic()))
+    return this.registration.receiveHeartbeat(heartbeat)
   }
 
   /** Marks a target of the local host as leaving. */
   deregisterTarget (target: string, startedAt: number): HeartbeatResult {
-    return this.applyHeartbeat(target, 'deregistered', this.targetProcesses.deregister(target, startedAt, this.clock.monotonic()))
+    return this.registration.deregisterTarget(target, startedAt)
   }
 
   /** Notifies the peers, stops accepting requests, and lets requests in flight end. Safe to call again. */
@@ -170,7 +165,7 @@
     const { callerPort: caller, inboundPort: inbound, clock, telemetry, state } = this
     const { drainMs } = this.timeouts
     telemetry.recordStopping(this.countInFlight(), drainMs)
-    const sinceLeavingMs = clock.monotonic() - this.startLeaving()
+    const sinceLeavingMs = clock.monotonic() - this.registration.startLeaving(this.countInFlight())
     const completed = await drainPorts({ caller, inbound, clock }, Math.max(0, LEAVE_PROPAGATION_MS - sinceLeavingMs), drainMs)
     this.stopped.abort()
     telemetry.log.log('change', 'node_stopped', { whole: completed, inFlight: this.countInFlight() })
@@ -178,44 +173,6 @@
     return completed ? 'whole' : 'cut'
   }
 
-  /** Notifies the peers once that this host is leaving. Returns the monotonic time at which it began to leave. */
-  private startLeaving (): number {
-    const record = markHostLeaving(this.state.localHost)
-    if (record !== undefined) {
-      this.telemetry.recordLeaving(this.countInFlight())
-      this.announceRecord(record)
-      this.localTargets.applyLimits()
-    }
-    this.leavingSince ??= this.clock.monotonic()
-    return this.leavingSince
-  }
-
-  private applyHeartbeat (target: string, state: string, result: HeartbeatResult): HeartbeatResult {
-    if (result.record !== undefined) {
-      this.announceRecord(result.record)
-      this.localTargets.applyLimits()
-    }
-    this.telemetry.recordHeartbeat(target, state, result)
-    return result
-  }
-
-  private announceRecord (record: HostRecord): void {
-    storeLocalRecord(this.state, record, this.clock)
-    this.directory.notifyChanged()
-    void this.peers.notifyPeers({ records: [record] }, record.state === 'leaving' ? 'many' : 'some')
-  }
-
-  /** Another node has a record of this host that supersedes the local one: a record of an earlier process, or a tombstone. */
-  private handleSupersedingRecord (seen: HostRecord): void {
-    const at = this.clock.monotonic()
-    if (at - this.supersededAt < SUPERSEDE_INTERVAL_MS) return
-    this.supersededAt = at
-    const record = supersedeRecord(this.state.localHost, seen)
-    if (record === undefined) return
-    this.telemetry.recordSuperseded(seen)
-    this.announceRecord(record)
-  }
-
   private handleUpdate (update: ConfigurationUpdate): void {
     this.peers.lag.recordSourceResponse()
     if (update.kind === 'faulty') this.telemetry.recordInvalidConfiguration(update.reason)
@@ -240,12 +197,7 @@
   }
 
   private handleExpired (expired: readonly Announcement[]): void {
-    for (const announcement of expired) {
-      this.crashWatch.markCrashed(announcement.target)
-      this.telemetry.recordExpiredTarget(announcement, this.timeouts.heartbeatTimeoutMs)
-    }
-    this.announceRecord(this.state.localHost.makeRecord())
-    this.localTargets.applyLimits()
+    this.registration.expireTargets(expired, this.timeouts.heartbeatTimeoutMs)
   }
 
   private async serveNode ({ inbound }: CallerContext, message: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -268,7 +220,7 @@
   private acceptDrain ({ token }: DrainRequest): DrainResponse {
     const expected = this.parts.access?.operatorToken
     if (expected !== undefined && !matchesSecret(token, expected)) return { accepted: false, message: 'wrong or missing operator token' }
-    this.startLeaving()
+    this.registration.startLeaving(this.countInFlight())
     return { accepted: true, message: `${this.state.identity.host} gets no new work` }
   }
 
@@ -300,8 +252,9 @@
 
   /** Returns the rest of the drain timeout, or undefined until callers have had time to see that this node is stopping. */
   private getTimeToShutdownMs (): number | undefined {
-    if (this.stopping === undefined || this.leavingSince === undefined) return undefined
-    const sinceMs = this.clock.monotonic() - this.leavingSince
+    const { leavingAt } = this.registration
+    if (this.stopping === undefined || leavingAt === undefined) return undefined
+    const sinceMs = this.clock.monotonic() - leavingAt
     return sinceMs < LEAVE_PROPAGATION_MS ? undefined : this.timeouts.drainMs - sinceMs
   }
 
