--- /dev/null
+++ b/src/node/handlers.ts
@@ -0,0 +1,38 @@
+/**
+ * The handlers of the peer port: exchanges with peers, and queries and commands of operators.
+ */
+import type { DrainRequest, DrainResponse, PeerHandlers } from '../peer/index.js'
+import { matchesSecret } from '../request/index.js'
+import { filterEvents } from '../timeline/index.js'
+import { makeStatus } from './queries/status.js'
+import type { NodeState } from './state.js'
+import type { PeerSynchronizer } from './tasks/peers.js'
+import type { NodeTelemetry } from './telemetry.js'
+
+export interface HandlerContext {
+  state: NodeState
+  telemetry: NodeTelemetry
+  peers: PeerSynchronizer
+  /** The secret that operators' commands must carry, if there is one. */
+  operatorToken: string | undefined
+  startLeaving: () => void
+}
+
+export function makePeerHandlers (context: HandlerContext): PeerHandlers {
+  const { state, telemetry, peers } = context
+  return {
+    exchange: request => {
+      telemetry.recordExchange(request.host)
+      return peers.respond(request)
+    },
+    status: () => makeStatus(state),
+    timeline: ({ filter }) => ({ events: filterEvents(telemetry.eventRing.list(), filter) }),
+    drain: request => acceptDrain(context, request)
+  }
+}
+
+function acceptDrain ({ state, operatorToken, startLeaving }: HandlerContext, { token }: DrainRequest): DrainResponse {
+  if (operatorToken !== undefined && !matchesSecret(token, operatorToken)) return { accepted: false, message: 'wrong or missing operator token' }
+  startLeaving()
+  return { accepted: true, message: `${state.identity.host} gets no new work` }
+}
--- a/src/node/shutdown.ts
+++ b/src/node/shutdown.ts
@@ -1,14 +1,68 @@
 /**
- * Closes the ports of a stopping node in an order that aborts no request in flight.
+ * Stops a node: announces that its host is leaving, and closes its ports in an order that aborts no request in flight.
  */
 import type { Clock } from '../core/index.js'
+import type { LocalHostRegistration } from './commands/localhost.js'
+import type { StopResult } from './parts.js'
 import type { HttpPort } from './port.js'
+import type { NodeState } from './state.js'
+import type { HostDirectory } from './tasks/directory.js'
+import type { NodeTelemetry } from './telemetry.js'
 
+/** Maximum wait at shutdown until the local host's object is removed from the store. */
+const REMOVE_WAIT_MS = 200
 /** After this time, no reachable node picks a target of a host that announced that it is leaving. */
-export const LEAVE_PROPAGATION_MS = 2_500
+const LEAVE_PROPAGATION_MS = 2_500
 
 export interface DrainedPorts { caller: HttpPort, inbound: HttpPort, clock: Clock }
 
+export interface ShutdownContext extends DrainedPorts {
+  state: NodeState
+  telemetry: NodeTelemetry
+  registration: LocalHostRegistration
+  directory: HostDirectory
+  countInFlight: () => number
+  getDrainMs: () => number
+  /** Ends the tasks of the node. */
+  stopTasks: () => void
+}
+
+export class NodeShutdown {
+  private stopping: Promise<StopResult> | undefined
+
+  constructor (private readonly context: ShutdownContext) {}
+
+  get hasBegun (): boolean {
+    return this.stopping !== undefined
+  }
+
+  /** Notifies the peers, stops accepting requests, and lets requests in flight end. Safe to call again. */
+  async stop (): Promise<StopResult> {
+    this.stopping ??= this.shutDown()
+    return await this.stopping
+  }
+
+  /** Returns the rest of the drain timeout, or undefined until callers have had time to see that this node is stopping. */
+  getTimeLeftMs (): number | undefined {
+    const { clock, registration, getDrainMs } = this.context
+    if (!this.hasBegun || registration.leavingAt === undefined) return undefined
+    const sinceMs = clock.monotonic() - registration.leavingAt
+    return sinceMs < LEAVE_PROPAGATION_MS ? undefined : getDrainMs() - sinceMs
+  }
+
+  private async shutDown (): Promise<StopResult> {
+    const { clock, telemetry, state, registration, directory, countInFlight, stopTasks } = this.context
+    const drainMs = this.context.getDrainMs()
+    telemetry.recordStopping(countInFlight(), drainMs)
+    const sinceLeavingMs = clock.monotonic() - registration.startLeaving(countInFlight())
+    const completed = await drainPorts(this.context, Math.max(0, LEAVE_PROPAGATION_MS - sinceLeavingMs), drainMs)
+    stopTasks()
+    telemetry.log.log('change', 'node_stopped', { whole: completed, inFlight: countInFlight() })
+    if (state.localHost.listHeartbeats().length === 0) await Promise.race([directory.remove(state.identity.host), clock.sleep(REMOVE_WAIT_MS)])
+    return completed ? 'whole' : 'cut'
+  }
+}
+
 /** `propagationMs` is the rest of LEAVE_PROPAGATION_MS. Resolves to true if all requests ended in time, to false if the timeout passed first. */
 export async function drainPorts (ports: DrainedPorts, propagationMs: number, timeoutMs: number): Promise<boolean> {
   const ended = new AbortController()
--- a/src/node/start.ts
+++ b/src/node/start.ts
@@ -7,22 +7,20 @@
 import { makeFailure, SystemClock, SystemRandom } from '../core/index.js'
 import type { Announcement, Heartbeat, HeartbeatResult } from '../membership/index.js'
 import { ControlMeter, Dialer, MsgpackCodec, PeerClient, startPeerServer } from '../peer/index.js'
-import type { DrainRequest, DrainResponse, PeerHandlers } from '../peer/index.js'
 import {
-  CrashTracker, isConnectionRefused, LocalTargets, matchesSecret, serveCaller, serveInbound, verifyToken, TokenHttpClient, UndiciHttpClient,
+  CrashTracker, isConnectionRefused, LocalTargets, serveCaller, serveInbound, verifyToken, TokenHttpClient, UndiciHttpClient,
   writeFailure
 } from '../request/index.js'
 import type { CallerContext, HttpClient } from '../request/index.js'
 import { CountingObjectStore } from '../store/index.js'
-import { filterEvents } from '../timeline/index.js'
 import { applyConfiguration } from './commands/apply.js'
 import { LocalHostRegistration } from './commands/localhost.js'
+import { makePeerHandlers } from './handlers.js'
 import { startServer } from './http.js'
 import { HttpPort } from './port.js'
-import { makeStatus } from './queries/status.js'
 import type { NodeParts, RequestPolicies, StopResult } from './parts.js'
 import type { NodeTimeouts } from './settings.js'
-import { drainPorts, LEAVE_PROPAGATION_MS } from './shutdown.js'
+import { NodeShutdown } from './shutdown.js'
 import { NodeState } from './state.js'
 import { serveAdmin } from './tasks/admin.js'
 import { HostDirectory } from './tasks/directory.js'
@@ -40,8 +38,6 @@
 const INBOUND_HEADER_TIMEOUT_MS = 10_000
 /** Where a configuration came from that no peer sent. */
 const STORE = 'store'
-/** Maximum wait at shutdown until the local host's object is removed from the store. */
-const REMOVE_WAIT_MS = 200
 
 export class Node {
   readonly telemetry: NodeTelemetry
@@ -61,8 +57,8 @@
   private readonly callerPort: HttpPort
   private readonly inboundPort: HttpPort
   private readonly stopped = new AbortController()
+  private readonly shutdown: NodeShutdown
   private timeouts: NodeTimeouts
-  private stopping: Promise<StopResult> | undefined
 
   constructor (private readonly parts: NodeParts) {
     const { settings, access = {} } = parts
@@ -94,6 +90,18 @@
     const context = this.makeCallerContext()
     this.callerPort = new HttpPort(async (message, response) => { await serveCaller(context, message, response) })
     this.inboundPort = new HttpPort(async (message, response) => { await this.serveNode(context, message, response) })
+    this.shutdown = new NodeShutdown({
+      caller: this.callerPort,
+      inbound: this.inboundPort,
+      clock,
+      state,
+      telemetry,
+      registration: this.registration,
+      directory,
+      countInFlight: () => this.countInFlight(),
+      getDrainMs: () => this.timeouts.drainMs,
+      stopTasks: () => { this.stopped.abort() }
+    })
   }
 
   /** Resolves when the ports are open; the tasks run until the node stops. */
@@ -122,14 +130,17 @@
     await this.callerPort.listen(settings.caller)
     await this.inboundPort.listen(settings.inbound)
     this.inboundPort.setTimeouts(INBOUND_HEADER_TIMEOUT_MS, INBOUND_IDLE_TIMEOUT_MS)
-    await startPeerServer(settings.peer, this.meter.codec, this.makePeerHandlers(), access?.credentials?.server, [this.meter.serverInterceptor])
+    const handlers = makePeerHandlers({
+      state, telemetry, peers, operatorToken: access?.operatorToken, startLeaving: () => { this.registration.startLeaving(this.countInFlight()) }
+    })
+    await startPeerServer(settings.peer, this.meter.codec, handlers, access?.credentials?.server, [this.meter.serverInterceptor])
     const admin = { state, metrics: telemetry.metrics, countInFlight: () => this.countInFlight() }
     await startServer(settings.admin, async (message, response) => { await serveAdmin(admin, message, response) })
   }
 
   /** True if callers may send new requests to this host. */
   get isServing (): boolean {
-    return this.state.isReady && this.stopping === undefined
+    return this.state.isReady && !this.shutdown.hasBegun
   }
 
   get isLeaving (): boolean {
@@ -157,20 +168,7 @@
 
   /** Notifies the peers, stops accepting requests, and lets requests in flight end. Safe to call again. */
   async stop (): Promise<StopResult> {
-    this.stopping ??= this.shutDown()
-    return await this.stopping
-  }
-
-  private async shutDown (): Promise<StopResult> {
-    const { callerPort: caller, inboundPort: inbound, clock, telemetry, state } = this
-    const { drainMs } = this.timeouts
-    telemetry.recordStopping(this.countInFlight(), drainMs)
-    const sinceLeavingMs = clock.monotonic() - this.registration.startLeaving(this.countInFlight())
-    const completed = await drainPorts({ caller, inbound, clock }, Math.max(0, LEAVE_PROPAGATION_MS - sinceLeavingMs), drainMs)
-    this.stopped.abort()
-    telemetry.log.log('change', 'node_stopped', { whole: completed, inFlight: this.countInFlight() })
-    if (state.localHost.listHeartbeats().length === 0) await Promise.race([this.directory.remove(state.identity.host), clock.sleep(REMOVE_WAIT_MS)])
-    return completed ? 'whole' : 'cut'
+    return await this.shutdown.stop()
   }
 
   private handleUpdate (update: ConfigurationUpdate): void {
@@ -205,25 +203,6 @@
     else writeFailure(response, makeFailure('not-run', 403, 'bad_token', 'wrong or missing peer token'), '')
   }
 
-  private makePeerHandlers (): PeerHandlers {
-    return {
-      exchange: request => {
-        this.telemetry.recordExchange(request.host)
-        return this.peers.respond(request)
-      },
-      status: () => makeStatus(this.state),
-      timeline: ({ filter }) => ({ events: filterEvents(this.telemetry.eventRing.list(), filter) }),
-      drain: request => this.acceptDrain(request)
-    }
-  }
-
-  private acceptDrain ({ token }: DrainRequest): DrainResponse {
-    const expected = this.parts.access?.operatorToken
-    if (expected !== undefined && !matchesSecret(token, expected)) return { accepted: false, message: 'wrong or missing operator token' }
-    this.registration.startLeaving(this.countInFlight())
-    return { accepted: true, message: `${this.state.identity.host} gets no new work` }
-  }
-
   private makeCallerContext (): CallerContext {
     const { settings, adapter } = this.parts
     const { clock, random, state, telemetry, policies } = this
@@ -244,20 +223,12 @@
       getSnapshot: () => state.snapshotTable.current,
       isReady: () => state.isReady,
       ...requestBufferBytes === undefined ? {} : { requestBufferBytes },
-      getTimeToShutdownMs: () => this.getTimeToShutdownMs(),
+      getTimeToShutdownMs: () => this.shutdown.getTimeLeftMs(),
       onFailure: (call, failure) => { telemetry.recordFailedCall(call, failure) },
       onAttemptFailed: failed => { telemetry.logFailedAttempt(failed) }
     }
   }
 
-  /** Returns the rest of the drain timeout, or undefined until callers have had time to see that this node is stopping. */
-  private getTimeToShutdownMs (): number | undefined {
-    const { leavingAt } = this.registration
-    if (this.stopping === undefined || leavingAt === undefined) return undefined
-    const sinceMs = this.clock.monotonic() - leavingAt
-    return sinceMs < LEAVE_PROPAGATION_MS ? undefined : this.timeouts.drainMs - sinceMs
-  }
-
   private countInFlight (): number {
     return this.callerPort.inFlight.size + this.inboundPort.inFlight.size
   }
