--- a/src/node/state.ts
+++ b/src/node/state.ts
@@ -32,6 +32,7 @@
   hasSource = true
   private currentConfiguration: Configuration | undefined
   private hasHosts = false
+  private wasReady = false
 
   constructor (readonly identity: HostIdentity, clock: Clock) {
     this.localHost = new LocalHost(identity)
@@ -44,9 +45,8 @@
   }
 
   set configuration (configuration: Configuration | undefined) {
-    const wasReady = this.isReady
     this.currentConfiguration = configuration
-    if (!wasReady && this.isReady) this.readiness.emit('ready')
+    this.emitReadiness()
   }
 
   /** True once the hosts have been read from the store or from a peer. */
@@ -55,9 +55,8 @@
   }
 
   set knowsHosts (knowsHosts: boolean) {
-    const wasReady = this.isReady
     this.hasHosts = knowsHosts
-    if (!wasReady && this.isReady) this.readiness.emit('ready')
+    this.emitReadiness()
   }
 
   get version (): number {
@@ -76,4 +75,10 @@
   listPeers (): HostRecord[] {
     return [...this.members.list()].filter(({ host }) => host !== this.identity.host)
   }
+
+  private emitReadiness (): void {
+    if (this.wasReady || !this.isReady) return
+    this.wasReady = true
+    this.readiness.emit('ready')
+  }
 }
