Keep what the pickers hold for each target in one table

Both pickers had the same code to make an entry for a new target and to evict entries that are not used. The time after which an entry goes was the same, too. No change of behaviour.

--- a/src/request/delaypicker.ts
+++ b/src/request/delaypicker.ts
@@ -11,6 +11,7 @@
 import { Picker } from './picker.js'
 import type { AttemptOutcome, PickRequest } from './picker.js'
 import { SAMPLE_SHARE, TargetStats } from './stats.js'
+import { TargetTable, UNUSED_TARGET_MS } from './targettable.js'
 
 /**
  * Penalties for distance, in milliseconds of delay. They exceed the network delay, since bytes between zones and regions are billed, and
@@ -32,13 +33,11 @@
 const RATING_JITTER_SHARE = 0.15
 /** Weight of a new sample in the share of attempts that a service rejects. */
 const REJECTION_SAMPLE_SHARE = 0.1
-/** Statistics of a target without calls for this time are evicted. */
-const UNUSED_STATS_MS = 300_000
 
 const UNREACHABLE_CODES = new Set(['not_connected', 'leaving', 'no_target'])
 
 export class LeastDelayPicker extends Picker {
-  private readonly stats = new Map<string, TargetStats>()
+  private readonly stats = new TargetTable(() => new TargetStats(this.clock.monotonic()))
   private readonly averageServiceMs = new Map<string, number>()
   /** The share of the recent attempts that a service rejected. */
   private readonly rejectionShares = new Map<string, number>()
@@ -64,8 +63,8 @@
   private pickFrom (candidates: readonly Target[], { tried, needsFreeSlot, zones, bytes = 0 }: PickRequest): Target | undefined {
     const at = this.clock.monotonic()
     const untried = candidates.filter(target => !tried.has(target.id))
-    const reachable = untried.filter(target => !this.getStats(target, at).isUnreachable(at))
-    const available = reachable.filter(target => !this.getStats(target, at).isBackingOff(at))
+    const reachable = untried.filter(target => !this.stats.get(target).isUnreachable(at))
+    const available = reachable.filter(target => !this.stats.get(target).isBackingOff(at))
     const computePenalty = zones === 'any' ? (): number => 0 : (target: Target): number => this.computeDistancePenalty(target, bytes)
     if (needsFreeSlot) return this.pickBest(this.selectLikelyFree(available, at), at, computePenalty)
     return this.pickBest(available.length > 0 ? available : reachable.length > 0 ? reachable : untried, at, computePenalty)
@@ -73,13 +72,13 @@
 
   override beginAttempt (target: Target): void {
     const at = this.clock.monotonic()
-    this.getStats(target, at).countSend(at)
+    this.stats.get(target).countSend(at)
     this.evictUnused(at)
   }
 
   override endAttempt (target: Target, latencyMs: number | undefined, outcome: AttemptOutcome, code = ''): void {
     const at = this.clock.monotonic()
-    const stats = this.getStats(target, at)
+    const stats = this.stats.get(target)
     stats.inFlight -= 1
     if (outcome === 'cancelled') return
     if (outcome !== 'failed') this.recordRejectionShare(target, outcome === 'refused')
@@ -94,7 +93,7 @@
 
   override recordLoad (target: Target, load: TargetLoad): void {
     const at = this.clock.monotonic()
-    if (load.slots > 0) this.getStats(target, at).setLoad(at, load)
+    if (load.slots > 0) this.stats.get(target).setLoad(at, load)
   }
 
   /**
@@ -103,11 +102,11 @@
    * when all targets are full.
    */
   private selectLikelyFree (targets: readonly Target[], at: number): Target[] {
-    const free = targets.filter(target => this.getStats(target, at).hasFreeSlot(at))
+    const free = targets.filter(target => this.stats.get(target).hasFreeSlot(at))
     const [first] = targets
     if (free.length > 0 || first === undefined) return free
     if (this.random.next() < (this.rejectionShares.get(first.service) ?? 0)) return []
-    return targets.filter(target => !this.getStats(target, at).hasRecentLoad(at))
+    return targets.filter(target => !this.stats.get(target).hasRecentLoad(at))
   }
 
   private recordRejectionShare ({ service }: Target, isRejected: boolean): void {
@@ -120,7 +119,7 @@
     let lowest = Infinity
     for (const target of targets) {
       const averageMs = this.averageServiceMs.get(target.service) ?? DEFAULT_SERVICE_MS
-      const delayMs = this.getStats(target, at).computeDelay(at, target.slots, averageMs) + computePenalty(target)
+      const delayMs = this.stats.get(target).computeDelay(at, target.slots, averageMs) + computePenalty(target)
       const jitterShare = target.host === this.locality.host ? 0 : RATING_JITTER_SHARE * this.random.next()
       const rating = delayMs * (1 + jitterShare)
       if (rating >= lowest) continue
@@ -137,17 +136,9 @@
     return CROSS_REGION_PENALTY_MS + CROSS_REGION_PENALTY_MS_PER_KB * bytes / BYTES_PER_KB
   }
 
-  private getStats (target: Target, at: number): TargetStats {
-    const existing = this.stats.get(target.id)
-    if (existing !== undefined) return existing
-    const stats = new TargetStats(at)
-    this.stats.set(target.id, stats)
-    return stats
-  }
-
   private evictUnused (at: number): void {
-    if (at - this.evictedAt < UNUSED_STATS_MS) return
+    if (at - this.evictedAt < UNUSED_TARGET_MS) return
     this.evictedAt = at
-    for (const [id, stats] of this.stats) if (stats.inFlight === 0 && at - stats.usedAt > UNUSED_STATS_MS) this.stats.delete(id)
+    this.stats.evictUnused(at)
   }
 }
--- a/src/request/zonepicker.ts
+++ b/src/request/zonepicker.ts
@@ -8,6 +8,7 @@
 import { Picker } from './picker.js'
 import type { AttemptOutcome, PickRequest } from './picker.js'
 import { TargetScore } from './score.js'
+import { TargetTable } from './targettable.js'
 
 /** Largest share of the targets of a service that may be ejected at the same time. */
 const MAX_EJECTED_SHARE = 0.3
@@ -20,15 +21,13 @@
  * the slightly better score would get all calls of an idle tier.
  */
 const BETTER_SCORE_FACTOR = 0.8
-/** Scores of targets without calls for this time are evicted. */
-const UNUSED_SCORE_MS = 300_000
 
 interface ZoneLocality { zone: string, region: string }
 
 interface Tiers { near: ReadonlyArray<readonly Target[]>, any: ReadonlyArray<readonly Target[]> }
 
 export class ZoneAwarePicker extends Picker {
-  private readonly scores = new Map<string, TargetScore>()
+  private readonly scores = new TargetTable(() => new TargetScore(this.clock.monotonic()))
   /** Tiers of each list of targets. Lists are replaced, never changed, so each is split once. */
   private readonly tiers = new WeakMap<readonly Target[], Tiers>()
   private readonly targetsByService = new Map<string, readonly Target[]>()
@@ -44,7 +43,7 @@
     this.targetsByService.set(targets[0]?.service ?? '', targets)
     const ordered = zones === 'any' ? tiers.any : tiers.near
     const at = this.clock.monotonic()
-    const available = ordered.map(tier => tier.filter(target => !tried.has(target.id) && !this.getScore(target).isEjected(at)))
+    const available = ordered.map(tier => tier.filter(target => !tried.has(target.id) && !this.scores.get(target).isEjected(at)))
     const free = available.find(tier => tier.some(target => this.hasCapacity(target, at)))
     if (free !== undefined) return this.pickBetterOfTwo(free.filter(target => this.hasCapacity(target, at)), at)
     const full = available.find(tier => tier.length > 0)
@@ -55,13 +54,13 @@
   }
 
   override beginAttempt (target: Target): void {
-    const score = this.getScore(target)
+    const score = this.scores.get(target)
     score.inFlight += 1
     score.usedAt = this.clock.monotonic()
   }
 
   override endAttempt (target: Target, latencyMs: number | undefined, outcome: AttemptOutcome): void {
-    const score = this.getScore(target)
+    const score = this.scores.get(target)
     const at = this.clock.monotonic()
     const averageMs = this.getAverageLatency(target.service)
     score.inFlight -= 1
@@ -70,7 +69,7 @@
   }
 
   countEjected (targets: readonly Target[], at = this.clock.monotonic()): number {
-    return targets.filter(target => this.scores.get(target.id)?.isEjected(at) === true).length
+    return targets.filter(target => this.scores.find(target)?.isEjected(at) === true).length
   }
 
   private isEjectable ({ service, id }: Target, at: number): boolean {
@@ -80,7 +79,7 @@
 
   /** An estimate from this node's requests only. The exact number of used slots is known to the node of the target's host. */
   private hasCapacity (target: Target, at: number): boolean {
-    const score = this.getScore(target)
+    const score = this.scores.get(target)
     return score.inFlight < target.slots && !score.isBackingOff(at)
   }
 
@@ -93,7 +92,7 @@
   }
 
   private computeScore (target: Target, at: number): number {
-    return this.getScore(target).computeScore(at, this.getAverageLatency(target.service))
+    return this.scores.get(target).computeScore(at, this.getAverageLatency(target.service))
   }
 
   private getTiers (targets: readonly Target[]): Tiers {
@@ -101,18 +100,14 @@
     if (existing !== undefined) return existing
     const tiers = this.splitTiers(targets)
     this.tiers.set(targets, tiers)
-    this.evictUnused(this.clock.monotonic())
+    this.scores.evictUnused(this.clock.monotonic())
     return tiers
   }
 
-  private evictUnused (at: number): void {
-    for (const [id, score] of this.scores) if (score.inFlight === 0 && at - score.usedAt > UNUSED_SCORE_MS) this.scores.delete(id)
-  }
-
   private splitTiers (targets: readonly Target[]): Tiers {
     const usable = selectUsable(targets)
     const now = this.clock.monotonic()
-    for (const target of targets) if (target.state !== 'ready') this.getScore(target).readySince = now
+    for (const target of targets) if (target.state !== 'ready') this.scores.get(target).readySince = now
     return {
       near: [
         usable.filter(target => target.zone === this.locality.zone),
@@ -123,14 +118,6 @@
     }
   }
 
-  private getScore (target: Target): TargetScore {
-    const existing = this.scores.get(target.id)
-    if (existing !== undefined) return existing
-    const score = new TargetScore(this.clock.monotonic())
-    this.scores.set(target.id, score)
-    return score
-  }
-
   private getAverageLatency (service: string): number {
     return this.averageLatencyMs.get(service) ?? DEFAULT_LATENCY_MS
   }
