Check the expected version of an edit and of a deletion in one place

Both commands had the same fields of a request, made the same context, and compared the expected version with the one read in the same way.

--- a/src/document/commands/accept.ts
+++ b/src/document/commands/accept.ts
@@ -17,6 +17,13 @@
 
 export type EditContent = Pick<Edit, 'editId' | 'author' | 'document' | 'deleted'>
 
+/** Reads the state that an edit replaces. Returns a conflict if it is not the expected version. */
+export async function readBase (context: EditContext, service: string, expected: number | undefined): Promise<Result<ServiceState, Fault>> {
+  const base = await readState(context, service)
+  if (base.err || expected === undefined || expected === base.val.version) return base
+  return Err(makeConflictFault({ service, version: expected }, base.val.version))
+}
+
 export async function acceptEdit (context: EditContext, base: ServiceState, content: EditContent): Promise<Result<AcceptedEdit, Fault>> {
   const { service } = base
   const edit: Edit = { ...content, acceptedAt: context.clock.now(), earlierEdits: listEarlierEdits(base) }
--- a/src/document/commands/apply.ts
+++ b/src/document/commands/apply.ts
@@ -3,17 +3,17 @@
  * releases the references that it no longer has and adds it to the history.
  */
 import { v7 as makeUuid } from 'uuid'
-import { Err, SystemRandom } from '../../core/index.js'
-import type { Clock, Fault, Random, Result } from '../../core/index.js'
+import { Err } from '../../core/index.js'
+import type { Clock, Fault, Result } from '../../core/index.js'
 import type { ObjectStore } from '../../store/index.js'
-import { waitBeforeRetry } from '../context.js'
-import type { EditContext } from '../context.js'
+import { makeEditContext, waitBeforeRetry } from '../context.js'
+import type { EditContext, EditRequest } from '../context.js'
 import { findReferences, readState } from '../queries/read.js'
 import type { ServiceState } from '../queries/read.js'
 import { listReferences } from '../queries/references.js'
 import type { Document } from '../schema.js'
 import type { PastEdit } from '../stored.js'
-import { acceptEdit, makeConflictFault } from './accept.js'
+import { acceptEdit, readBase } from './accept.js'
 import type { AcceptedEdit, EditContent } from './accept.js'
 import { updateHistory } from './keep.js'
 import { makeContentionFault, recordReference, releaseReference } from './refer.js'
@@ -21,23 +21,13 @@
 /** An edit that conflicts only with fences is retried on the version of the fence, which has the same content. */
 const MAX_ATTEMPTS = 8
 
-export interface ApplyRequest {
-  document: Document
-  author: string
-  /** The version to replace, 0 for a new service. Absent: the current version. */
-  expected?: number
-  /** For the jitter between attempts. */
-  random?: Random
-}
+export interface ApplyRequest extends EditRequest { document: Document }
 
 export async function applyDocument (store: ObjectStore, clock: Clock, request: ApplyRequest): Promise<Result<AcceptedEdit, Fault>> {
-  const context: EditContext = { store, clock, random: request.random ?? new SystemRandom() }
+  const context = makeEditContext(store, clock, request)
   const { document, author, expected } = request
-  const base = await readState(context, document.service)
+  const base = await readBase(context, document.service, expected)
   if (base.err) return base
-  if (expected !== undefined && expected !== base.val.version) {
-    return Err(makeConflictFault({ service: document.service, version: expected }, base.val.version))
-  }
   const content = { editId: makeUuid(), author, document, deleted: false }
   return await applyOnBase(context, base.val, document, content)
 }
--- a/src/document/commands/remove.ts
+++ b/src/document/commands/remove.ts
@@ -4,36 +4,28 @@
  * no other edit: an edit that finds the mark fences the service, and another deletion continues from it.
  */
 import { v7 as makeUuid } from 'uuid'
-import { Err, SystemRandom, makeFault } from '../../core/index.js'
-import type { Clock, Fault, Random, Result } from '../../core/index.js'
+import { Err, makeFault } from '../../core/index.js'
+import type { Clock, Fault, Result } from '../../core/index.js'
 import type { ObjectStore } from '../../store/index.js'
-import { waitBeforeRetry } from '../context.js'
-import type { EditContext } from '../context.js'
+import { makeEditContext, waitBeforeRetry } from '../context.js'
+import type { EditContext, EditRequest } from '../context.js'
 import { readState } from '../queries/read.js'
 import type { ServiceState } from '../queries/read.js'
-import { acceptEdit, makeConflictFault } from './accept.js'
+import { acceptEdit, makeConflictFault, readBase } from './accept.js'
 import type { AcceptedEdit, EditContent } from './accept.js'
 import { finishEdit, isOnlyFenced } from './apply.js'
 import { makeContentionFault, markClosing } from './refer.js'
 
 const MAX_ATTEMPTS = 32
 
-export interface RemoveRequest {
-  service: string
-  author: string
-  /** The version to delete. Absent: the current version. */
-  expected?: number
-  /** For the jitter between attempts. */
-  random?: Random
-}
+export interface RemoveRequest extends EditRequest { service: string }
 
 export async function removeDocument (store: ObjectStore, clock: Clock, request: RemoveRequest): Promise<Result<AcceptedEdit, Fault>> {
-  const context: EditContext = { store, clock, random: request.random ?? new SystemRandom() }
+  const context = makeEditContext(store, clock, request)
   const { service, author, expected } = request
   const content: EditContent = { editId: makeUuid(), author, deleted: true }
-  const initial = await readState(context, service)
+  const initial = await readBase(context, service, expected)
   if (initial.err) return initial
-  if (expected !== undefined && expected !== initial.val.version) return Err(makeConflictFault({ service, version: expected }, initial.val.version))
   let base = initial.val
   for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt += 1) {
     if (base.version === 0 || base.edit?.deleted === true) return Err(makeFault('missing', `there is no service ${service}`))
--- a/src/document/context.ts
+++ b/src/document/context.ts
@@ -2,12 +2,21 @@
  * The dependencies of the commands on documents, and store operations that are retried while the
  * platform does not respond or limits the request rate.
  */
-import { Err, computeBackoff, makeFault } from '../core/index.js'
+import { Err, SystemRandom, computeBackoff, makeFault } from '../core/index.js'
 import type { Clock, Fault, Random, Result } from '../core/index.js'
 import type { ObjectStore, StoreFault, Write } from '../store/index.js'
 
 export interface EditContext { store: ObjectStore, clock: Clock, random: Random }
 
+/** What a request for any edit of a service has. */
+export interface EditRequest {
+  author: string
+  /** The version to replace or delete, 0 for a new service. Absent: the current version. */
+  expected?: number
+  /** For the jitter between attempts. */
+  random?: Random
+}
+
 const MAX_STORE_ATTEMPTS = 5
 const RETRY_BACKOFF = { baseMs: 100, maxMs: 2_000 }
 
@@ -16,6 +25,10 @@
 /** `outcomeUnknown`: an attempt of the same write had no response, so the fault may be the result of that attempt. */
 export type WriteFault = StoreFault & { outcomeUnknown: boolean }
 
+export function makeEditContext (store: ObjectStore, clock: Clock, { random = new SystemRandom() }: EditRequest): EditContext {
+  return { store, clock, random }
+}
+
 export async function attemptRead<T> (context: EditContext, read: () => Promise<Result<T, StoreFault>>): Promise<Result<T, Fault>> {
   for (let attempt = 0; ; attempt += 1) {
     const result = await read()
