--- a/src/document/queries/references.ts
+++ b/src/document/queries/references.ts
@@ -1,7 +1,7 @@
 /**
  * The other services that a document refers to, by its routes and by `needs`.
  */
-import { makeFault } from '../../core/index.js'
+import { getOrMake, makeFault } from '../../core/index.js'
 import type { Fault } from '../../core/index.js'
 import type { Document } from '../schema.js'
 
@@ -9,11 +9,7 @@
 const references = new WeakMap<Document, readonly string[]>()
 
 export function listReferences (document: Document): readonly string[] {
-  const existing = references.get(document)
-  if (existing !== undefined) return existing
-  const collected = collectReferences(document)
-  references.set(document, collected)
-  return collected
+  return getOrMake(references, document, () => collectReferences(document))
 }
 
 function collectReferences (document: Document): string[] {
--- a/src/membership/digest.ts
+++ b/src/membership/digest.ts
@@ -5,7 +5,7 @@
  * takes two operations.
  */
 import { createHash } from 'node:crypto'
-import { formatCanonicalJson } from '../core/index.js'
+import { formatCanonicalJson, getOrMake } from '../core/index.js'
 import type { HostRecord } from './schema.js'
 
 /** In a zone of 2,636 hosts, about ten records share a bucket. The bucket digests of a zone take 1 KiB. */
@@ -73,11 +73,7 @@
   }
 
   private getOrCreateZone (zone: string): ZoneDigest {
-    const existing = this.zones.get(zone)
-    if (existing !== undefined) return existing
-    const digest = new ZoneDigest()
-    this.zones.set(zone, digest)
-    return digest
+    return getOrMake(this.zones, zone, () => new ZoneDigest())
   }
 }
 
--- a/src/request/candidates.ts
+++ b/src/request/candidates.ts
@@ -3,6 +3,7 @@
  * all of them would cost every call more the larger the fleet is. The near targets are compared each time, the farther ones by a random
  * sample, of which the best is close to the best of all.
  */
+import { getOrMake } from '../core/index.js'
 import type { Random } from '../core/index.js'
 import { selectUsable } from '../membership/index.js'
 import type { Target } from '../membership/index.js'
@@ -54,11 +55,7 @@
   }
 
   private getGroups (targets: readonly Target[]): TargetGroups {
-    const existing = this.groups.get(targets)
-    if (existing !== undefined) return existing
-    const groups = this.makeGroups(selectUsable(targets))
-    this.groups.set(targets, groups)
-    return groups
+    return getOrMake(this.groups, targets, () => this.makeGroups(selectUsable(targets)))
   }
 
   private makeGroups (all: readonly Target[]): TargetGroups {
--- a/src/request/queries/route.ts
+++ b/src/request/queries/route.ts
@@ -1,7 +1,7 @@
 /**
  * Resolves the route and the document for a call, and the targets that may serve it, all from one snapshot.
  */
-import { Err, Ok, makeFailure } from '../../core/index.js'
+import { Err, Ok, getOrMake, makeFailure } from '../../core/index.js'
 import type { Failure, Random, Result } from '../../core/index.js'
 import type { Destination, Document, Route } from '../../document/index.js'
 import type { Target } from '../../membership/index.js'
@@ -44,13 +44,8 @@
 function selectByLabels (targets: readonly Target[], labels: Labels = {}): readonly Target[] {
   const required = Object.entries(labels)
   if (required.length === 0) return targets
-  const byLabels = selections.get(targets) ?? new WeakMap<Labels, readonly Target[]>()
-  selections.set(targets, byLabels)
-  const existing = byLabels.get(labels)
-  if (existing !== undefined) return existing
-  const selected = targets.filter(target => required.every(([label, value]) => target.labels[label] === value))
-  byLabels.set(labels, selected)
-  return selected
+  const byLabels = getOrMake(selections, targets, () => new WeakMap<Labels, readonly Target[]>())
+  return getOrMake(byLabels, labels, () => targets.filter(target => required.every(([label, value]) => target.labels[label] === value)))
 }
 
 /** Returns the route with the longest path that matches whole segments. */
--- a/src/request/retry.ts
+++ b/src/request/retry.ts
@@ -2,7 +2,7 @@
  * Decides whether another attempt follows a failed one.
  */
 import type { Clock, Failure, Random } from '../core/index.js'
-import { computeBackoff } from '../core/index.js'
+import { computeBackoff, getOrMake } from '../core/index.js'
 import type { Retries, RouteKind } from '../document/index.js'
 
 export interface RetryContext {
@@ -92,11 +92,7 @@
   }
 
   private getBudget (service: string): RetryBudget {
-    const existing = this.budgets.get(service)
-    if (existing !== undefined) return existing
-    const budget = new RetryBudget()
-    this.budgets.set(service, budget)
-    return budget
+    return getOrMake(this.budgets, service, () => new RetryBudget())
   }
 }
 
--- a/src/request/targettable.ts
+++ b/src/request/targettable.ts
@@ -1,6 +1,7 @@
 /**
  * What a picker holds for each target, from its first use until the target has had no call for a long time.
  */
+import { getOrMake } from '../core/index.js'
 import type { Target } from '../membership/index.js'
 
 /** `usedAt` is the time of the last call on the monotonic clock. */
@@ -15,11 +16,7 @@
   constructor (private readonly make: () => T) {}
 
   get ({ id }: Target): T {
-    const existing = this.entries.get(id)
-    if (existing !== undefined) return existing
-    const made = this.make()
-    this.entries.set(id, made)
-    return made
+    return getOrMake(this.entries, id, this.make)
   }
 
   find ({ id }: Target): T | undefined {
