--- a/src/node/state.ts
+++ b/src/node/state.ts
@@ -25,19 +25,17 @@
   readonly recordUpdates = new Emitter<RecordUpdate>()
   /** Records of the local host from the store or a peer that supersede the newest local record. */
   readonly supersedingRecords = new Emitter<HostRecord>()
+  /** Emits once, when callers may be served for the first time. */
+  readonly readiness = new Emitter<'ready'>()
   configuration: Configuration | undefined
   readonly history = new ConfigurationHistory()
   /** The newest version that a peer has reported. */
   newestSeenVersion = 0
   /** True once the hosts have been read from the store or from a peer. */
   knowsHosts = false
-  /**
-   * True once the version in force has been compared with the versions of some peers. A store that was restored from an older copy may
-   * return an older version to a starting node than its peers have in force.
-   */
-  hasComparedVersion = false
   /** True while the source of the configuration responds to this node. */
   hasSource = true
+  private hasComparedVersion = false
 
   constructor (readonly identity: HostIdentity, clock: Clock) {
     this.localHost = new LocalHost(identity)
@@ -58,12 +56,22 @@
     return this.configuration?.refused ?? []
   }
 
-  /** True if callers may be served, which needs a version that is the newest known to the store and the peers. */
+  /** True if callers may be served: this node knows the hosts, and a version that it has compared with those of some peers. */
   get isReady (): boolean {
-    return this.configuration !== undefined && this.knowsHosts && this.hasComparedVersion
+    return this.hasComparedVersion
   }
 
   listPeers (): HostRecord[] {
     return [...this.members.list()].filter(({ host }) => host !== this.identity.host)
   }
+
+  /**
+   * Called once the hosts and a version are known and the version has been compared with those of some peers. A store that was restored
+   * from an older copy may return an older version to a starting node than its peers have in force.
+   */
+  markCompared (): void {
+    if (this.hasComparedVersion) return
+    this.hasComparedVersion = true
+    this.readiness.emit('ready')
+  }
 }
--- a/src/node/tasks/peers.ts
+++ b/src/node/tasks/peers.ts
@@ -76,7 +76,7 @@
     const peers = selectNotifiedPeers(state.listPeers(), state.identity.zone, 'some', random).slice(0, COMPARED_PEERS)
     const compared = Promise.all(peers.map(async peer => { await this.exchange(peer, EMPTY_PAYLOAD) }))
     await Promise.race([compared, clock.sleep(COMPARISON_TIMEOUT_MS)])
-    state.hasComparedVersion = true
+    state.markCompared()
   }
 
   /** Handles the exchange request of a peer and returns the response. */
@@ -210,8 +210,8 @@
 
   /** A node that follows the store gets new versions from there, unless it stays behind. */
   private get wantsConfiguration (): boolean {
-    const { hasSource, hasComparedVersion, configuration, version } = this.context.state
-    return !hasSource || !this.isReader || configuration === undefined || !hasComparedVersion || this.lag.isBehind(version)
+    const { hasSource, isReady, version } = this.context.state
+    return !hasSource || !this.isReader || !isReady || this.lag.isBehind(version)
   }
 
   private receiveConfiguration (peer: HostRecord, { configuration, configurationChange }: ExchangeResponse): void {
