--- a/src/node/tasks/configuration.ts
+++ b/src/node/tasks/configuration.ts
@@ -36,82 +36,103 @@
 /** A copy that serves stale reads may be this far behind, so for this time after a restore it may still contain what the store lost. */
 const MAX_STALENESS_MS = 10_000
 
+type SourceStep = { updates: ConfigurationUpdate[], position: StorePosition, fault?: undefined } | { fault: StoreFault }
+
 export async function followConfiguration (context: ConfigurationContext, signal: AbortSignal): Promise<void> {
-  const { source, clock, random, log } = context
-  let failures = 0
-  let position: StorePosition | undefined
-  let mustRead = true
-  let restoredAt = -Infinity
-  let hadUpdate = false
-  let isAfterPause = false
-  while (!signal.aborted) {
-    const startedAt = clock.monotonic()
-    const start = position === undefined || mustRead ? undefined : findWatchStart(position, context.getKnownPosition())
-    const freshness = startedAt - restoredAt < MAX_STALENESS_MS ? 'current' : 'stale'
-    const step: SourceStep = start === undefined
-      ? await readOnce(source)
-      : await awaitChange(context, { from: start, freshness, isAfterPause }, signal)
-    if (signal.aborted) return
-    if (step.fault !== undefined) {
-      failures += 1
-      isAfterPause = true
-      if (failures === 1) {
-        log.log('change', 'store_lost', { code: step.fault.code, reason: step.fault.message })
-        context.onSourceState(false)
-      }
-      mustRead ||= READ_AGAIN_CODES.has(step.fault.code)
-      await clock.sleep(computeBackoff(failures, BACKOFF, random), signal)
-      continue
-    }
-    if (failures > 0) {
-      log.log('change', 'store_back', { failures })
-      context.onSourceState(true)
+  await new ConfigurationFollower(context).run(signal)
+}
+
+class ConfigurationFollower {
+  private position: StorePosition | undefined
+  private mustRead = true
+  /** True if no call was waiting at the source until now, so the store may have been restored unnoticed. */
+  private isAfterPause = false
+  private restoredAt = -Infinity
+  private failures = 0
+  private hadUpdate = false
+
+  constructor (private readonly context: ConfigurationContext) {}
+
+  async run (signal: AbortSignal): Promise<void> {
+    const { clock } = this.context
+    while (!signal.aborted) {
+      const startedAt = clock.monotonic()
+      const step = await this.fetchStep(signal)
+      if (signal.aborted) return
+      const pauseMs = step.fault === undefined ? this.acceptStep(step, clock.monotonic() - startedAt) : this.handleFault(step.fault)
+      if (pauseMs > 0) await clock.sleep(pauseMs, signal)
     }
-    failures = 0
-    step.updates.forEach(context.onUpdate)
-    if (position !== undefined && step.position.epoch > position.epoch) {
-      restoredAt = clock.monotonic()
-      logRestore(log, position, step.position)
+  }
+
+  private async fetchStep (signal: AbortSignal): Promise<SourceStep> {
+    const { source, getKnownPosition } = this.context
+    const start = this.position === undefined || this.mustRead ? undefined : findWatchStart(this.position, getKnownPosition())
+    if (start !== undefined) return await this.awaitChange(start, signal)
+    const read = await source.read()
+    return read.ok ? { updates: [read.val.update], position: read.val.position } : { fault: read.val }
+  }
+
+  /** A watch shows only at its end that the store was restored before it began, so after a pause a call that returns at once comes first. */
+  private async awaitChange (from: StorePosition, signal: AbortSignal): Promise<SourceStep> {
+    const { source, clock, random, isReader } = this.context
+    const isWatching = isReader()
+    if (!isWatching) await clock.sleep(POLL_INTERVAL_MS * (0.5 + random.next()), signal)
+    const changed = isWatching && !this.isAfterPause
+      ? await source.watch(from, signal)
+      : await source.poll(from, isWatching ? 'current' : this.freshness, signal)
+    return changed.ok ? changed.val : { fault: changed.val }
+  }
+
+  private get freshness (): Freshness {
+    return this.context.clock.monotonic() - this.restoredAt < MAX_STALENESS_MS ? 'current' : 'stale'
+  }
+
+  /** Returns the time until the next call. */
+  private handleFault ({ code, message }: StoreFault): number {
+    const { log, random, onSourceState } = this.context
+    this.failures += 1
+    this.isAfterPause = true
+    this.mustRead ||= READ_AGAIN_CODES.has(code)
+    if (this.failures === 1) {
+      log.log('change', 'store_lost', { code, reason: message })
+      onSourceState(false)
     }
-    position = step.position
-    mustRead = false
-    const waitedMs = clock.monotonic() - startedAt
-    const isBurst = hadUpdate && waitedMs < BURST_INTERVAL_MS
-    hadUpdate = step.updates.length > 0
-    isAfterPause = hadUpdate
-    if (hadUpdate) await clock.sleep(isBurst ? BURST_BATCH_DELAY_MS : BATCH_DELAY_MS, signal)
-    else if (waitedMs < MIN_WATCH_MS) await clock.sleep(computeBackoff(1, BACKOFF, random), signal)
+    return computeBackoff(this.failures, BACKOFF, random)
   }
-}
 
-type SourceStep = { updates: ConfigurationUpdate[], position: StorePosition, fault?: undefined } | { fault: StoreFault }
+  /** Returns the time until the next call. */
+  private acceptStep ({ updates, position }: Extract<SourceStep, { fault?: undefined }>, waitedMs: number): number {
+    this.endFailures()
+    updates.forEach(this.context.onUpdate)
+    this.advancePosition(position)
+    const isBurst = this.hadUpdate && waitedMs < BURST_INTERVAL_MS
+    this.hadUpdate = updates.length > 0
+    this.isAfterPause = this.hadUpdate
+    if (this.hadUpdate) return isBurst ? BURST_BATCH_DELAY_MS : BATCH_DELAY_MS
+    return waitedMs < MIN_WATCH_MS ? computeBackoff(1, BACKOFF, this.context.random) : 0
+  }
+
+  private endFailures (): void {
+    const { log, onSourceState } = this.context
+    if (this.failures === 0) return
+    log.log('change', 'store_back', { failures: this.failures })
+    onSourceState(true)
+    this.failures = 0
+  }
+
+  private advancePosition (position: StorePosition): void {
+    const { clock, log } = this.context
+    const previous = this.position
+    this.position = position
+    this.mustRead = false
+    if (previous === undefined || position.epoch <= previous.epoch) return
+    this.restoredAt = clock.monotonic()
+    log.log('change', 'store_restored', { ...position, previousEpoch: previous.epoch, previousRevision: previous.revision })
+  }
+}
 
 /** Returns undefined if the version in force is of a later epoch: a peer knows of a restore after which this node has not read the store. */
 function findWatchStart (position: StorePosition, inForce: StorePosition = position): StorePosition | undefined {
   if (inForce.epoch > position.epoch) return undefined
   return comparePositions(inForce, position) > 0 ? inForce : position
 }
-
-function logRestore (log: StructuredLog, previous: StorePosition, { epoch, revision }: StorePosition): void {
-  log.log('change', 'store_restored', { epoch, revision, previousEpoch: previous.epoch, previousRevision: previous.revision })
-}
-
-async function readOnce (source: ConfigurationSource): Promise<SourceStep> {
-  const read = await source.read()
-  return read.ok ? { updates: [read.val.update], position: read.val.position } : { fault: read.val }
-}
-
-/** `isAfterPause`: no call was waiting at the store, so it may have been restored unnoticed. */
-interface ChangeQuery { from: StorePosition, freshness: Freshness, isAfterPause: boolean }
-
-/** A watch shows only at its end that the store was restored before it began, so a call that returns at once comes first. */
-async function awaitChange (
-  { source, clock, random, isReader }: ConfigurationContext, { from, freshness, isAfterPause }: ChangeQuery, signal: AbortSignal
-): Promise<SourceStep> {
-  const isWatching = isReader()
-  if (!isWatching) await clock.sleep(POLL_INTERVAL_MS * (0.5 + random.next()), signal)
-  const changed = isWatching && !isAfterPause
-    ? await source.watch(from, signal)
-    : await source.poll(from, isWatching ? 'current' : freshness, signal)
-  return changed.ok ? changed.val : { fault: changed.val }
-}
