Serve requests with OPTIONS and TRACE on the platform

Callers got 404 for these methods, though a route of the platform is selected by host and path alone. Two of the eight new cases in tests/platform/configuration.test.ts failed before. Methods beyond those of HTTP itself, such as PROPFIND, still have no route.

--- a/src/document/schema.ts
+++ b/src/document/schema.ts
@@ -47,7 +47,7 @@
 export type RouteClass = z.infer<typeof routeClassSchema>
 
 export const routeSchema = z.strictObject({
-  methods: z.array(z.enum(['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE'])).min(1),
+  methods: z.array(z.enum(['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS', 'TRACE'])).min(1),
   /** The name in the `Host` header by which callers reach the route. Absent: callers name the service. */
   host: z.string().min(1).max(253).optional(),
   path: pathSchema,
--- a/tests/platform/configuration.test.ts
+++ b/tests/platform/configuration.test.ts
@@ -71,6 +71,13 @@
   expect(resolve(state, '/read/a', 'unknown.example')).toBe('no_route')
 })
 
+test.each(['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS', 'TRACE'])('a request with the method %s has a route', method => {
+  const state = makeState()
+  applyConfiguration(state, convert(1, [{}]))
+  const call = { request: '1', service: '', host: 'shop.example', method, path: '/read/a', hops: 0, noRetry: false, hasBody: false }
+  expect(resolveRoute(state.snapshotTable.current, call, new SeededRandom(1)).ok).toBe(true)
+})
+
 test('a version replaces the previous version completely, and an older version changes nothing', () => {
   const state = makeState()
   expect(applyConfiguration(state, convert(5, [{}, { pathPrefix: '/old/' }]))).toBeDefined()
