End a response that is reset while its reader is slow at once

Callers with a slow connection that received a response of more than 64 KiB got no more bytes and no end when the target reset its connection: the connection of the caller, the slot and the attempt stayed until the deadline. Each time two unexpected errors reached the handler of last resort of the process.

Cause: undici treats an error with the code ECONNRESET as the possible end of a response with `connection: close`, and calls `Parser.finish`, which asserts that the parser is not paused. A stream whose buffer is full pauses it. The assertion throws in the listener of `error`, so `close` is never emitted and the exchange never ends. A response that ends without a reset is not concerned: `end` is emitted only once all data has been read.

The socket now passes a reset on with another code, so undici ends the exchange with that error and does not call `finish`. `errno` stays, by which the connector tells errors of the connection from those of undici.

--- a/src/request/connector.ts
+++ b/src/request/connector.ts
@@ -8,6 +8,7 @@
 
 /** Servers ignore an empty line before a request. */
 const EMPTY_LINE = '\r\n'
+const RESET_CODE = 'ECONNRESET'
 
 /** `isReset`: the connection failed. `isCloseDelimited`: the response that is being received ends with its connection. */
 export interface ConnectionState { isReset: boolean, isCloseDelimited: boolean }
@@ -28,6 +29,14 @@
     })
     return false
   }
+
+  /**
+   * Undici handles the code ECONNRESET as the possible end of a response on a connection that is not kept, and asserts then that its
+   * parser is not paused. While a slow caller pauses the parser, that throws in the event handler and the response never ends.
+   */
+  override _destroy (error: NodeJS.ErrnoException | null, callback: (error?: Error | null) => void): void {
+    super._destroy(error?.code === RESET_CODE ? makeResetError(error) : error, callback)
+  }
 }
 
 /** `state` is set before undici handles the same event, since undici adds its listeners later. */
@@ -52,6 +61,11 @@
   }
 }
 
+/** Keeps `errno`, by which errors of the connection differ from those of undici. */
+function makeResetError (error: NodeJS.ErrnoException): Error {
+  return Object.assign(new Error(error.message, { cause: error }), { code: 'UND_ERR_SOCKET', errno: error.errno })
+}
+
 function makeTimeoutError (host: string, port: string): Error {
   return Object.assign(new Error(`no connection to ${host}:${port} in time`), { code: 'UND_ERR_CONNECT_TIMEOUT' })
 }
