Fail a request to a text that is no address as not run

When another writer had stored a host record whose inbound address had a port out of range, such as 127.0.0.1:70000, callers whose request was sent to its target got a reset connection without a response, also for requests that may not be repeated, although no byte had been sent. A record with an empty peer address ended the task that compares state with peers, again and again.

Cause: undici and gRPC throw when a client is made for a text that is no address. The error left `send` and ended the handler of the request, and the connection of the caller with it; in the task it left `exchange`.

Both clients now return the failure like one of a connection that cannot be opened: the request has not run and another target is tried, and the peer counts as unreachable.

--- a/src/peer/client.ts
+++ b/src/peer/client.ts
@@ -86,7 +86,12 @@
         this.closeClient(address)
         resolve(Err(makeFault('unreachable', `${address}: ${describeError(error)}`)))
       }
-      this.getClient(address).makeUnaryRequest(method.path, method.requestSerialize, method.responseDeserialize, request, { deadline }, settle)
+      try {
+        this.getClient(address).makeUnaryRequest(method.path, method.requestSerialize, method.responseDeserialize, request, { deadline }, settle)
+      } catch (error) {
+        // gRPC throws for a text that is no address.
+        settle(error)
+      }
     })
   }
 }
--- a/src/request/exchange.ts
+++ b/src/request/exchange.ts
@@ -31,8 +31,9 @@
 
   override async send (outgoing: OutgoingRequest): Promise<Result<TargetResponse, Failure>> {
     const pool = this.getPool(outgoing.address)
-    const connection = await pool.acquire(outgoing.headers[HEADERS.key] !== undefined, outgoing.signal)
-    if (connection === undefined) return Err(convertFailure({ kind: 'broken', error: outgoing.signal.reason, isStarted: false, hasHead: false }, outgoing))
+    const acquired = await acquireConnection(pool, outgoing)
+    if (acquired.err) return Err(convertFailure(acquired.val, outgoing))
+    const connection = acquired.val
     const handler = new ExchangeHandler(
       outgoing, isComplete => { endExchange(pool, connection, outgoing.signal, isComplete) }, connection.state
     )
@@ -59,6 +60,20 @@
   }
 }
 
+/** Undici throws when it makes a connection to a text that is no address. */
+async function acquireConnection (pool: ConnectionPool, { headers, signal }: OutgoingRequest): Promise<Result<Connection, ExchangeFailure>> {
+  try {
+    const connection = await pool.acquire(headers[HEADERS.key] !== undefined, signal)
+    return connection === undefined ? Err(makeUnsentFailure(signal.reason)) : Ok(connection)
+  } catch (error) {
+    return Err(makeUnsentFailure(error))
+  }
+}
+
+function makeUnsentFailure (error: unknown): ExchangeFailure {
+  return { kind: 'broken', error, isStarted: false, hasHead: false }
+}
+
 /** After a timeout, the idle connections to the same address are closed as well, since they may be unresponsive for the same reason. */
 function endExchange (pool: ConnectionPool, connection: Connection, signal: AbortSignal, isComplete: boolean): void {
   pool.release(connection, isComplete)
