--- a/tests/platform/configuration.test.ts
+++ b/tests/platform/configuration.test.ts
@@ -125,3 +125,19 @@
   if (first === undefined || second === undefined || third === undefined) throw new Error('three versions are expected')
   expect(applyChange(first, deriveChange(second, third))).toBeUndefined()
 })
+
+test.each([
+  ['an array', '['.repeat(100_000) + ']'.repeat(100_000)], ['an object', '{"a":'.repeat(100_000) + '1' + '}'.repeat(100_000)]
+])('a row of the configuration with %s that is nested deeply is reported, and the next version is read', (_name, text) => {
+  const parser = new ConfigurationParser()
+  const deep = JSON.parse(JSON.stringify(makePlatformConfiguration(2)).replace('"800ms"', () => text)) as unknown
+  expect(parser.parse(deep).err).toBe(true)
+  expect(parser.parse(makePlatformConfiguration(3)).ok).toBe(true)
+})
+
+test('a row of the configuration with a value in an unknown column, however deep, counts without it', () => {
+  const configuration = makePlatformConfiguration(2) as { routes: { columns: string[], rows: unknown[][] } }
+  configuration.routes.columns.push('later')
+  configuration.routes.rows[0]?.push(JSON.parse('['.repeat(100_000) + ']'.repeat(100_000)))
+  expect(new ConfigurationParser().parse(configuration).unwrap().entries[0]?.document?.routes['r-0']?.path).toBe('/read')
+})
