Refuse host records with an odd address, place or start

One odd entry of another writer among the host records in the store was taken for a host: - An inbound address with a port out of range, or that is no address, named a target, so requests were sent there. - The zone `__proto__` became a field of the digests in each message to peers, which msgpack refuses (`The key __proto__ is not allowed`). All peers rejected all messages of each node that had read the entry: no configuration and no drain from peers any more. - For the own host, the start 2^53 - 1 was superseded by 2^53, which is no exact integer, so the peers rejected the node's own record, and with it each message that contained it.

Cause: the schema of host records took any text for addresses and places and any exact integer for the start. Addresses of targets and settings had a pattern without the range of the octets and of the port.

There is one schema for addresses now, an IPv4 address with a port from 1 to 65535, for records, announcements, heartbeats and settings. Places are names of 1 to 253 well-formed characters other than `__proto__`, in settings too, so that a node cannot start with a record that its peers refuse. A start lies between 1970 and the year 10000, so one that supersedes it stays exact.

The fixtures gave states empty addresses and the name of the host as its peer address; they have addresses now.

--- a/src/membership/index.ts
+++ b/src/membership/index.ts
@@ -1,7 +1,7 @@
 /**
  * The hosts and targets of the fleet, as the node of each host reports them.
  */
-export { announcementSchema, hostRecordSchema, targetStateSchema } from './schema.js'
+export { announcementSchema, hostRecordSchema, placeNameSchema, startTimeSchema, targetStateSchema } from './schema.js'
 export type { Announcement, HostRecord, RecordStamp, Target, TargetState } from './schema.js'
 export { MemberTable } from './table.js'
 export { LocalHost } from './localhost.js'
--- a/src/membership/schema.ts
+++ b/src/membership/schema.ts
@@ -3,8 +3,21 @@
  * a host are ordered by (incarnation, sequence). Addresses are `ip:port`.
  */
 import * as z from 'zod'
+import { addressSchema } from '../core/index.js'
 import { nameSchema } from '../document/index.js'
 
+/** The year 10000. A start above it is no time, and a record that supersedes it could not be encoded as an exact number. */
+const MAX_START_MS = 253_402_300_800_000
+
+/** Start time of a process, in Unix milliseconds. */
+export const startTimeSchema = z.number().int().nonnegative().max(MAX_START_MS)
+
+/**
+ * Name of a host, zone or region. Messages have fields by zone, and a peer rejects a message with a field `__proto__`. A lone surrogate
+ * is another text after encoding, so two nodes would never have the same digest.
+ */
+export const placeNameSchema = z.string().regex(/^(?!__proto__$)\P{Cs}{1,253}$/u, 'must be the name of a place')
+
 export const targetStateSchema = z.enum(['starting', 'ready', 'leaving'])
 export type TargetState = z.infer<typeof targetStateSchema>
 
@@ -12,7 +25,7 @@
 export const announcementSchema = z.strictObject({
   service: nameSchema,
   target: nameSchema,
-  address: z.string().regex(/^[0-9.]+:[0-9]+$/, 'must be ip:port'),
+  address: addressSchema,
   slots: z.number().int().min(1).max(10_000).default(6),
   connections: z.number().int().min(1).max(100_000).default(130),
   labels: z.record(nameSchema, z.string().max(63)).default({}),
@@ -21,15 +34,15 @@
 export type Announcement = z.infer<typeof announcementSchema>
 
 export const hostRecordSchema = z.object({
-  host: z.string(),
-  zone: z.string(),
-  region: z.string(),
-  inbound: z.string(),
-  peer: z.string(),
-  admin: z.string(),
-  /** Start time of the node process in ms, so the records of a restarted node supersede the earlier ones. */
-  incarnation: z.number().int(),
-  sequence: z.number().int(),
+  host: placeNameSchema,
+  zone: placeNameSchema,
+  region: placeNameSchema,
+  inbound: addressSchema,
+  peer: addressSchema,
+  admin: addressSchema,
+  /** Start time of the node process, so the records of a restarted node supersede the earlier ones. */
+  incarnation: startTimeSchema,
+  sequence: z.number().int().nonnegative(),
   state: z.enum(['serving', 'leaving']),
   targets: z.array(announcementSchema),
   /** Set by a node that could not reach the host for REMOVE_UNREACHABLE_AFTER_MS. Any later record of the owner clears it. */
--- a/src/node/index.ts
+++ b/src/node/index.ts
@@ -3,7 +3,7 @@
  */
 export { Node } from './start.js'
 export type { AccessOptions, NodeParts, RequestPolicies, StopResult } from './parts.js'
-export { addressSchema, nodeSettingsSchema } from './settings.js'
+export { nodeSettingsSchema } from './settings.js'
 export type { NodeSettings, NodeTimeouts } from './settings.js'
 export { startServer, writeJson } from './http.js'
 export { handleUnexpectedErrors } from './unexpected.js'
--- a/src/node/settings.ts
+++ b/src/node/settings.ts
@@ -2,13 +2,13 @@
  * Settings of a node and its ports that exist in every deployment. Addresses are `ip:port`.
  */
 import * as z from 'zod'
-
-export const addressSchema = z.string().regex(/^[0-9.]+:[0-9]+$/, 'must be ip:port')
+import { addressSchema } from '../core/index.js'
+import { placeNameSchema } from '../membership/index.js'
 
 export const nodeSettingsSchema = z.object({
-  host: z.string().min(1).describe('name of this host, unique in the fleet'),
-  zone: z.string().min(1).describe('availability zone of this host'),
-  region: z.string().min(1).describe('region of this host'),
+  host: placeNameSchema.describe('name of this host, unique in the fleet'),
+  zone: placeNameSchema.describe('availability zone of this host'),
+  region: placeNameSchema.describe('region of this host'),
   caller: addressSchema.describe('address for callers of this host'),
   inbound: addressSchema.describe('address for requests from other nodes'),
   peer: addressSchema.describe('address for control traffic from other nodes and operators'),
--- a/tests/address.test.ts
+++ b/tests/address.test.ts
@@ -6,6 +6,7 @@
 import { request } from 'undici'
 import { MsgpackCodec, Dialer, PeerClient } from '../src/peer/index.js'
 import { UndiciHttpClient } from '../src/request/index.js'
+import { addressSchema } from '../src/core/index.js'
 import { startMesh } from './fixtures/mesh.js'
 
 const ODD_ADDRESSES = [
@@ -18,6 +19,14 @@
 
 afterEach(async () => { await client.close() })
 
+test.each(ODD_ADDRESSES)('%j is no address', text => {
+  expect(addressSchema.safeParse(text).success).toBe(false)
+})
+
+test.each(['127.0.0.1:1', '10.128.0.9:65535', '0.0.0.0:7401'])('%j is an address', text => {
+  expect(addressSchema.parse(text)).toBe(text)
+})
+
 test.each(ODD_ADDRESSES)('a request to %j fails as not run', async address => {
   const sent = await client.send({ address, method: 'GET', path: '/', headers: {}, body: undefined, signal: AbortSignal.timeout(2_000), bufferBytes: 0 })
   expect(sent.val).toMatchObject({ verdict: 'not-run', status: 503, code: 'not_connected' })
--- a/tests/notified.test.ts
+++ b/tests/notified.test.ts
@@ -37,9 +37,9 @@
     const host = `h${index}`
     const zone = ZONES[index % ZONES.length] ?? ''
     const state = makeState({ host, zone, region: zone.slice(0, 1) }, clock)
-    const transport = makeInProcessTransport(host, (_sender, address) => {
+    const transport = makeInProcessTransport(host, (_sender, peerHost) => {
       fleet.messages += 1
-      return nodes.get(address)?.peers
+      return nodes.get(peerHost)?.peers
     })
     const random = new SeededRandom(index + 1)
     const peers = new PeerSynchronizer({ state, transport, clock, random, log: makeNullLog(), onConfiguration: () => {} })
--- a/tests/proofs/no-new-work.test.ts
+++ b/tests/proofs/no-new-work.test.ts
@@ -236,7 +236,7 @@
     const clock = makeClock()
     const members = new Map<string, Member>()
     const start = (host: string): Member => {
-      const member = makeMember({ host, zone: 'a', incarnation: 1, clock, find: (_caller, address) => members.get(address)?.peers })
+      const member = makeMember({ host, zone: 'a', incarnation: 1, clock, find: (_caller, peerHost) => members.get(peerHost)?.peers })
       members.set(host, member)
       return member
     }
--- a/tests/tool.test.ts
+++ b/tests/tool.test.ts
@@ -133,7 +133,7 @@
 describe('status', () => {
   test('names the node that does not respond and ends with exit code 4', async () => {
     await applyNew('desk')
-    const addresses = { inbound: '', peer: '127.0.0.1:1', admin: '' }
+    const addresses = { inbound: '127.0.0.1:1', peer: '127.0.0.1:1', admin: '127.0.0.1:1' }
     const value = { host: 'host-001', zone: 'a', region: 'r', ...addresses, incarnation: 1, sequence: 1, state: 'serving', targets: [] }
     server.objects.write({ kind: 'host', name: 'host-001', expected: 0, value })
     const { code, stdout } = await runTool('status')
