Refuse a start of a target beyond the year 10000

A heartbeat or a deregistration of another writer with the id of a target and a start such as 2^53 - 1 was taken. From then on each heartbeat of the real process, and of each later one with the same id, counted as one of an earlier process, so callers were not sent to that target any more until the node was started again.

Cause: any exact integer was a start, and the newest start wins for good.

The start has the same bounds as that of a node now. Such a heartbeat gets a 400. In a deregistration it counts as absent, so the target still leaves, since a missed deregistration would be worse.

A start within the bounds that is later than the true one still wins; it can't be told from that of a process on a host whose clock is ahead.

--- a/src/membership/commands/heartbeat.ts
+++ b/src/membership/commands/heartbeat.ts
@@ -4,12 +4,12 @@
  */
 import * as z from 'zod'
 import type { LocalHost } from '../localhost.js'
-import { announcementSchema } from '../schema.js'
+import { announcementSchema, startTimeSchema } from '../schema.js'
 import type { HostRecord } from '../schema.js'
 import { registerTarget } from './announce.js'
 
 /** `startedAt`: wall-clock milliseconds at the target, 0 if the target does not send it. `sequence` increases with each heartbeat of a process. */
-export const heartbeatSchema = announcementSchema.extend({ startedAt: z.number().int().nonnegative(), sequence: z.number().int() })
+export const heartbeatSchema = announcementSchema.extend({ startedAt: startTimeSchema, sequence: z.number().int() })
 export type Heartbeat = z.infer<typeof heartbeatSchema>
 
 /** `late`: a later heartbeat of the same process came first. `earlier`: the process has been replaced by another one. */
--- a/tests/platform/control.test.ts
+++ b/tests/platform/control.test.ts
@@ -104,12 +104,22 @@
 
 /** The record of such a target would be rejected by all other nodes, together with every message that contains it. */
 test.each([
-  ['an id', 'Bad_Id', {}], ['a number of slots', 'i-2', { slots: 20_000 }], ['a start time', 'i-2', { born: -1 }]
+  ['an id', 'Bad_Id', {}], ['a number of slots', 'i-2', { slots: 20_000 }], ['a start time', 'i-2', { born: -1 }],
+  ['a start time that is too large', 'i-2', { born: Number.MAX_SAFE_INTEGER }], ['a port', 'i-2', { address: '127.0.0.1:99000' }]
 ])('a heartbeat with %s that no record can have names no target', async (_case, target, change) => {
   expect(await sendHeartbeat(target, change)).toBe(400)
   expect(listStates()).toEqual([])
 })
 
+/** Heartbeats of each later process with the same id would count as those of an earlier one. */
+test('a deregistration with a start time that is too large does not hide the next process with the same id', async () => {
+  await sendHeartbeat('i-1', { born: 10, seq: 1 })
+  expect(await post('/-/Instances.Deregister/i-1', { born: Number.MAX_SAFE_INTEGER })).toBe(200)
+  expect(listStates()).toEqual(['i-1 leaving'])
+  await sendHeartbeat('i-1', { born: 20, seq: 1 })
+  expect(listStates()).toEqual(['i-1 ready'])
+})
+
 test('a heartbeat without end is rejected and its connection closed', async () => {
   const socket = connect((server.address() as AddressInfo).port, '127.0.0.1')
   let response = ''
