Leave out a bad record in a message of a peer, and take the rest

A node that had taken one host record that its peers refuse sent it with each comparison, and the peers rejected those messages as a whole: the other records, the drains among them, and the configuration from that node were lost to them for as long as the record stayed.

Cause: the schema of a message validates all its parts.

Each record of a message is now validated by itself, and one that does not match is left out. Its bucket differs from then on, so the two nodes compare its records once more in each exchange, until the owner or another writer replaces the record.

The new test in tests/peers.test.ts, over gRPC between two nodes, failed before: the node did not get the good record of the message.

--- a/src/peer/messages.ts
+++ b/src/peer/messages.ts
@@ -8,6 +8,12 @@
 import { crashMarkSchema } from '../suspect/index.js'
 import { eventFilterSchema, hybridTimeSchema, timelineEventSchema } from '../timeline/index.js'
 
+/**
+ * A record that does not match the schema is left out. It may have been taken by a node with another version of this program, and each
+ * message of that node has it until the record changes.
+ */
+const recordsSchema = z.array(z.unknown()).transform(values => values.flatMap(value => hostRecordSchema.safeParse(value).data ?? []))
+
 const digestSchema = z.custom<Uint8Array>(value => value instanceof Uint8Array)
 
 export const exchangeRequestSchema = z.object({
@@ -21,7 +27,7 @@
   /** Digest of the host records of each zone. */
   zones: z.record(z.string(), digestSchema),
   /** Records that changed at the requesting node, or all records of the buckets in `complete`. */
-  records: z.array(hostRecordSchema),
+  records: recordsSchema,
   /** Buckets, by zone, for which `records` has every record of the requesting node. */
   complete: z.record(z.string(), z.array(z.number().int())).optional(),
   marks: z.array(crashMarkSchema),
@@ -37,7 +43,7 @@
   /** A newer configuration, if the requesting node wants it, as the change from its own version. */
   configurationChange: configurationChangeSchema.optional(),
   /** Records that the requesting node may lack. */
-  records: z.array(hostRecordSchema),
+  records: recordsSchema,
   /** Small zones whose digests differ; `records` has every record of them that this node has. */
   differing: z.array(z.string()),
   /** Bucket digests of the larger zones whose digests differ. */
@@ -61,7 +67,7 @@
   /** Version in force of each service. */
   versions: z.record(z.string(), z.number().int()),
   refused: z.array(refusedVersionSchema),
-  records: z.array(hostRecordSchema)
+  records: recordsSchema
 })
 export type StatusResponse = z.infer<typeof statusResponseSchema>
 
--- a/tests/peers.test.ts
+++ b/tests/peers.test.ts
@@ -1,6 +1,6 @@
 /**
  * Guards against a node that keeps an old version because the store rejects its requests while it serves
- * other nodes, and against dead hosts that are never removed.
+ * other nodes, against dead hosts that are never removed, and against one bad record that makes a peer reject a whole message.
  */
 import { setTimeout as delay } from 'node:timers/promises'
 import { afterEach, expect, test } from '@jest/globals'
@@ -21,6 +21,7 @@
 import { makeEntry } from './fixtures/entry.js'
 import { makeNullLog } from './fixtures/log.js'
 import { settleTasks } from './fixtures/member.js'
+import { makeRecord } from './fixtures/records.js'
 import { makeState } from './fixtures/state.js'
 
 interface TestNode { state: NodeState, peers: PeerSynchronizer, server: Server, client: PeerClient }
@@ -78,6 +79,20 @@
   expect(second.state.version).toBe(9)
 })
 
+test('a record that no schema allows hides neither the other records of a message nor the version of its sender', async () => {
+  const [first, second] = [await startNode('h1', 'a'), await startNode('h2', 'a')]
+  const odd = { ...makeRecord('odd'), inbound: '127.0.0.1:70000' }
+  storeRecords(first.state, { records: [odd, makeRecord('good')] }, new SystemClock())
+  applyConfiguration(first.state, makeConfiguration(9))
+  const [toFirst, toSecond] = [first, second].map(({ state }) => state.localHost.newestRecord) as [HostRecord, HostRecord]
+  await first.peers.exchange(toSecond, { records: [odd, makeRecord('good')], marks: [], cleared: [] })
+  expect([second.state.members.get('good')?.host, second.state.members.get('odd')]).toEqual(['good', undefined])
+  storeRecords(first.state, { records: [makeRecord('late')] }, new SystemClock())
+  second.state.hasSource = false
+  await second.peers.exchange(toFirst, { records: [], marks: [], cleared: [] })
+  expect([second.state.members.get('late')?.host, second.state.members.get('odd'), second.state.version]).toEqual(['late', undefined, 9])
+})
+
 interface Survivor { state: NodeState, peers: PeerSynchronizer, removed: string[] }
 
 async function loseHost (isReachable: () => boolean): Promise<Survivor> {
