Show configurations of the store that peers refuse

Eight cases of tests/platform/configuration.test.ts fail: a configuration of the store with a fractional or large weight, a time of 0 or above ten minutes, more than 100 attempts, or more than 100,000 connections is converted into documents outside the bounds of their schema. A node puts it in force, but each peer rejects the messages with it, so the version reaches other nodes from the store only, and with that many connections no node takes the version.

--- a/tests/platform/configuration.test.ts
+++ b/tests/platform/configuration.test.ts
@@ -141,3 +141,28 @@
   configuration.routes.rows[0]?.push(JSON.parse('['.repeat(100_000) + ']'.repeat(100_000)))
   expect(new ConfigurationParser().parse(configuration).unwrap().entries[0]?.document?.routes['r-0']?.path).toBe('/read')
 })
+
+/** A peer rejects a message with a configuration that does not match its schema, so such a version would come from the store only. */
+test.each([
+  ['a fractional weight', { split: [{ service: 'desk', weight: 0.25 }, { service: 'gallery', weight: 0.75 }] }],
+  ['a very small weight', { split: [{ service: 'desk', weight: 1e-9 }, { service: 'gallery', weight: 3e-9 }] }],
+  ['a large weight', { split: [{ service: 'desk', weight: 1e300 }, { service: 'gallery', weight: 3e300 }] }],
+  ['a long timeout', { timeout: '9999999999s' }],
+  ['no time', { timeout: '0ms', targetLatency: '0ms' }],
+  ['a long objective', { targetLatency: '9999999999s' }],
+  ['many attempts', { maxAttempts: Number.MAX_SAFE_INTEGER }]
+])('a route with %s is one that peers accept', (_name, row) => {
+  const configuration = convert(1, [row])
+  expect(nativeSchema.parse(configuration)).toEqual(configuration)
+  if (!('split' in row)) return
+  const [desk, gallery] = Object.values(configuration.entries[0]?.document?.routes['r-0']?.to ?? {}).map(({ weight }) => weight)
+  expect((gallery ?? 0) / (desk ?? 0)).toBeCloseTo(3)
+})
+
+test('limits beyond those of documents are ones that peers accept', () => {
+  const platform = makePlatformConfiguration(1) as { services: { rows: unknown[][] }, limits: Record<string, unknown> }
+  platform.limits.maxBodyBytes = Number.MAX_SAFE_INTEGER
+  platform.services.rows = [['desk', '/healthz', 2 ** 40, 'h1', false]]
+  const configuration = new ConfigurationParser().parse(platform).unwrap()
+  expect(nativeSchema.parse(configuration)).toEqual(configuration)
+})
