--- a/src/document/index.ts
+++ b/src/document/index.ts
@@ -1,7 +1,10 @@
 /**
  * Documents of services: schema, validation, and edits through the platform.
  */
-export { destinationSchema, documentSchema, limitsSchema, MAX_ROUTE_DEADLINE_MS, MAX_SLOTS, nameSchema, retriesSchema, routeClassSchema, routeKindSchema } from './schema.js'
+export {
+  destinationSchema, documentSchema, limitsSchema, MAX_ATTEMPTS, MAX_BODY_BYTES, MAX_CONNECTIONS, MAX_ROUTE_DEADLINE_MS, MAX_SLOTS, MAX_WEIGHT,
+  nameSchema, retriesSchema, routeClassSchema, routeKindSchema
+} from './schema.js'
 export type { Destination, Document, Limits, Retries, Route, RouteClass, RouteKind } from './schema.js'
 export { editSchema, historySchema, referrersSchema } from './stored.js'
 export type { Edit, PastEdit, Referrers } from './stored.js'
--- a/src/document/schema.ts
+++ b/src/document/schema.ts
@@ -10,6 +10,9 @@
 export const MAX_DOCUMENT_BYTES = 500_000
 export const MAX_SLOTS = 10_000
 export const MAX_ROUTE_DEADLINE_MS = 600_000
+export const MAX_CONNECTIONS = 100_000
+export const MAX_WEIGHT = 1_000
+export const MAX_ATTEMPTS = 100
 const MAX_LABELS = 16
 const MAX_SERVICE_NAMES = 1_000
 
@@ -30,7 +33,7 @@
 /** The name of the destination is the name of its service, unless `service` names another. */
 export const destinationSchema = z.strictObject({
   service: nameSchema.optional(),
-  weight: z.number().int().min(0).max(1000).default(100),
+  weight: z.number().int().min(0).max(MAX_WEIGHT).default(100),
   labels: labelsSchema.default({})
 })
 export type Destination = z.infer<typeof destinationSchema>
@@ -59,7 +62,7 @@
   /** Responses within this time are fully useful to the caller. Absent: responses within the deadline. */
   objectiveMs: z.number().int().min(1).max(MAX_ROUTE_DEADLINE_MS).optional(),
   /** The number of targets that one call may be sent to. Absent: `attempts` of the document's `retries`. */
-  attempts: z.number().int().min(1).max(100).optional(),
+  attempts: z.number().int().min(1).max(MAX_ATTEMPTS).optional(),
   maxBodyBytes: z.number().int().min(0).max(MAX_BODY_BYTES).default(1024 * 1024),
   /** Destinations by name. Empty means the document's own service. */
   to: z.record(nameSchema, destinationSchema).default({})
@@ -68,7 +71,7 @@
 
 export const limitsSchema = z.strictObject({
   slots: z.number().int().min(1).max(MAX_SLOTS).default(6),
-  connections: z.number().int().min(1).max(100_000).default(130),
+  connections: z.number().int().min(1).max(MAX_CONNECTIONS).default(130),
   queue: z.number().int().min(0).max(10_000).default(12)
 })
 export type Limits = z.infer<typeof limitsSchema>
