Measure the time to the shutdown from the settings in force at SIGTERM

If the settings gave a longer grace time after SIGTERM, callers whose request came late in the grace time were passed on and cut without a response when the node ended, also requests that may not be repeated.

Cause: the drain ends after the drain timeout that was in force at SIGTERM, but the check whether a request may take longer used the timeout of the present settings. It also counted from the moment at which the host began to leave, so a node that an operator had drained before its SIGTERM refused requests that it had time for.

The node now notes once, when it begins to stop, at which time it cuts requests in flight, and the check uses that time.

--- a/src/node/start.ts
+++ b/src/node/start.ts
@@ -67,6 +67,8 @@
   private timeouts: NodeTimeouts
   private supersededAt = -Infinity
   private leavingSince: number | undefined
+  /** The monotonic time at which requests in flight are cut, set when the node begins to stop. */
+  private stopsAt: number | undefined
   private stopping: Promise<StopResult> | undefined
 
   constructor (private readonly parts: NodeParts) {
@@ -169,7 +171,9 @@
     const { callerPort: caller, inboundPort: inbound, clock, telemetry, state } = this
     const { drainMs } = this.timeouts
     telemetry.recordStopping(this.countInFlight(), drainMs)
-    const sinceLeavingMs = clock.monotonic() - this.startLeaving()
+    const at = clock.monotonic()
+    this.stopsAt = at + drainMs
+    const sinceLeavingMs = at - this.startLeaving()
     const completed = await drainPorts({ caller, inbound, clock }, Math.max(0, LEAVE_PROPAGATION_MS - sinceLeavingMs), drainMs)
     this.stopped.abort()
     telemetry.log.log('change', 'node_stopped', { whole: completed, inFlight: this.countInFlight() })
@@ -295,9 +299,9 @@
 
   /** Returns the rest of the drain timeout, or undefined until callers have had time to see that this node is stopping. */
   private getTimeToShutdownMs (): number | undefined {
-    if (this.stopping === undefined || this.leavingSince === undefined) return undefined
-    const sinceMs = this.clock.monotonic() - this.leavingSince
-    return sinceMs < LEAVE_PROPAGATION_MS ? undefined : this.timeouts.drainMs - sinceMs
+    if (this.stopsAt === undefined || this.leavingSince === undefined) return undefined
+    const at = this.clock.monotonic()
+    return at - this.leavingSince < LEAVE_PROPAGATION_MS ? undefined : this.stopsAt - at
   }
 
   private countInFlight (): number {
