Refuse requests that come after the drain of a stopping node

Callers that had opened a connection before the end of a drain and sent their first request on it after the drain had ended got no response: the request was passed on, and the process ended up to 0.2 s later, also for requests that may not be repeated.

Cause: Node.js does not count a connection without any request as idle, so closing the idle connections leaves it open. A node without a target waits 0.2 s for the removal of its object from the store after the drain, and took requests with a deadline up to the rest of the grace time, though it was not going to wait for them.

From the end of the drain no time is left, so each request is refused as not run.

The new test in tests/platform/stopping.test.ts sends a request on such a connection as soon as `node_stopped` is logged, while the store is silent. Before, the target got it; now it does not.

--- a/src/node/start.ts
+++ b/src/node/start.ts
@@ -175,6 +175,8 @@
     this.stopsAt = at + drainMs
     const sinceLeavingMs = at - this.startLeaving()
     const completed = await drainPorts({ caller, inbound, clock }, Math.max(0, LEAVE_PROPAGATION_MS - sinceLeavingMs), drainMs)
+    // The process ends soon, but a connection that was opened before and has not carried a request yet is still open.
+    this.stopsAt = clock.monotonic()
     this.stopped.abort()
     telemetry.log.log('change', 'node_stopped', { whole: completed, inFlight: this.countInFlight() })
     if (state.localHost.listHeartbeats().length === 0) await Promise.race([this.directory.remove(state.identity.host), clock.sleep(REMOVE_WAIT_MS)])
--- a/tests/platform/stopping.test.ts
+++ b/tests/platform/stopping.test.ts
@@ -112,6 +112,18 @@
   return await response
 }
 
+test('a request on a connection that is still open after the drain is not passed on', async () => {
+  const node = await startNodes('30s')
+  const socket = await openRawConnection(node.addresses.caller)
+  // The node waits for the store before it exits.
+  store.server.switches.isSilent = true
+  node.child.kill('SIGTERM')
+  await waitFor(() => node.output.includes('node_stopped'))
+  const { status, text } = await sendOn(socket, 'late', 9_000)
+  expect(runs).toEqual([])
+  if (status !== 0) expect([status, /retry-after: /.test(text), /connection: close/i.test(text)]).toEqual([503, true, true])
+}, 60_000)
+
 test('a request late in the grace time that may not end in it is refused as not run, also after the settings give more time', async () => {
   const node = await startNodes('5s')
   const sockets = [await openRawConnection(node.addresses.caller), await openRawConnection(node.addresses.caller)]
