Test responses that stop in the head on the whole path, and late requests of other nodes

Both held before; the tests would fail if they did not. A target that stops in its head costs the caller of an idempotent request another attempt and the caller of any other a 502, and a body that is cut ends in a reset, on the local and the remote path, after a FIN and after a reset. A request that reaches the inbound port of a node after SIGTERM, on a connection that was open before, is a 503 with Retry-After and `connection: close` that has not run, and one that came before is finished.

--- a/tests/platform/stopping.test.ts
+++ b/tests/platform/stopping.test.ts
@@ -143,3 +143,24 @@
   for (const sent of [first, second]) expect(await (await sent).body.text()).toBe('whole')
   expect(runs).toEqual(['first', 'second'])
 }, 60_000)
+
+test('a request of another node that comes after SIGTERM is refused as not run, while one that came before is finished', async () => {
+  await startNodes('30s')
+  const [node] = nodes as [NodeProcess]
+  const sockets = [await openRawConnection(node.addresses.inbound), await openRawConnection(node.addresses.inbound)]
+  const send = async (socket: Socket | undefined, id: string): Promise<{ status: number, text: string }> => {
+    if (socket === undefined) throw new Error('no connection')
+    const response = readRawResponse(socket)
+    const internal = 'x-comfreyspoke-deadline-ms: 9000\r\nx-comfreyspoke-target: i-1\r\nx-comfreyspoke-service: desk\r\n'
+    socket.write(formatRequest(id, '/slow/a', 9_000).replace('\r\n\r\n', `\r\n${internal}\r\n`))
+    return await response
+  }
+  const early = send(sockets[0], 'early')
+  await waitFor(() => runs.includes('early'))
+  node.child.kill('SIGTERM')
+  await waitFor(() => node.output.includes('node_stopping'))
+  const { status, text } = await send(sockets[1], 'late')
+  expect([status, /retry-after: /.test(text), /connection: close/i.test(text), /verdict: not-run/.test(text)]).toEqual([503, true, true, true])
+  expect((await early).status).toBe(200)
+  expect(runs).toEqual(['early'])
+}, 60_000)
--- a/tests/reset.test.ts
+++ b/tests/reset.test.ts
@@ -9,8 +9,12 @@
 import { setTimeout as delay } from 'node:timers/promises'
 import { afterEach, describe, expect, test } from '@jest/globals'
 import type { Failure, Result } from '../src/core/index.js'
-import { UndiciHttpClient } from '../src/request/index.js'
+import { request } from 'undici'
+import type { Target } from '../src/membership/index.js'
+import { Picker, UndiciHttpClient } from '../src/request/index.js'
 import type { TargetResponse } from '../src/request/index.js'
+import type { PickRequest } from '../src/request/picker.js'
+import { startMesh } from './fixtures/mesh.js'
 
 const BUFFER_BYTES = 64 * 1024
 /** Longer than a stream buffers, so that a response that nobody reads pauses the connection. */
@@ -101,6 +105,46 @@
   })
 })
 
+/** Sends the first attempt of each call to the first target, so that each call meets the faulty one. */
+class FirstPicker extends Picker {
+  override pick ({ targets, tried }: PickRequest): Target | undefined {
+    return targets.find(target => !tried.has(target.id))
+  }
+
+  override beginAttempt (): void {}
+  override endAttempt (): void {}
+}
+
+describe.each(['local', 'remote'] as const)('on the %s path', path => {
+  test.each(ENDS)('a caller gets no success from a target whose connection %s in its response, and idempotent requests go to another target', async (_end, end) => {
+    const texts = [...HEADS.map(([, text]) => text), 'HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\npart']
+    let count = 0
+    const faulty = await startTarget(socket => {
+      const text = texts[count % texts.length] ?? ''
+      count += 1
+      socket.write(text, () => { setTimeout(end, 5, socket) })
+    })
+    const mesh = await startMesh({
+      targets: [faulty, (_message, response) => { response.end('whole') }], path, document: { retries: { budgetPercent: 100, minPerSecond: 1_000 } }
+    })
+    mesh.context.picker = new FirstPicker()
+    const seen: string[] = []
+    for (const [method, route] of [['GET', '/read'], ['POST', '/write']] as const) {
+      for (const [index] of texts.entries()) {
+        const headers = { 'x-comfreyspoke-service': 'desk' }
+        const response = await request(`http://${mesh.caller}${route}`, { method, headers }).catch(() => undefined)
+        const text = await response?.body.text().catch(() => undefined)
+        const outcome = text === undefined ? 'reset' : response?.statusCode === 200 ? text : response?.statusCode
+        seen.push(`${route} ${index === texts.length - 1 ? 'body' : 'head'} ${outcome ?? ''}`)
+      }
+    }
+    await mesh.close()
+    // The mesh forwards a body as it comes, so a body that is truncated ends in a reset.
+    expect([...new Set(seen)]).toEqual(['/read head whole', '/read body reset', '/write head 502', '/write body reset'])
+    expect(count).toBe(texts.length * 2)
+  })
+})
+
 /** The parser of undici is paused while nobody reads. */
 test.each([
   ['no length', ''], ['a length', 'content-length: 200000\r\n'], ['chunks', 'transfer-encoding: chunked\r\n']
