Tell a reset from an end for all transfer codings but chunked

Callers got a 200 with a part of the body, framed as whole, from a target whose response had a transfer coding other than `chunked` and whose connection was reset together with the last data.

Cause: such a body ends with its connection, but the connector checked only responses without any transfer coding for a reset that libuv reports as an end.

A body counts as ending with its connection now if its last transfer coding is not `chunked`, or if it has neither a coding nor a length.

--- a/src/request/handler.ts
+++ b/src/request/handler.ts
@@ -24,6 +24,7 @@
 const FIRST_FINAL_STATUS_CODE = 200
 /** Such a response has no body, whatever its content-length. */
 const NOT_MODIFIED = 304
+const ENDS_CHUNKED = /(^|,)\s*chunked\s*$/i
 const MAX_DISCARDED_BYTES = 64 * 1024
 const DISCARD_TIMEOUT_MS = 1_000
 
@@ -67,7 +68,7 @@
 
   onResponseStart (controller: Controller, statusCode: number, headers: IncomingHttpHeaders): void {
     if (statusCode < FIRST_FINAL_STATUS_CODE) return
-    this.state.isCloseDelimited = headers['transfer-encoding'] === undefined && headers['content-length'] === undefined
+    this.state.isCloseDelimited = isCloseDelimited(headers)
     const head = { statusCode, headers }
     this.head = head
     const failure = this.options.checkHead?.(head)
@@ -155,3 +156,9 @@
     this.onEnd(isComplete)
   }
 }
+
+/** A body whose last transfer coding is not `chunked` ends with its connection, as one without any length does. */
+function isCloseDelimited (headers: IncomingHttpHeaders): boolean {
+  const coding = headers['transfer-encoding']
+  return coding === undefined ? headers['content-length'] === undefined : !ENDS_CHUNKED.test(coding)
+}
--- a/tests/link.test.ts
+++ b/tests/link.test.ts
@@ -55,6 +55,17 @@
     })).rejects.toThrow()
   })
 
+  test.each(['identity', 'gzip', 'chunked, gzip'])('a response with the transfer coding %s is truncated when its connection is reset', async coding => {
+    await expect(receive(bufferBytes, socket => {
+      socket.write(`HTTP/1.1 200 OK\r\nconnection: close\r\ntransfer-encoding: ${coding}\r\n\r\npart`, () => {
+        socket.resetAndDestroy()
+        // The data and the reset both arrive before the client reads again.
+        const endsAt = Date.now() + 50
+        while (Date.now() < endsAt);
+      })
+    })).rejects.toThrow()
+  })
+
   test('a chunked response is truncated when its connection ends before the last chunk', async () => {
     await expect(receive(bufferBytes, socket => { socket.end(CHUNKED) })).rejects.toThrow()
   })
