--- a/src/document/index.ts
+++ b/src/document/index.ts
@@ -2,8 +2,8 @@
  * Documents of services: schema, validation, and edits through the platform.
  */
 export {
-  destinationSchema, documentSchema, limitsSchema, MAX_ROUTE_DEADLINE_MS, MAX_SLOTS, nameSchema, retriesSchema, routeClassSchema, routeKindSchema,
-  sentDocumentSchema
+  destinationSchema, documentSchema, limitsSchema, MAX_ATTEMPTS, MAX_BODY_BYTES, MAX_CONNECTIONS, MAX_ROUTE_DEADLINE_MS, MAX_SLOTS, nameSchema,
+  retriesSchema, routeClassSchema, routeKindSchema, sentDocumentSchema
 } from './schema.js'
 export type { Destination, Document, Limits, Retries, Route, RouteClass, RouteKind } from './schema.js'
 export { editSchema, historySchema, referrersSchema } from './stored.js'
--- a/src/node/shutdown.ts
+++ b/src/node/shutdown.ts
@@ -29,6 +29,8 @@
 
 export class NodeShutdown {
   private stopping: Promise<StopResult> | undefined
+  /** The monotonic time at which requests in flight are cut, set when the node begins to stop. */
+  private stopsAt: number | undefined
 
   constructor (private readonly context: ShutdownContext) {}
 
@@ -44,18 +46,22 @@
 
   /** Returns the rest of the drain timeout, or undefined until callers have had time to see that this node is stopping. */
   getTimeLeftMs (): number | undefined {
-    const { clock, registration, getDrainMs } = this.context
-    if (!this.hasBegun || registration.leavingAt === undefined) return undefined
-    const sinceMs = clock.monotonic() - registration.leavingAt
-    return sinceMs < LEAVE_PROPAGATION_MS ? undefined : getDrainMs() - sinceMs
+    const { clock, registration } = this.context
+    if (this.stopsAt === undefined || registration.leavingAt === undefined) return undefined
+    const at = clock.monotonic()
+    return at - registration.leavingAt < LEAVE_PROPAGATION_MS ? undefined : this.stopsAt - at
   }
 
   private async shutDown (): Promise<StopResult> {
     const { clock, telemetry, state, registration, directory, countInFlight, stopTasks } = this.context
     const drainMs = this.context.getDrainMs()
     telemetry.recordStopping(countInFlight(), drainMs)
-    const sinceLeavingMs = clock.monotonic() - registration.startLeaving(countInFlight())
+    const at = clock.monotonic()
+    this.stopsAt = at + drainMs
+    const sinceLeavingMs = at - registration.startLeaving(countInFlight())
     const completed = await drainPorts(this.context, Math.max(0, LEAVE_PROPAGATION_MS - sinceLeavingMs), drainMs)
+    // The process ends soon, but a connection that was opened before and has not carried a request yet is still open.
+    this.stopsAt = clock.monotonic()
     stopTasks()
     telemetry.log.log('change', 'node_stopped', { whole: completed, inFlight: countInFlight() })
     if (state.localHost.listHeartbeats().length === 0) await Promise.race([directory.remove(state.identity.host), clock.sleep(REMOVE_WAIT_MS)])
--- a/tests/platform/configuration.test.ts
+++ b/tests/platform/configuration.test.ts
@@ -150,3 +150,44 @@
   if (first === undefined || second === undefined || third === undefined) throw new Error('three versions are expected')
   expect(applyChange(first, deriveChange(second, third))).toBeUndefined()
 })
+
+test.each([
+  ['an array', '['.repeat(100_000) + ']'.repeat(100_000)], ['an object', '{"a":'.repeat(100_000) + '1' + '}'.repeat(100_000)]
+])('a row of the configuration with %s that is nested deeply is reported, and the next version is read', (_name, text) => {
+  const parser = new ConfigurationParser()
+  const deep = JSON.parse(JSON.stringify(makePlatformConfiguration(2)).replace('"800ms"', () => text)) as unknown
+  expect(parser.parse(deep).err).toBe(true)
+  expect(parser.parse(makePlatformConfiguration(3)).ok).toBe(true)
+})
+
+test('a row of the configuration with a value in an unknown column, however deep, counts without it', () => {
+  const configuration = makePlatformConfiguration(2) as { routes: { columns: string[], rows: unknown[][] } }
+  configuration.routes.columns.push('later')
+  configuration.routes.rows[0]?.push(JSON.parse('['.repeat(100_000) + ']'.repeat(100_000)))
+  expect(new ConfigurationParser().parse(configuration).unwrap().entries[0]?.document?.routes['r-0']?.path).toBe('/read')
+})
+
+/** A peer rejects a message with a configuration that does not match its schema, so such a version would come from the store only. */
+test.each([
+  ['a fractional weight', { split: [{ service: 'desk', weight: 0.25 }, { service: 'gallery', weight: 0.75 }] }],
+  ['a very small weight', { split: [{ service: 'desk', weight: 1e-9 }, { service: 'gallery', weight: 3e-9 }] }],
+  ['a large weight', { split: [{ service: 'desk', weight: 1e300 }, { service: 'gallery', weight: 3e300 }] }],
+  ['a long timeout', { timeout: '9999999999s' }],
+  ['no time', { timeout: '0ms', targetLatency: '0ms' }],
+  ['a long objective', { targetLatency: '9999999999s' }],
+  ['many attempts', { maxAttempts: Number.MAX_SAFE_INTEGER }]
+])('a route with %s is one that peers accept', (_name, row) => {
+  const configuration = convert(1, [row])
+  expect(nativeSchema.parse(configuration)).toEqual(configuration)
+  if (!('split' in row)) return
+  const [desk, gallery] = Object.values(configuration.entries[0]?.document?.routes['r-0']?.to ?? {}).map(({ weight }) => weight)
+  expect((gallery ?? 0) / (desk ?? 0)).toBeCloseTo(3)
+})
+
+test('limits beyond those of documents are ones that peers accept', () => {
+  const platform = makePlatformConfiguration(1) as { services: { rows: unknown[][] }, limits: Record<string, unknown> }
+  platform.limits.maxBodyBytes = Number.MAX_SAFE_INTEGER
+  platform.services.rows = [['desk', '/healthz', 2 ** 40, 'h1', false]]
+  const configuration = new ConfigurationParser().parse(platform).unwrap()
+  expect(nativeSchema.parse(configuration)).toEqual(configuration)
+})
