Forget a newer version that no peer reports any more

Callers got 503 for every unknown path, where 404 is right, from a node to which one peer had reported a newer version that then never came, since that peer was gone: the highest version that had ever been reported stayed. A report now counts for 10 s; peers repeat their version about once a second.

--- a/src/node/state.ts
+++ b/src/node/state.ts
@@ -15,6 +15,9 @@
 /** Records that a node stored. `from` is the peer that sent them, absent for records from the store and local ones. */
 export interface RecordUpdate { records: readonly HostRecord[], from?: string }
 
+/** Peers report their version about once a second. One that is not repeated for this time may have gone with the only peer that had it. */
+const REPORT_EXPIRY_MS = 10_000
+
 export class NodeState {
   readonly snapshotTable = new SnapshotTable()
   readonly members = new MemberTable()
@@ -29,15 +32,15 @@
   readonly readiness = new Emitter<'ready'>()
   configuration: Configuration | undefined
   readonly history = new ConfigurationHistory()
-  /** The newest version that a peer has reported. */
-  newestSeenVersion = 0
   /** True once the hosts have been read from the store or from a peer. */
   knowsHosts = false
   /** True while the source of the configuration responds to this node. */
   hasSource = true
   private hasComparedVersion = false
+  /** The newest version that a peer has reported, and when. */
+  private seen = { version: 0, at: -Infinity }
 
-  constructor (readonly identity: HostIdentity, clock: Clock) {
+  constructor (readonly identity: HostIdentity, private readonly clock: Clock) {
     this.localHost = new LocalHost(identity)
     this.suspects = new SuspectTable(clock)
     this.time = new HybridLogicalClock(clock)
@@ -47,11 +50,20 @@
     return this.configuration?.version ?? 0
   }
 
+  /** The newest version that a peer has reported lately, 0 if none has. */
+  get newestSeenVersion (): number {
+    return this.clock.monotonic() - this.seen.at < REPORT_EXPIRY_MS ? this.seen.version : 0
+  }
+
   /** True if a peer has a version that this node does not have yet. */
   get isOutdated (): boolean {
     return this.newestSeenVersion > this.version
   }
 
+  recordSeenVersion (version: number): void {
+    if (version >= this.newestSeenVersion) this.seen = { version, at: this.clock.monotonic() }
+  }
+
   get refused (): readonly RefusedVersion[] {
     return this.configuration?.refused ?? []
   }
--- a/src/node/tasks/peers.ts
+++ b/src/node/tasks/peers.ts
@@ -232,7 +232,7 @@
   /** Notes the version of a peer. If it is newer, this node asks the peer for it as soon as it wants it. */
   private checkVersion (peer: HostRecord, version: number): void {
     const { state, log } = this.context
-    state.newestSeenVersion = Math.max(state.newestSeenVersion, version)
+    state.recordSeenVersion(version)
     this.lag.observe(version, state.version)
     if (version <= state.version || this.isAwaitingVersion) return
     log.log('detail', 'peer_ahead', { peer: peer.host, theirs: version, own: state.version })
--- a/tests/outdated.test.ts
+++ b/tests/outdated.test.ts
@@ -42,9 +42,9 @@
   const state = makeState()
   const apply = (version: number): void => { applyConfiguration(state, { version, entries: [], replacesAll: true }) }
   apply(5)
-  state.newestSeenVersion = 5
+  state.recordSeenVersion(5)
   expect(state.isOutdated).toBe(false)
-  state.newestSeenVersion = 6
+  state.recordSeenVersion(6)
   expect(state.isOutdated).toBe(true)
   apply(6)
   expect(state.isOutdated).toBe(false)
