Let a starting node become ready after an unexpected error of its comparison

A node whose first exchange with a peer ended with an unexpected error rejected its callers as not ready until the process was started again: the comparison runs once, and was marked as done only if nothing failed.

Found by review; the first of the two tests failed before. The second holds since the clients handle addresses that do not parse.

--- a/src/node/tasks/peers.ts
+++ b/src/node/tasks/peers.ts
@@ -75,8 +75,11 @@
     this.isComparingVersions = true
     const peers = selectNotifiedPeers(state.listPeers(), state.identity.zone, 'some', random).slice(0, COMPARED_PEERS)
     const compared = Promise.all(peers.map(async peer => { await this.exchange(peer, EMPTY_PAYLOAD) }))
-    await Promise.race([compared, clock.sleep(COMPARISON_TIMEOUT_MS)])
-    state.markCompared()
+    try {
+      await Promise.race([compared, clock.sleep(COMPARISON_TIMEOUT_MS)])
+    } finally {
+      state.markCompared()
+    }
   }
 
   /** Handles the exchange request of a peer and returns the response. */
--- a/tests/comparison.test.ts
+++ b/tests/comparison.test.ts
@@ -53,6 +53,23 @@
   return { state, peers }
 }
 
+test('an unexpected error of an exchange does not leave a starting node unready for ever', async () => {
+  makeNode('a', 'z', NEW)
+  const { state, peers } = makeNode('b', 'z', OLD, new FailingTransport())
+  await peers.compareVersions().catch(() => {})
+  clock.advance(LONG_MS)
+  await settleTasks()
+  await peers.compareVersions().catch(() => {})
+  expect(state.isReady).toBe(true)
+})
+
+test('a call to a peer whose record has no valid address is a failed call', async () => {
+  const client = new PeerClient(new MsgpackCodec(), new Dialer())
+  const called = client.exchange('', { host: 'a', version: 0, wantsConfiguration: false, zones: {}, records: [], marks: [], cleared: [], stamp: { wall: 0, counter: 0 } })
+  await expect(called).resolves.toMatchObject({ err: true })
+  client.close()
+})
+
 test('a version that no peer reports any more does not leave a node outdated for ever', () => {
   const { state, peers } = makeNode('a', 'z', OLD)
   const { peers: other } = makeNode('b', 'z', NEW)
