Compare the version of a starting node with other zones, too

Where a whole zone of four hosts or more started after a restore of the store, its nodes compared their version only with each other, and were ready with the older version of the store.

Found by review; the test failed before. Two peers of the own zone and two of other zones are asked now.

--- a/src/node/queries/notified.ts
+++ b/src/node/queries/notified.ts
@@ -13,6 +13,17 @@
 const OTHER_ZONE_PEERS = 2
 const MAX_PEERS: Readonly<Record<NotificationReach, number>> = { some: 16, many: 32 }
 
+const COMPARED_LOCAL_PEERS = 2
+const COMPARED_OTHER_PEERS = 2
+
+/** Selects peers with which a starting node compares its version: of its zone, and of others, since a zone may start as a whole. */
+export function selectComparedPeers (peers: readonly HostRecord[], localZone: string, random: Random): HostRecord[] {
+  const shuffled = shufflePeers(peers, random)
+  const local = shuffled.filter(({ zone }) => zone === localZone).slice(0, COMPARED_LOCAL_PEERS)
+  const others = shuffled.filter(({ zone }) => zone !== localZone).slice(0, COMPARED_OTHER_PEERS)
+  return [...local, ...others]
+}
+
 export function selectNotifiedPeers (peers: readonly HostRecord[], localZone: string, reach: NotificationReach, random: Random): HostRecord[] {
   const shuffled = shufflePeers(peers, random)
   return reach === 'many' ? shuffled.slice(0, MAX_PEERS.many) : filterByZone(shuffled, localZone).slice(0, MAX_PEERS.some)
--- a/src/node/tasks/peers.ts
+++ b/src/node/tasks/peers.ts
@@ -14,7 +14,7 @@
 import { storeRecords } from '../commands/records.js'
 import { VersionLag } from '../lag.js'
 import { collectZoneDigests, findDifferingBuckets, listBucketRecords, listNewer, listZoneHosts, makeExchangeResponse } from '../queries/difference.js'
-import { selectNotifiedPeers } from '../queries/notified.js'
+import { selectComparedPeers, selectNotifiedPeers } from '../queries/notified.js'
 import type { NotificationReach } from '../queries/notified.js'
 import { deriveZoneRoles } from '../queries/readers.js'
 import type { ZoneRoles } from '../queries/readers.js'
@@ -38,8 +38,7 @@
 const REGION_SHARE = 0.2
 const STORE_LOST_ANY_ZONE_SHARE = 0.5
 const REMOVAL_CHECK_INTERVAL_MS = 10_000
-/** Peers with which a starting node compares its version, and the maximum time for that, since some of them may not respond. */
-const COMPARED_PEERS = 3
+/** Maximum time for which a starting node compares its version with peers, since some of them may not respond. */
 const COMPARISON_TIMEOUT_MS = 500
 /** Most requests whose target ended complete elsewhere within this time. */
 const CRASH_MARK_COLLECT_MS = 300
@@ -73,7 +72,7 @@
     const { state, clock, random } = this.context
     if (this.isComparingVersions || state.configuration === undefined || !state.knowsHosts) return
     this.isComparingVersions = true
-    const peers = selectNotifiedPeers(state.listPeers(), state.identity.zone, 'some', random).slice(0, COMPARED_PEERS)
+    const peers = selectComparedPeers(state.listPeers(), state.identity.zone, random)
     const compared = Promise.all(peers.map(async peer => { await this.exchange(peer, EMPTY_PAYLOAD) }))
     try {
       await Promise.race([compared, clock.sleep(COMPARISON_TIMEOUT_MS)])
--- a/tests/comparison.test.ts
+++ b/tests/comparison.test.ts
@@ -70,6 +70,14 @@
   client.close()
 })
 
+test('a node of a zone that starts as a whole compares its version with another zone, too', async () => {
+  makeNode('x', 'other', NEW)
+  for (const host of ['a', 'b', 'c']) makeNode(host, 'z', OLD)
+  const { state, peers } = makeNode('d', 'z', OLD)
+  await peers.compareVersions()
+  expect([state.isReady, state.version]).toEqual([true, NEW])
+})
+
 test('a version that no peer reports any more does not leave a node outdated for ever', () => {
   const { state, peers } = makeNode('a', 'z', OLD)
   const { peers: other } = makeNode('b', 'z', NEW)
