Read the object of the local host before it is written again

Two lists in a row that were some seconds old, and so showed the record of the process before, made a restarted node write its record once more, with own_record_lost in the log. A restart of many nodes at once would add a write for each of them.

A list that does not show the local record now leads to one read of the object that may not be stale, and only a difference there to a write. This takes the place of the count of lists.

--- a/src/node/tasks/directory.ts
+++ b/src/node/tasks/directory.ts
@@ -24,8 +24,6 @@
 /** Hosts that start together do not find each other in their first lists, so the next lists follow soon. */
 const FIRST_REFRESH_INTERVAL_MS = 500
 const REFRESH_INTERVAL_MS = 5_000
-/** After this many lists in a row without the local record, it is written again. */
-const MISSED_LISTS_LIMIT = 2
 const BACKOFF = { baseMs: 100, maxMs: 2_000 }
 
 export class HostDirectory {
@@ -33,8 +31,6 @@
   private readonly versions = new Map<string, number>()
   private epoch: number | undefined
   private writtenStamp = ''
-  /** The number of lists in a row without the local record that was written. */
-  private missedLists = 0
   private wakeTask: (() => void) | undefined
 
   constructor (private readonly context: HostDirectoryContext) {}
@@ -74,41 +70,41 @@
     const listed = await store.queries.list('host', hasRead ? 'stale' : 'current')
     if (listed.err) return listed.val
     const { objects, epoch = 0 } = listed.val
-    const isRestored = this.advanceEpoch(epoch)
+    this.advanceEpoch(epoch)
     storeRecords(state, { records: objects.flatMap(object => this.readRecord(object)) }, clock)
     state.knowsHosts = true
     this.context.onListed?.()
     const names = new Set(objects.map(object => object.name))
     for (const name of this.versions.keys()) if (name !== state.identity.host && !names.has(name)) this.versions.delete(name)
-    this.checkLocalObject(objects.find(({ name }) => name === state.identity.host), isRestored)
-    return undefined
+    return this.matchesWritten(objects.find(({ name }) => name === state.identity.host)) ? undefined : await this.checkLocalObject()
   }
 
-  /** A store that was restored has lost changes and assigns their versions again. Returns true if that was noticed now. */
-  private advanceEpoch (epoch: number): boolean {
-    const isRestored = this.epoch !== undefined && epoch > this.epoch
+  /** A store that was restored has lost changes and assigns their versions again. */
+  private advanceEpoch (epoch: number): void {
+    if (this.epoch !== undefined && epoch > this.epoch) this.versions.clear()
     this.epoch = Math.max(epoch, this.epoch ?? 0)
-    if (isRestored) this.versions.clear()
-    return isRestored
+  }
+
+  /** Before the first write there is nothing to compare. */
+  private matchesWritten (object: StoredObject | undefined): boolean {
+    const stored = hostRecordSchema.safeParse(object?.value)
+    return this.writtenStamp === '' || (stored.success && formatRecordStamp(stored.data) === this.writtenStamp)
   }
 
   /**
    * A peer that could not reach this host for a long time removes its object, and a restore of the store may lose its last state. A
-   * single list may be older than the last write of this node.
+   * list may be older than the last write of this node, so the object itself is read before the record is written again.
    */
-  private checkLocalObject (object: StoredObject | undefined, isRestored: boolean): void {
-    if (this.writtenStamp === '') return
-    const stored = hostRecordSchema.safeParse(object?.value)
-    if (stored.success && formatRecordStamp(stored.data) === this.writtenStamp) {
-      this.missedLists = 0
-      return
-    }
-    this.missedLists += 1
-    if (this.missedLists < MISSED_LISTS_LIMIT && !isRestored) return
-    if (object === undefined) this.versions.delete(this.context.state.identity.host)
-    this.context.log.log('change', 'own_record_lost', { lists: this.missedLists, epoch: this.epoch, isStored: object !== undefined })
+  private async checkLocalObject (): Promise<StoreFault | undefined> {
+    const { store, log, state: { identity: { host } } } = this.context
+    const read = await store.queries.get('host', host)
+    if (read.err) return read.val
+    const object = read.val
+    if (this.matchesWritten(object)) return undefined
+    this.versions.set(host, object?.version ?? 0)
+    log.log('change', 'own_record_lost', { epoch: this.epoch, isStored: object !== undefined })
     this.writtenStamp = ''
-    this.missedLists = 0
+    return undefined
   }
 
   /** Returns no record if the object is invalid, so that it does not affect other hosts, or if this version of it was read before. */
