Poll current data after the first read, too

A node that starts some seconds after a restore of the store polled with stale calls at once. A copy that serves such calls may still contain what the store lost, and its revision would hide the versions that follow.

Found by review; the test failed before. For the first 10 s a node that polls asks for current data, about five calls.

--- a/src/node/tasks/configuration.ts
+++ b/src/node/tasks/configuration.ts
@@ -125,8 +125,9 @@
     const previous = this.position
     this.position = position
     this.mustRead = false
+    // The store may have been restored shortly before the first read.
+    if (previous === undefined || position.epoch > previous.epoch) this.restoredAt = clock.monotonic()
     if (previous === undefined || position.epoch <= previous.epoch) return
-    this.restoredAt = clock.monotonic()
     log.log('change', 'store_restored', { ...position, previousEpoch: previous.epoch, previousRevision: previous.revision })
   }
 }
--- a/tests/platform/epochs.test.ts
+++ b/tests/platform/epochs.test.ts
@@ -46,6 +46,24 @@
   for (let index = 0; index < count; index += 1) fixture.server.writeObject(KIND, `host-${index}`, {})
 }
 
+test('a node that starts after a restore is not misled by a copy that serves stale reads and still contains what the store lost', async () => {
+  edit(1)
+  const copy = fixture.server.makeCopy()
+  for (const version of [2, 3, 4]) edit(version)
+  fixture.server.switches.staleCopy = fixture.server.makeCopy()
+  fixture.server.restoreCopy(copy)
+  const follower = startFollower(fixture, false)
+  try {
+    await delay(LIMIT_MS)
+    fixture.server.switches.staleCopy = undefined
+    edit(5)
+    writeOtherObjects(10)
+    expect(await follower.awaitVersion(5, LIMIT_MS)).toBe(true)
+  } finally {
+    follower.stop()
+  }
+}, 4 * LIMIT_MS)
+
 test('lists that are some seconds old do not make a restarted node write its record again', async () => {
   const clock = new SystemClock()
   const log = makeMemoryLog()
