--- a/tests/platform/epochs.test.ts
+++ b/tests/platform/epochs.test.ts
@@ -46,6 +46,23 @@
   for (let index = 0; index < count; index += 1) fixture.server.writeObject(KIND, `host-${index}`, {})
 }
 
+test('a watch from an earlier epoch fails at once if another call has already shown the restore', async () => {
+  edit(1)
+  const copy = fixture.server.makeCopy()
+  for (const version of [2, 3, 4]) edit(version)
+  const source = new PlatformConfigurationSource(fixture.client)
+  const read = await source.read()
+  if (read.err) throw new Error(read.val.message)
+  fixture.server.restoreCopy(copy)
+  edit(5)
+  writeOtherObjects(10)
+  await delay(100)
+  // The list of the hosts shows the new epoch while the task of the configuration pauses.
+  await fixture.client.call({ method: 'GET', kind: KIND })
+  const watched = await Promise.race([source.watch(read.val.position, stopped.signal), delay(LIMIT_MS).then(() => 'waits')])
+  expect(watched).toMatchObject({ err: true, val: { code: 'restored' } })
+}, 2 * LIMIT_MS)
+
 test('a node that starts after a restore is not misled by a copy that serves stale reads and still contains what the store lost', async () => {
   edit(1)
   const copy = fixture.server.makeCopy()
@@ -78,3 +95,82 @@
   expect(log.entries.filter(({ event }) => event === 'own_record_lost')).toEqual([])
   expect(fixture.server.calls.filter(call => !call.startsWith('GET'))).toHaveLength(1)
 }, 2 * LIMIT_MS)
+
+test('a rejection without an epoch does not count as a restore', async () => {
+  let isRefusing = false
+  const server = createServer((_message, response) => {
+    if (isRefusing) response.writeHead(503).end()
+    else response.setHeader('store-era', 3).end(JSON.stringify({ items: [], currentRev: 40 }))
+  })
+  server.listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  const client = new StoreClient(`http://127.0.0.1:${(server.address() as AddressInfo).port}`)
+  const source = new PlatformConfigurationSource(client)
+  const read = await source.read()
+  if (read.err) throw new Error(read.val.message)
+  isRefusing = true
+  const polled = await source.poll(read.val.position, 'current', stopped.signal)
+  await client.close()
+  server.close()
+  expect(polled).toMatchObject({ err: true, val: { code: 'throttled' } })
+})
+
+function countCalls (): number {
+  return fixture.server.calls.filter(call => call.startsWith('GET /-/objects/config')).length
+}
+
+test('a restore costs a node that watches a few calls, and it loses the store once', async () => {
+  edit(1)
+  const copy = fixture.server.makeCopy()
+  for (const version of [2, 3, 4]) edit(version)
+  const follower = startFollower(fixture, true)
+  try {
+    expect(await follower.awaitVersion(4, LIMIT_MS)).toBe(true)
+    await delay(STALE_MS)
+    fixture.server.restoreCopy(copy)
+    const before = countCalls()
+    await delay(LIMIT_MS)
+    expect(countCalls() - before).toBeLessThanOrEqual(7)
+    expect(follower.log.entries.filter(({ event }) => event === 'store_lost')).toHaveLength(1)
+  } finally {
+    follower.stop()
+  }
+}, 4 * LIMIT_MS)
+
+test('a node that polls asks for current data after a restore, until a copy for stale reads cannot contain what was lost', async () => {
+  edit(1)
+  const copy = fixture.server.makeCopy()
+  for (const version of [2, 3, 4]) edit(version)
+  const follower = startFollower(fixture, false)
+  try {
+    expect(await follower.awaitVersion(4, LIMIT_MS)).toBe(true)
+    fixture.server.switches.staleCopy = fixture.server.makeCopy()
+    fixture.server.restoreCopy(copy)
+    await delay(9_000)
+    fixture.server.switches.staleCopy = undefined
+    edit(5)
+    writeOtherObjects(10)
+    expect(await follower.awaitVersion(5, LIMIT_MS)).toBe(true)
+  } finally {
+    follower.stop()
+  }
+}, 6 * LIMIT_MS)
+
+test('a version of a later epoch from a peer makes the node read the store, which may have a still newer one', async () => {
+  edit(1)
+  const copy = fixture.server.makeCopy()
+  for (const version of [2, 3, 4]) edit(version)
+  const follower = startFollower(fixture, false)
+  try {
+    expect(await follower.awaitVersion(4, LIMIT_MS)).toBe(true)
+    fixture.server.restoreCopy(copy)
+    edit(5)
+    writeOtherObjects(10)
+    applyConfiguration(follower.state, { version: 5, entries: [], replacesAll: true, position: { epoch: 2, revision: 13 } })
+    fixture.server.calls.length = 0
+    await delay(LIMIT_MS)
+    expect(fixture.server.calls.filter(call => call === 'GET /-/objects/config').length).toBeGreaterThan(0)
+  } finally {
+    follower.stop()
+  }
+}, 4 * LIMIT_MS)
