--- a/standins/soak/faults.ts
+++ b/standins/soak/faults.ts
@@ -24,6 +24,8 @@
 
 const EDIT_INTERVAL_MS = 120
 const SLOW_STORE_MS = 700
+/** Time until the operator notices that the store lost its newest version. */
+const REWRITE_DELAY_MS = 800
 /** A target serves for this long after it has said that it is leaving. */
 const LEAVING_MS = 3_500
 
@@ -69,6 +71,7 @@
     const copy = store.makeCopy()
     await delay(forMs)
     store.restoreCopy(copy)
+    await delay(REWRITE_DELAY_MS)
     operator.writeNewest()
   }
 }
