--- a/tests/firstversion.test.ts
+++ b/tests/firstversion.test.ts
@@ -1,6 +1,7 @@
 /**
  * Guards against a node that starts after the store was restored from an older copy, takes the older version from there, and serves
- * callers by it although its peers have a newer version in force.
+ * callers by it although its peers have a newer version in force; against one that never becomes ready, or compares its version only
+ * with nodes that started together with it; and against one that counts as outdated for ever.
  */
 import { afterEach, expect, test } from '@jest/globals'
 import { SeededRandom } from '../src/core/index.js'
@@ -9,7 +10,7 @@
 import { storeRecords } from '../src/node/commands/records.js'
 import type { NodeState } from '../src/node/state.js'
 import { PeerSynchronizer } from '../src/node/tasks/peers.js'
-import { PeerTransport } from '../src/peer/index.js'
+import { Dialer, MsgpackCodec, PeerClient, PeerTransport } from '../src/peer/index.js'
 import type { ExchangeResponse } from '../src/peer/index.js'
 import { makeClock } from './fixtures/clock.js'
 import { makeEntry } from './fixtures/entry.js'
@@ -21,6 +22,7 @@
 const OLD = 9
 const NEW = 11
 const COMPARISON_LIMIT_MS = 500
+const LONG_MS = 600_000
 
 interface TestNode { state: NodeState, peers: PeerSynchronizer }
 
@@ -39,8 +41,16 @@
   return nodes.get(address)?.peers
 }
 
-function makeNode (host: string, transport = makeInProcessTransport(host, findPeer)): TestNode {
-  const state = makeState({ host }, clock)
+class FailingTransport extends PeerTransport {
+  override async exchange (): Promise<Result<ExchangeResponse, Fault>> {
+    throw new Error('unexpected')
+  }
+}
+
+interface NodeOptions { zone?: string, transport?: PeerTransport }
+
+function makeNode (host: string, { zone = 'z', transport = makeInProcessTransport(host, findPeer) }: NodeOptions = {}): TestNode {
+  const state = makeState({ host, zone }, clock)
   const apply = (version: number): void => { applyConfiguration(state, { version, entries: [makeEntry('desk', version)], replacesAll: true }) }
   const peers = new PeerSynchronizer({
     state,
@@ -55,8 +65,8 @@
 }
 
 /** Starts a node that has read a version and the records of the other hosts from the store. */
-function startNode (host: string, version: number, transport?: PeerTransport): TestNode {
-  const node = makeNode(host, transport)
+function startNode (host: string, version: number, options: NodeOptions = {}): TestNode {
+  const node = makeNode(host, options)
   applyConfiguration(node.state, { version, entries: [makeEntry('desk', version)], replacesAll: true })
   const records = [...nodes.values()].map(({ state }) => state.localHost.makeRecord())
   storeRecords(node.state, { records }, clock)
@@ -83,7 +93,7 @@
 
 test('a node whose peers do not respond is ready after a limited time', async () => {
   startNode('a', NEW)
-  const { state, peers } = startNode('b', OLD, new SilentTransport())
+  const { state, peers } = startNode('b', OLD, { transport: new SilentTransport() })
   const compared = peers.compareVersions()
   await settleTasks()
   expect(state.isReady).toBe(false)
@@ -101,3 +111,37 @@
   await settleTasks()
   expect([state.isReady, state.version]).toEqual([true, NEW])
 })
+
+test('an unexpected error of an exchange does not leave a starting node unready for ever', async () => {
+  startNode('a', NEW)
+  const { state, peers } = startNode('b', OLD, { transport: new FailingTransport() })
+  await peers.compareVersions().catch(() => {})
+  clock.advance(LONG_MS)
+  await settleTasks()
+  await peers.compareVersions().catch(() => {})
+  expect(state.isReady).toBe(true)
+})
+
+test('a call to a peer whose record has no valid address is a failed call', async () => {
+  const client = new PeerClient(new MsgpackCodec(), new Dialer())
+  const called = client.exchange('', { host: 'a', version: 0, wantsConfiguration: false, zones: {}, records: [], marks: [], cleared: [], stamp: { wall: 0, counter: 0 } })
+  await expect(called).resolves.toMatchObject({ err: true })
+  client.close()
+})
+
+test('a node of a zone that starts as a whole compares its version with another zone, too', async () => {
+  startNode('x', NEW, { zone: 'other' })
+  for (const host of ['a', 'b', 'c']) startNode(host, OLD)
+  const { state, peers } = startNode('d', OLD)
+  await peers.compareVersions()
+  expect([state.isReady, state.version]).toEqual([true, NEW])
+})
+
+test('a version that no peer reports any more does not leave a node outdated for ever', () => {
+  const { state, peers } = startNode('a', OLD)
+  const records = [startNode('b', NEW).state.localHost.makeRecord()]
+  peers.respond({ host: 'b', version: NEW, wantsConfiguration: false, zones: {}, records, marks: [], cleared: [], stamp: { wall: 0, counter: 0 } })
+  expect(state.isOutdated).toBe(true)
+  clock.advance(LONG_MS)
+  expect(state.isOutdated).toBe(false)
+})
--- a/tests/platform/epochs.test.ts
+++ b/tests/platform/epochs.test.ts
@@ -15,6 +15,7 @@
 import { applyConfiguration } from '../../src/node/commands/apply.js'
 import { storeLocalRecord } from '../../src/node/commands/records.js'
 import { HostDirectory } from '../../src/node/tasks/directory.js'
+import type { StoreCopy } from '../../standins/objects/server.js'
 import { startFollower } from '../fixtures/follower.js'
 import { makeMemoryLog } from '../fixtures/log.js'
 import { makePlatformConfiguration, makeStoreFixture } from '../fixtures/platform.js'
@@ -42,14 +43,20 @@
   fixture.server.writeObject('config', 'main', makePlatformConfiguration(version))
 }
 
+/** Writes four versions. The copy that is returned contains only the first one. */
+function editAfterCopy (): StoreCopy {
+  edit(1)
+  const copy = fixture.server.makeCopy()
+  for (const version of [2, 3, 4]) edit(version)
+  return copy
+}
+
 function writeOtherObjects (count: number): void {
   for (let index = 0; index < count; index += 1) fixture.server.writeObject(KIND, `host-${index}`, {})
 }
 
 test('a watch from an earlier epoch fails at once if another call has already shown the restore', async () => {
-  edit(1)
-  const copy = fixture.server.makeCopy()
-  for (const version of [2, 3, 4]) edit(version)
+  const copy = editAfterCopy()
   const source = new PlatformConfigurationSource(fixture.client)
   const read = await source.read()
   if (read.err) throw new Error(read.val.message)
@@ -64,9 +71,7 @@
 }, 2 * LIMIT_MS)
 
 test('a node that starts after a restore is not misled by a copy that serves stale reads and still contains what the store lost', async () => {
-  edit(1)
-  const copy = fixture.server.makeCopy()
-  for (const version of [2, 3, 4]) edit(version)
+  const copy = editAfterCopy()
   fixture.server.switches.staleCopy = fixture.server.makeCopy()
   fixture.server.restoreCopy(copy)
   const follower = startFollower(fixture, false)
@@ -120,9 +125,7 @@
 }
 
 test('a restore costs a node that watches a few calls, and it loses the store once', async () => {
-  edit(1)
-  const copy = fixture.server.makeCopy()
-  for (const version of [2, 3, 4]) edit(version)
+  const copy = editAfterCopy()
   const follower = startFollower(fixture, true)
   try {
     expect(await follower.awaitVersion(4, LIMIT_MS)).toBe(true)
@@ -138,9 +141,7 @@
 }, 4 * LIMIT_MS)
 
 test('a node that polls asks for current data after a restore, until a copy for stale reads cannot contain what was lost', async () => {
-  edit(1)
-  const copy = fixture.server.makeCopy()
-  for (const version of [2, 3, 4]) edit(version)
+  const copy = editAfterCopy()
   const follower = startFollower(fixture, false)
   try {
     expect(await follower.awaitVersion(4, LIMIT_MS)).toBe(true)
@@ -157,9 +158,7 @@
 }, 6 * LIMIT_MS)
 
 test('a version of a later epoch from a peer makes the node read the store, which may have a still newer one', async () => {
-  edit(1)
-  const copy = fixture.server.makeCopy()
-  for (const version of [2, 3, 4]) edit(version)
+  const copy = editAfterCopy()
   const follower = startFollower(fixture, false)
   try {
     expect(await follower.awaitVersion(4, LIMIT_MS)).toBe(true)
--- a/tests/platform/restored.test.ts
+++ b/tests/platform/restored.test.ts
@@ -4,6 +4,7 @@
  */
 import { setTimeout as delay } from 'node:timers/promises'
 import { afterEach, beforeEach, describe, expect, test } from '@jest/globals'
+import type { StoreCopy } from '../../standins/objects/server.js'
 import { startFollower } from '../fixtures/follower.js'
 import type { Follower } from '../fixtures/follower.js'
 import { makePlatformConfiguration, makeStoreFixture } from '../fixtures/platform.js'
@@ -28,6 +29,14 @@
   fixture.server.writeObject('config', 'main', makePlatformConfiguration(version))
 }
 
+/** Writes four versions. The copy that is returned contains only the first one. */
+function editAfterCopy (): StoreCopy {
+  edit(1)
+  const copy = fixture.server.makeCopy()
+  for (const version of [2, 3, 4]) edit(version)
+  return copy
+}
+
 /** Assigns this many revisions to objects of another kind, as the nodes do that write their host records again. */
 function writeOtherObjects (count: number): void {
   for (let index = 0; index < count; index += 1) fixture.server.writeObject('comfreyspoke-host', `host-${index}`, {})
@@ -39,9 +48,7 @@
 }
 
 test('a restore is logged with the positions before and after it', async () => {
-  edit(1)
-  const copy = fixture.server.makeCopy()
-  for (const version of [2, 3, 4]) edit(version)
+  const copy = editAfterCopy()
   await followUpTo(4)
   fixture.server.restoreCopy(copy)
   await delay(IN_FORCE_LIMIT_MS)
@@ -51,9 +58,7 @@
 
 describe.each([['watches the store', true, IN_FORCE_LIMIT_MS], ['polls the store', false, POLLED_LIMIT_MS]])('a node that %s', (_name, isReader, limitMs) => {
   test('puts a version in force in time that gets a revision from before the restore', async () => {
-    edit(1)
-    const copy = fixture.server.makeCopy()
-    for (const version of [2, 3, 4]) edit(version)
+    const copy = editAfterCopy()
     await followUpTo(4, isReader)
     fixture.server.restoreCopy(copy)
     await delay(IN_FORCE_LIMIT_MS)
@@ -64,9 +69,7 @@
   })
 
   test('puts a version in force in time that is written before the node calls the restored store', async () => {
-    edit(1)
-    const copy = fixture.server.makeCopy()
-    for (const version of [2, 3, 4]) edit(version)
+    const copy = editAfterCopy()
     await followUpTo(4, isReader)
     fixture.server.restoreCopy(copy)
     edit(5)
@@ -76,9 +79,7 @@
 })
 
 test('a node that polls is not misled by a copy that serves stale reads and still contains what the store lost', async () => {
-  edit(1)
-  const copy = fixture.server.makeCopy()
-  for (const version of [2, 3, 4]) edit(version)
+  const copy = editAfterCopy()
   await followUpTo(4, false)
   fixture.server.switches.staleCopy = fixture.server.makeCopy()
   fixture.server.restoreCopy(copy)
@@ -90,9 +91,7 @@
 })
 
 test('a watch on a connection that has become silent ends when another call shows that the store was restored', async () => {
-  edit(1)
-  const copy = fixture.server.makeCopy()
-  for (const version of [2, 3, 4]) edit(version)
+  const copy = editAfterCopy()
   await followUpTo(4)
   await delay(IN_FORCE_LIMIT_MS)
   fixture.server.restoreCopy(copy, 'keep-silent')
