Count the arrivals beyond the first of a request by origin

Each node counts, for each service, calls, second attempts made and denied, arrivals at its target and how many of them were repeats, and the calls made by repeated runs. A call names no run, so it counts by the share of repeats among the runs in flight. One line a second and service (repeats_counted) has a limit of its own, and the metrics have the sums. The header x-comfreyspoke-reached tells the target-side node that a request has reached a target before. No decision changes.

--- a/src/core/log.ts
+++ b/src/core/log.ts
@@ -9,8 +9,11 @@
 
 export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>
 
-/** Each category has its own line limit. `detail` has the lowest, so its lines are the first to be dropped under load. */
-export type LogCategory = 'detail' | 'failure' | 'change'
+/**
+ * Each category has its own line limit. `detail` has the lowest, so its lines are the first to be dropped under load. `summary` is for
+ * periodic counts.
+ */
+export type LogCategory = 'detail' | 'failure' | 'change' | 'summary'
 
 export abstract class StructuredLog {
   /** `event` is a fixed name such as `request_failed`. */
@@ -18,7 +21,7 @@
 }
 
 const LIMIT_WINDOW_MS = 1_000
-const MAX_LINES_PER_WINDOW: Record<LogCategory, number> = { detail: 20, failure: 100, change: 100 }
+const MAX_LINES_PER_WINDOW: Record<LogCategory, number> = { detail: 20, failure: 100, change: 100, summary: 20 }
 /** Bytes that are written to standard output but not consumed yet; more means that the reader is too slow. */
 const MAX_PENDING_BYTES = 256 * 1024
 
@@ -27,7 +30,7 @@
 export class JsonStructuredLog extends StructuredLog {
   private readonly output: ConsolaInstance
   private windowStart = 0
-  private readonly written: Record<LogCategory, number> = { detail: 0, failure: 0, change: 0 }
+  private readonly written: Record<LogCategory, number> = { detail: 0, failure: 0, change: 0, summary: 0 }
   private dropped = 0
 
   constructor (private readonly host: string, private readonly clock: Clock, private readonly stream: LogOutput = process.stdout) {
--- a/src/node/start.ts
+++ b/src/node/start.ts
@@ -8,7 +8,7 @@
 import type { Announcement, Heartbeat, HeartbeatResult } from '../membership/index.js'
 import { ControlMeter, Dialer, MsgpackCodec, PeerClient, startPeerServer } from '../peer/index.js'
 import {
-  CrashTracker, isConnectionRefused, LocalTargets, serveCaller, serveInbound, verifyToken, TokenHttpClient, UndiciHttpClient,
+  CrashTracker, isConnectionRefused, LocalTargets, RepeatMeter, serveCaller, serveInbound, verifyToken, TokenHttpClient, UndiciHttpClient,
   writeFailure
 } from '../request/index.js'
 import type { CallerContext, HttpClient } from '../request/index.js'
@@ -47,6 +47,7 @@
   private readonly policies: RequestPolicies
   private readonly localTargets: LocalTargets
   private readonly crashWatch: CrashTracker
+  private readonly repeats = new RepeatMeter()
   private readonly meter: ControlMeter
   private readonly client: PeerClient
   private readonly peers: PeerSynchronizer
@@ -121,6 +122,8 @@
       peers,
       directory: this.directory,
       log: telemetry.log,
+      repeats: this.repeats,
+      onRepeatsCounted: counts => { telemetry.recordRepeats(counts) },
       getHeartbeatTimeoutMs: () => this.timeouts.heartbeatTimeoutMs,
       onUpdate: update => { this.handleUpdate(update) },
       onSourceState: isResponding => { this.handleSourceState(isResponding) },
@@ -215,7 +218,14 @@
       random,
       metrics: telemetry.metrics,
       inbound: {
-        local: this.localTargets, client: this.targetHttpClient, clock, crashes: this.crashWatch, suspects, adapter, responseBufferBytes
+        local: this.localTargets,
+        client: this.targetHttpClient,
+        clock,
+        crashes: this.crashWatch,
+        suspects,
+        repeats: this.repeats,
+        adapter,
+        responseBufferBytes
       },
       suspects,
       peerClient: this.peerHttpClient,
--- a/src/node/tasks/list.ts
+++ b/src/node/tasks/list.ts
@@ -4,11 +4,13 @@
 import type { ConfigurationSource, ConfigurationUpdate } from '../../configuration/index.js'
 import type { Clock, Random, StructuredLog } from '../../core/index.js'
 import type { Announcement } from '../../membership/index.js'
+import type { RepeatCounts, RepeatMeter } from '../../request/index.js'
 import type { NodeState } from '../state.js'
 import { followConfiguration } from './configuration.js'
 import type { HostDirectory } from './directory.js'
 import { expireTargetsPeriodically } from './expire.js'
 import type { PeerSynchronizer } from './peers.js'
+import { reportRepeats } from './repeats.js'
 import type { SupervisedTask } from './supervised.js'
 
 export interface TaskContext {
@@ -19,6 +21,8 @@
   peers: PeerSynchronizer
   directory: HostDirectory
   log: StructuredLog
+  repeats: RepeatMeter
+  onRepeatsCounted: (counts: ReadonlyMap<string, RepeatCounts>) => void
   getHeartbeatTimeoutMs: () => number
   onUpdate: (update: ConfigurationUpdate) => void
   onSourceState: (isResponding: boolean) => void
@@ -30,6 +34,7 @@
   const configuration = {
     source, clock, random, log, onUpdate, onSourceState, isReader: () => peers.isReader, getKnownPosition: () => state.configuration?.position
   }
+  const repeats = { repeats: context.repeats, clock, onCounted: context.onRepeatsCounted }
   const expiry = { localHost: state.localHost, clock, getHeartbeatTimeoutMs, onExpired }
   return [
     { name: 'configuration', run: async () => { await followConfiguration(configuration, signal) } },
@@ -37,6 +42,7 @@
     { name: 'expiry', run: async () => { await expireTargetsPeriodically(expiry, signal) } },
     { name: 'exchange', run: async () => { await peers.exchangePeriodically(signal) } },
     { name: 'crash marks', run: async () => { await peers.sendCrashMarks(signal) } },
+    { name: 'repeats', run: async () => { await reportRepeats(repeats, signal) } },
     { name: 'removal', run: async () => { await peers.removeUnreachable(host => { void directory.remove(host) }, signal) } }
   ]
 }
--- a/src/node/telemetry.ts
+++ b/src/node/telemetry.ts
@@ -7,7 +7,7 @@
 import type { Clock, Failure, StructuredLog } from '../core/index.js'
 import type { Announcement, HeartbeatResult, HostRecord } from '../membership/index.js'
 import { Metrics } from '../metrics/index.js'
-import type { Call, FailedAttempt } from '../request/index.js'
+import type { Call, FailedAttempt, RepeatCounts } from '../request/index.js'
 import type { Entry } from '../snapshot/index.js'
 import { EventRecorder, EventRing } from '../timeline/index.js'
 import type { EventDetail } from '../timeline/index.js'
@@ -127,6 +127,22 @@
     })
   }
 
+  /** Logs the counts of the last second for each service that had repeats. Metrics have the sums of all services. */
+  recordRepeats (counts: ReadonlyMap<string, RepeatCounts>): void {
+    for (const [service, serviceCounts] of counts) {
+      const { calls, callsOfRepeats, repeats, denied, arrivals, repeatedArrivals } = serviceCounts
+      this.metrics.count('requests_total', { service }, calls)
+      this.metrics.count('repeats_total', { service, decision: 'made' }, repeats)
+      this.metrics.count('repeats_total', { service, decision: 'denied' }, denied)
+      this.metrics.count('arrivals_total', { service, repeated: 'no' }, arrivals - repeatedArrivals)
+      this.metrics.count('arrivals_total', { service, repeated: 'yes' }, repeatedArrivals)
+      this.metrics.count('calls_of_repeats_total', { service }, callsOfRepeats)
+      if (callsOfRepeats + repeats + denied + repeatedArrivals === 0) continue
+      const fields = { calls, callsOfRepeats: Math.round(callsOfRepeats * 10) / 10, repeats, denied, arrivals, repeatedArrivals }
+      this.log.log('summary', 'repeats_counted', { service, ...fields, nodes: this.state.members.size })
+    }
+  }
+
   /** The request was rejected by its head alone, before its route was looked up. */
   recordRejectedHead ({ code, status, message }: Failure): void {
     this.metrics.count('rejected_heads_total', { code })
--- a/src/request/front.ts
+++ b/src/request/front.ts
@@ -29,7 +29,9 @@
 }
 
 /** Headers that nodes set for the target-side node, which removes them. */
-const TARGET_SIDE_NODE_HEADERS = [HEADERS.target, HEADERS.routeClass, HEADERS.fingerprint, HEADERS.suspect, HEADERS.objective] as const
+const TARGET_SIDE_NODE_HEADERS = [
+  HEADERS.target, HEADERS.routeClass, HEADERS.fingerprint, HEADERS.suspect, HEADERS.objective, HEADERS.reached
+] as const
 
 /** Uses the `x-comfreyspoke-` headers. */
 export class NativeProtocolAdapter extends ProtocolAdapter {
--- a/src/request/queries/inbound.ts
+++ b/src/request/queries/inbound.ts
@@ -21,6 +21,8 @@
   /** Time within which the response has its full value to the caller. */
   objectiveMs: z.number().int().optional(),
   attempt: z.number().int(),
+  /** The number of targets that the request has reached before. */
+  reached: z.number().int(),
   method: z.string(),
   path: z.string(),
   headers: z.record(z.string(), z.union([z.string(), z.array(z.string())])),
@@ -36,6 +38,7 @@
   if (typeof deadlineMs !== 'number') return Err(makeFailure('not-run', 400, 'bad_deadline', `${HEADERS.deadline} is missing or not a positive integer`))
   const attempt = parseInteger(headers[HEADERS.attempt], 1)
   if (attempt === 'bad') return Err(makeFailure('not-run', 400, 'bad_attempt', `${HEADERS.attempt} is not a positive integer`))
+  const reached = parseInteger(headers[HEADERS.reached], 0)
   const objectiveMs = parseInteger(headers[HEADERS.objective], 0)
   const routeClass = String(headers[HEADERS.routeClass] ?? 'normal')
   return Ok({
@@ -45,6 +48,7 @@
     routeClass: routeClass === 'critical' || routeClass === 'bulk' ? routeClass : 'normal',
     deadlineMs: Math.min(deadlineMs, MAX_DEADLINE_MS),
     attempt: attempt ?? 1,
+    reached: typeof reached === 'number' ? reached : 0,
     ...typeof objectiveMs === 'number' ? { objectiveMs } : {},
     method: message.method ?? 'GET',
     path: message.url ?? '/',
--- a/src/request/schema.ts
+++ b/src/request/schema.ts
@@ -13,6 +13,8 @@
   verdict: 'x-comfreyspoke-verdict',
   target: 'x-comfreyspoke-target',
   routeClass: 'x-comfreyspoke-class',
+  /** The number of targets that the request has reached before. */
+  reached: 'x-comfreyspoke-reached',
   noRetry: 'x-comfreyspoke-no-retry',
   load: 'x-comfreyspoke-load',
   objective: 'x-comfreyspoke-objective-ms',
--- a/src/request/tasks/attempt.ts
+++ b/src/request/tasks/attempt.ts
@@ -25,7 +25,8 @@
 /** A call after route resolution: the state that all its attempts share. */
 export interface ActiveCall { call: Call, resolved: ResolvedRoute, headers: Headers, body: RequestBody, scope: RequestScope, suspect: SuspectCall }
 
-export interface Attempt { activeCall: ActiveCall, target: Target, number: number }
+/** `reached` is the number of targets that earlier attempts of the call reached. */
+export interface Attempt { activeCall: ActiveCall, target: Target, number: number, reached: number }
 
 /** `finish` ends the accounting of the attempt after the response has been forwarded. */
 export interface AttemptResponse { targetResponse: TargetResponse, finish: (delivery: DeliveryOutcome) => void }
@@ -58,26 +59,30 @@
   return Ok({ targetResponse, finish })
 }
 
-async function attemptLocal (context: AttemptContext, { activeCall, target, number }: Attempt): Promise<Result<ReceivedResponse, Failure>> {
+async function attemptLocal (context: AttemptContext, attempt: Attempt): Promise<Result<ReceivedResponse, Failure>> {
+  const { activeCall, target, number, reached } = attempt
   const { local } = context.inbound
   const name = local.resolveTarget(getTargetName(target), target.service)
   const result = await runLocal(context.inbound, {
+    service: target.service,
     target: name,
     routeClass: activeCall.resolved.route.class,
     attempt: number,
+    reached,
     objectiveMs: measureRemainingObjective(activeCall),
     scope: activeCall.scope,
-    outgoing: makeOutgoingRequest(activeCall, target, number),
+    outgoing: makeOutgoingRequest(attempt),
     body: activeCall.call.hasBody ? activeCall.body : undefined
   })
   context.picker.recordLoad(target, local.measureLoad(name))
   return result.map(({ targetResponse, permit }) => ({ targetResponse, release: permit.release }))
 }
 
-async function attemptRemote (context: AttemptContext, { activeCall, target, number }: Attempt): Promise<Result<ReceivedResponse, Failure>> {
+async function attemptRemote (context: AttemptContext, attempt: Attempt): Promise<Result<ReceivedResponse, Failure>> {
+  const { activeCall, target } = attempt
   const body = activeCall.call.hasBody ? activeCall.body.open() : undefined
   const received = await context.peerClient.send({
-    ...makeOutgoingRequest(activeCall, target, number),
+    ...makeOutgoingRequest(attempt),
     address: target.inbound,
     body,
     signal: activeCall.scope.signal,
@@ -104,7 +109,7 @@
   }
 }
 
-function makeOutgoingRequest (activeCall: ActiveCall, target: Target, number: number): Pick<OutgoingRequest, 'method' | 'path' | 'headers'> {
+function makeOutgoingRequest ({ activeCall, target, number, reached }: Attempt): Pick<OutgoingRequest, 'method' | 'path' | 'headers'> {
   const { call, resolved, headers, scope, suspect } = activeCall
   const outgoingHeaders: Headers = {
     ...headers,
@@ -113,6 +118,7 @@
     [HEADERS.service]: resolved.service,
     [HEADERS.hops]: String(call.hops + 1),
     [HEADERS.attempt]: String(number),
+    [HEADERS.reached]: String(reached),
     [HEADERS.deadline]: String(scope.forwardedDeadlineMs),
     [HEADERS.routeClass]: resolved.route.class,
     [HEADERS.target]: getTargetName(target),
--- a/src/request/tasks/attempts.ts
+++ b/src/request/tasks/attempts.ts
@@ -53,7 +53,9 @@
       const target = this.pickTarget()
       if (target === undefined) return this.finish(this.worstFailure ?? this.makeNoTargetFailure())
       this.attemptNumber += 1
-      const result = await attemptTarget(this.context, { activeCall: this.activeCall, target, number: this.attemptNumber })
+      const result = await attemptTarget(this.context, {
+        activeCall: this.activeCall, target, number: this.attemptNumber, reached: this.reachedCount
+      })
       const failure = this.recordResult(target, result)
       if (failure === undefined) return result.map(response => this.makeResponse(response))
       body.release()
@@ -106,7 +108,7 @@
     const { call, resolved, body, scope } = this.activeCall
     const { route, document, service } = resolved
     if (call.noRetry || scope.signal.aborted) return 'final'
-    return this.context.retry.decide({
+    const decision = this.context.retry.decide({
       service,
       kind: route.kind,
       retries: document.retries,
@@ -117,6 +119,8 @@
       leftMs: scope.leftMs,
       canResend: !call.hasBody || body.canResend
     })
+    if (failure.reached === true) this.context.inbound.repeats.recordDecision(service, decision)
+    return decision
   }
 
   private reportFailedAttempt (target: Target, failure: Failure, decision: RetryDecision): void {
--- a/src/request/tasks/caller.ts
+++ b/src/request/tasks/caller.ts
@@ -101,6 +101,7 @@
   const scope = new RequestScope(context.clock, deadlineMs, response)
   await scope.awaitPendingClose()
   context.retry.countCall(service)
+  context.inbound.repeats.recordCall(service)
   const run = async (): Promise<Result<AttemptResponse, Failure>> => {
     const suspect = new SuspectCall(context.suspects, call, body.buffered)
     const headers = context.inbound.adapter.filterRequestHeaders(message.headers)
--- a/src/request/tasks/inbound.ts
+++ b/src/request/tasks/inbound.ts
@@ -20,13 +20,17 @@
 import { readInboundRequest } from '../queries/inbound.js'
 import type { InboundRequest } from '../queries/inbound.js'
 import { RequestScope } from '../scope.js'
+import type { RepeatMeter, TrackedRun } from '../repeats.js'
 import type { Permit } from '../slots.js'
 import { HEADERS } from '../schema.js'
 
 export interface LocalRequest {
+  service: string
   target: string
   routeClass: RouteClass
   attempt: number
+  /** The number of targets that the request has reached before. */
+  reached: number
   /** Time left until the latency objective of the route passes. */
   objectiveMs: number | undefined
   scope: RequestScope
@@ -40,6 +44,7 @@
   clock: Clock
   crashes: CrashTracker
   suspects: SuspectTable
+  repeats: RepeatMeter
   adapter: ProtocolAdapter
   /** Responses up to this size are buffered and forwarded only when they are complete. */
   responseBufferBytes: number
@@ -67,6 +72,8 @@
     permit.release()
     return tracked
   }
+  const run = context.repeats.beginRun(localRequest.service, localRequest.reached > 0)
+  const runPermit = addRun(permit, run)
   const headers = adapter.makeTargetHeaders({ headers: outgoing.headers, target, leftMs: scope.forwardedDeadlineMs })
   const received = await client.send({
     ...outgoing,
@@ -78,13 +85,24 @@
     checkHead: head => adapter.checkResponse(headers, head)
   })
   if (received.ok) {
-    watchResponse(received.val, tracked.val, permit, announcement.address)
-    return received.map(targetResponse => ({ targetResponse, permit }))
+    watchResponse(received.val, tracked.val, runPermit, announcement.address)
+    return received.map(targetResponse => ({ targetResponse, permit: runPermit }))
   }
-  permit.release()
+  if (received.val.verdict === 'not-run' && received.val.reached !== true) run.cancel()
+  runPermit.release()
   return Err(await checkCrash(received.val, tracked.val, localRequest.target, announcement.address))
 }
 
+/** A run ends when its slot is released. */
+function addRun (permit: Permit, run: TrackedRun): Permit {
+  return {
+    release: () => {
+      run.end()
+      permit.release()
+    }
+  }
+}
+
 /**
  * Tracks a streamed response to its end, since a target can crash in the middle of its response. The target is done after its last
  * byte, which may be long before a slow caller has received the response.
@@ -126,12 +144,14 @@
 
 async function forwardInbound (context: InboundContext, inbound: InboundRequest, body: RequestBody, response: ServerResponse): Promise<void> {
   const scope = new RequestScope(context.clock, inbound.deadlineMs, response)
-  const { request, routeClass, attempt, objectiveMs, method, path, headers } = inbound
+  const { request, service, routeClass, attempt, reached, objectiveMs, method, path, headers } = inbound
   const outgoing = { method, path, headers }
   try {
     await scope.awaitPendingClose()
-    const target = context.local.resolveTarget(inbound.target, inbound.service)
-    const result = await runLocal(context, { target, routeClass, attempt, objectiveMs, scope, outgoing, body: inbound.hasBody ? body : undefined })
+    const target = context.local.resolveTarget(inbound.target, service)
+    const result = await runLocal(context, {
+      service, target, routeClass, attempt, reached, objectiveMs, scope, outgoing, body: inbound.hasBody ? body : undefined
+    })
     response.setHeader(HEADERS.load, formatLoad(context.local.measureLoad(target)))
     if (result.err) {
       writeFailure(response, result.val, request)
--- /dev/null
+++ b/tests/repeats.test.ts
@@ -0,0 +1,55 @@
+/**
+ * Guards against repeats whose origin cannot be told: a second attempt of a node, or a call that a target makes while it serves one.
+ */
+import { afterEach, expect, test } from '@jest/globals'
+import { Agent, request } from 'undici'
+import { RepeatMeter } from '../src/request/index.js'
+import { startMesh } from './fixtures/mesh.js'
+import type { Mesh, MeshOptions } from './fixtures/mesh.js'
+
+const agent = new Agent()
+let mesh: Mesh | undefined
+
+afterEach(async () => {
+  await mesh?.close()
+  mesh = undefined
+})
+
+test.each(['local', 'remote'] as const)('an arrival after one that reached a target is counted as a repeat at the node of the target (%s path)', async path => {
+  const targets: MeshOptions['targets'] = [
+    message => { message.socket.destroy() },
+    (_, response) => { response.end('ok') }
+  ]
+  mesh = await startMesh({ targets, path, document: { retries: { minPerSecond: 1_000 } } })
+  const meters = new Set([mesh.context.inbound.repeats, ...mesh.meters])
+  for (let round = 0; round < 8; round += 1) {
+    const response = await request(`http://${mesh.caller}/read`, { dispatcher: agent, headers: { 'x-comfreyspoke-service': 'desk' } })
+    await response.body.dump()
+  }
+  const counts = [...meters].flatMap(meter => [...meter.collectCounts().values()])
+  const made = counts.reduce((sum, { repeats }) => sum + repeats, 0)
+  expect(made).toBeGreaterThan(0)
+  expect(counts.reduce((sum, { repeatedArrivals }) => sum + repeatedArrivals, 0)).toBe(made)
+  expect(counts.reduce((sum, { arrivals }) => sum + arrivals, 0)).toBe(8 + made)
+})
+
+test('a call counts as one of a repeated run by the share of repeats among the runs in flight', () => {
+  const meter = new RepeatMeter()
+  const first = meter.beginRun('desk', false)
+  const repeat = meter.beginRun('desk', true)
+  meter.recordCall('gallery')
+  first.end()
+  meter.recordCall('gallery')
+  repeat.end()
+  meter.recordCall('gallery')
+  expect(meter.collectCounts().get('gallery')).toMatchObject({ calls: 3, callsOfRepeats: 1.5 })
+})
+
+test('a run whose request was not sent is no arrival, and ends once', () => {
+  const meter = new RepeatMeter()
+  const run = meter.beginRun('desk', true)
+  run.cancel()
+  run.end()
+  expect(meter.repeatedShare).toBe(0)
+  expect(meter.collectCounts().get('desk')).toMatchObject({ arrivals: 0, repeatedArrivals: 0 })
+})
