Charge repeated runs with the calls that they make

Cause: a second attempt that runs makes its calls again, and these are repeats at the services that they reach. No node counted them: they raised the share of the node that took them, and 0.3 of the budget was set aside for them, which nothing enforced.

A node charges each repeated run on its host with the calls that a run makes there on average, in the account of the service that is called, which its own second attempts use, too. A repeat for whose calls there is no budget is rejected as not run, before it reaches the target. Which calls a run may have made follows from their deadline, which is not later than that of the run. The share of repeats goes with each call, so that a service that is called charges its own calls in turn. Second attempts leave room for the calls of repeated runs. Nodes use 0.8 of the budget in place of 0.7, since they count all repeats now.

Calls that a target makes to its own service, and depths above two, are counted by the same means but are in no test.

--- a/src/node/start.ts
+++ b/src/node/start.ts
@@ -47,7 +47,7 @@
   private readonly policies: RequestPolicies
   private readonly localTargets: LocalTargets
   private readonly crashWatch: CrashTracker
-  private readonly repeats = new RepeatMeter()
+  private readonly repeats = new RepeatMeter(this.clock)
   private readonly meter: ControlMeter
   private readonly client: PeerClient
   private readonly peers: PeerSynchronizer
@@ -224,6 +224,7 @@
         crashes: this.crashWatch,
         suspects,
         repeats: this.repeats,
+        retry,
         adapter,
         responseBufferBytes
       },
--- a/src/request/front.ts
+++ b/src/request/front.ts
@@ -30,7 +30,8 @@
 
 /** Headers that nodes set for the target-side node, which removes them. */
 const TARGET_SIDE_NODE_HEADERS = [
-  HEADERS.target, HEADERS.routeClass, HEADERS.fingerprint, HEADERS.suspect, HEADERS.objective, HEADERS.reached
+  HEADERS.target, HEADERS.routeClass, HEADERS.fingerprint, HEADERS.suspect, HEADERS.objective, HEADERS.repeat,
+  HEADERS.repeatPercent
 ] as const
 
 /** Uses the `x-comfreyspoke-` headers. */
--- a/src/request/queries/inbound.ts
+++ b/src/request/queries/inbound.ts
@@ -7,7 +7,8 @@
 import type { Failure, Result } from '../../core/index.js'
 import { routeClassSchema } from '../../document/index.js'
 import { checkHead, removeHopByHopHeaders, hasBody, parseInteger } from '../headers.js'
-import { HEADERS } from '../schema.js'
+import { HEADERS, runOriginSchema } from '../schema.js'
+import type { RunOrigin } from '../schema.js'
 
 /** Caps the received deadline, since a timer for an arbitrary value would overflow. Longer than the deadline of any route. */
 const MAX_DEADLINE_MS = 600_000
@@ -21,8 +22,7 @@
   /** Time within which the response has its full value to the caller. */
   objectiveMs: z.number().int().optional(),
   attempt: z.number().int(),
-  /** The number of targets that the request has reached before. */
-  reached: z.number().int(),
+  origin: runOriginSchema,
   method: z.string(),
   path: z.string(),
   headers: z.record(z.string(), z.union([z.string(), z.array(z.string())])),
@@ -38,7 +38,6 @@
   if (typeof deadlineMs !== 'number') return Err(makeFailure('not-run', 400, 'bad_deadline', `${HEADERS.deadline} is missing or not a positive integer`))
   const attempt = parseInteger(headers[HEADERS.attempt], 1)
   if (attempt === 'bad') return Err(makeFailure('not-run', 400, 'bad_attempt', `${HEADERS.attempt} is not a positive integer`))
-  const reached = parseInteger(headers[HEADERS.reached], 0)
   const objectiveMs = parseInteger(headers[HEADERS.objective], 0)
   const routeClass = String(headers[HEADERS.routeClass] ?? 'normal')
   return Ok({
@@ -48,7 +47,7 @@
     routeClass: routeClass === 'critical' || routeClass === 'bulk' ? routeClass : 'normal',
     deadlineMs: Math.min(deadlineMs, MAX_DEADLINE_MS),
     attempt: attempt ?? 1,
-    reached: typeof reached === 'number' ? reached : 0,
+    origin: readOrigin(message),
     ...typeof objectiveMs === 'number' ? { objectiveMs } : {},
     method: message.method ?? 'GET',
     path: message.url ?? '/',
@@ -56,3 +55,9 @@
     hasBody: hasBody(message)
   })
 }
+
+function readOrigin ({ headers }: IncomingMessage): RunOrigin {
+  if (headers[HEADERS.repeat] !== undefined) return { isRepeat: true, repeatShare: 1 }
+  const percent = parseInteger(headers[HEADERS.repeatPercent], 0)
+  return { isRepeat: false, repeatShare: typeof percent === 'number' ? Math.min(1, percent / 100) : 0 }
+}
--- a/src/request/repeats.ts
+++ b/src/request/repeats.ts
@@ -1,10 +1,12 @@
 /**
  * Counts arrivals at targets beyond the first of each request, by origin: attempts after one that reached a target, and calls that a
- * target makes while it serves such an attempt. A call does not name the run that made it, so it counts by the share of repeats among
- * the runs in flight on this host.
+ * target makes while it serves such an attempt. A call does not name the run that made it, but it expires no later than that run, so it
+ * counts by the share of repeats among the runs on this host that last as long.
  */
+import type { Clock } from '../core/index.js'
 import { getOrMake } from '../core/index.js'
 import type { RetryDecision } from './retry.js'
+import type { RunOrigin } from './schema.js'
 
 /** Counts of one service since they were last taken. */
 export interface RepeatCounts {
@@ -29,20 +31,31 @@
   cancel: () => void
 }
 
+/** Which runs on this host may have made a call. */
+export interface CallOrigin {
+  isOfRun: boolean
+  /** The probability that a repeated run made the call. */
+  repeatShare: number
+}
+
+interface Run { repeatShare: number, endsAt: number }
+
+/** A target counts its time from the arrival of the request, which is later than its sending. */
+const MAX_ARRIVAL_DELAY_MS = 30
+
 export class RepeatMeter {
   private readonly counts = new Map<string, RepeatCounts>()
-  private running = 0
-  private runningRepeats = 0
+  private readonly runs = new Set<Run>()
 
-  /** The share of repeats among the runs in flight on this host. */
-  get repeatedShare (): number {
-    return this.running === 0 ? 0 : this.runningRepeats / this.running
-  }
+  constructor (private readonly clock: Clock) {}
 
-  recordCall (service: string): void {
+  /** `leftMs` is the time until the call expires. */
+  recordCall (service: string, leftMs = 0): CallOrigin {
+    const origin = this.deriveOrigin(leftMs)
     const counts = this.getCounts(service)
     counts.calls += 1
-    counts.callsOfRepeats += this.repeatedShare
+    counts.callsOfRepeats += origin.repeatShare
+    return origin
   }
 
   /** Records the decision that followed an attempt which reached a target. */
@@ -51,20 +64,15 @@
     if (decision === 'spent') this.getCounts(service).denied += 1
   }
 
-  beginRun (service: string, isRepeat: boolean): TrackedRun {
+  /** `leftMs` is the time that the target has for the run. */
+  beginRun (service: string, { isRepeat, repeatShare }: RunOrigin, leftMs: number): TrackedRun {
+    const run: Run = { repeatShare, endsAt: this.clock.monotonic() + leftMs }
     const repeats = isRepeat ? 1 : 0
-    this.addRun(1, repeats)
+    this.runs.add(run)
     this.countArrival(service, 1, repeats)
-    let isEnded = false
-    const end = (): boolean => {
-      if (isEnded) return false
-      isEnded = true
-      this.addRun(-1, -repeats)
-      return true
-    }
     return {
-      end,
-      cancel: () => { if (end()) this.countArrival(service, -1, -repeats) }
+      end: () => { this.runs.delete(run) },
+      cancel: () => { if (this.runs.delete(run)) this.countArrival(service, -1, -repeats) }
     }
   }
 
@@ -75,9 +83,16 @@
     return collected
   }
 
-  private addRun (runs: number, repeats: number): void {
-    this.running += runs
-    this.runningRepeats += repeats
+  private deriveOrigin (leftMs: number): CallOrigin {
+    const expiresAt = this.clock.monotonic() + leftMs - MAX_ARRIVAL_DELAY_MS
+    let runs = 0
+    let repeats = 0
+    for (const { repeatShare, endsAt } of this.runs) {
+      if (endsAt < expiresAt) continue
+      runs += 1
+      repeats += repeatShare
+    }
+    return { isOfRun: runs > 0, repeatShare: runs === 0 ? 0 : repeats / runs }
   }
 
   private countArrival (service: string, arrivals: number, repeats: number): void {
--- a/src/request/retry.ts
+++ b/src/request/retry.ts
@@ -4,6 +4,7 @@
 import type { Clock, Failure, Random } from '../core/index.js'
 import { computeBackoff, getOrMake } from '../core/index.js'
 import type { Retries, RouteKind } from '../document/index.js'
+import type { RunOrigin } from './schema.js'
 
 export interface RetryContext {
   service: string
@@ -23,9 +24,11 @@
 export type RetryDecision = number | 'final' | 'spent'
 
 export abstract class RetryPolicy {
-  /** Called once for each call. The retry budget is a share of these calls. */
-  abstract countCall (service: string): void
+  /** Called once for each call. The retry budget is a share of these calls. `isOfRun`: a run on this host may have made the call. */
+  abstract countCall (service: string, isOfRun: boolean): void
   abstract decide (context: RetryContext): RetryDecision
+  /** Called for each run on this host before its request is sent to the target. Returns false if a repeat must not run. */
+  abstract admitRun (origin: RunOrigin): boolean
 }
 
 const BUCKET_MS = 1_000
@@ -83,6 +86,10 @@
     this.getBudget(service).countCall(this.clock.monotonic())
   }
 
+  override admitRun (): boolean {
+    return true
+  }
+
   override decide (context: RetryContext): RetryDecision {
     if (!isRetryable(context)) return 'final'
     const waitMs = computeBackoff(context.attempt, BACKOFF, this.random)
--- a/src/request/schema.ts
+++ b/src/request/schema.ts
@@ -13,8 +13,9 @@
   verdict: 'x-comfreyspoke-verdict',
   target: 'x-comfreyspoke-target',
   routeClass: 'x-comfreyspoke-class',
-  /** The number of targets that the request has reached before. */
-  reached: 'x-comfreyspoke-reached',
+  /** Present if the request has reached a target before. */
+  repeat: 'x-comfreyspoke-repeat',
+  repeatPercent: 'x-comfreyspoke-repeat-percent',
   noRetry: 'x-comfreyspoke-no-retry',
   load: 'x-comfreyspoke-load',
   objective: 'x-comfreyspoke-objective-ms',
@@ -25,6 +26,14 @@
 
 export const MAX_HOPS = 8
 
+export const runOriginSchema = z.object({
+  /** The request has reached a target before. */
+  isRepeat: z.boolean(),
+  /** 1 for a repeat, and otherwise the probability that a repeated run on the host of the caller made the request. */
+  repeatShare: z.number().min(0).max(1)
+})
+export type RunOrigin = z.infer<typeof runOriginSchema>
+
 export const callSchema = z.object({
   request: z.string(),
   service: z.string(),
--- a/src/request/sharedbudget.ts
+++ b/src/request/sharedbudget.ts
@@ -1,33 +1,58 @@
 /**
- * A retry budget that all nodes share without coordination. Each node derives its part from the calls that it serves, and the parts add
+ * A retry budget that all nodes share without coordination. Each node derives its part from the calls that it takes, and the parts add
  * up to less than the whole budget. An attempt that reached no target does not count, since the targets then get the call only once.
+ *
+ * The load pattern is an overloaded service whose targets call another one. A run that repeats an earlier attempt makes its calls again,
+ * and these use the budget of the service that they reach. So a node charges each repeated run on its host with the calls that a run
+ * makes on average, and does not admit a repeat for whose calls there is no budget left.
  */
 import type { Clock } from '../core/index.js'
+import { getOrMake } from '../core/index.js'
 import { RetryPolicy } from './retry.js'
 import type { RetryDecision, RetryContext } from './retry.js'
+import type { RunOrigin } from './schema.js'
+import { SlidingSum } from './slidingsum.js'
 
-/** Retries within the window: `ratio` of the calls of a service, plus `extra` for all nodes together. */
+/** Repeats within the window: `ratio` of the calls of a service, plus `extra` for all nodes together. */
 export interface SharedRetryBudget { ratio: number, extra: number, windowMs: number }
 
-/** Share of the budget that the nodes use. The rest covers calls that targets make while they serve a retry, which no node counts here. */
-const USED_BUDGET_SHARE = 0.7
+/** The rest is for repeats that arrive later than they were counted, and for runs that make more calls than the average. */
+const USED_BUDGET_SHARE = 0.8
+/** Share of the budget for calls of repeated runs, which second attempts may not use, if runs on this host make all calls to the service. */
+const CALLS_BUDGET_SHARE = 0.3
 /** A call that this many targets rejected is rejected itself. */
 const MAX_ATTEMPTS = 4
 /** With less time than this before the deadline, no target can give a useful response. */
 const MIN_REMAINING_MS = 20
 
-interface Counts { calls: number[], retries: number[] }
+/** What this node has counted for one service within the window. */
+interface Account {
+  readonly calls: SlidingSum
+  /** Calls that a run on this host may have made. */
+  readonly callsOfRuns: SlidingSum
+  readonly attempts: SlidingSum
+  /** Calls of repeated runs, as charged when the runs began. */
+  readonly callsOfRepeats: SlidingSum
+}
+
+/** The calls to a service that one run on this host makes on average. */
+interface Charge { account: Account, calls: number }
 
 export class SharedBudgetRetryPolicy extends RetryPolicy {
-  private readonly counts = new Map<string, Counts>()
+  private readonly accounts = new Map<string, Account>()
+  private readonly runs: SlidingSum
 
-  /** `countNodes` returns the number of nodes that share the budget. */
+  /** `countNodes` returns the number of nodes that this node knows, itself included. */
   constructor (private readonly budget: SharedRetryBudget, private readonly countNodes: () => number, private readonly clock: Clock) {
     super()
+    this.runs = new SlidingSum(budget.windowMs)
   }
 
-  override countCall (service: string): void {
-    this.getCounts(service).calls.push(this.clock.monotonic())
+  override countCall (service: string, isOfRun: boolean): void {
+    const { calls, callsOfRuns } = this.getAccount(service)
+    const now = this.clock.monotonic()
+    calls.add(now)
+    if (isOfRun) callsOfRuns.add(now)
   }
 
   override decide (context: RetryContext): RetryDecision {
@@ -37,30 +62,51 @@
     return failure.verdict === 'not-run' && failure.status >= 500 && attempt < MAX_ATTEMPTS ? 0 : 'final'
   }
 
+  override admitRun ({ isRepeat, repeatShare }: RunOrigin): boolean {
+    const now = this.clock.monotonic()
+    const charges = repeatShare > 0 ? this.listCharges() : []
+    const hasBudget = charges.every(({ account, calls }) => this.hasBudget(account, calls))
+    if (isRepeat && !hasBudget) return false
+    for (const { account, calls } of charges) account.callsOfRepeats.add(now, calls * repeatShare)
+    this.runs.add(now)
+    return true
+  }
+
   private decideReached ({ service, kind, failure, reached, attempts }: RetryContext): RetryDecision {
     if (reached >= attempts || (failure.verdict !== 'not-run' && kind !== 'idempotent')) return 'final'
     return this.consume(service) ? 0 : 'spent'
   }
 
   private consume (service: string): boolean {
-    const { calls, retries } = this.getCounts(service)
-    const allowed = calls.length * this.budget.ratio * USED_BUDGET_SHARE + this.budget.extra * USED_BUDGET_SHARE / Math.max(1, this.countNodes())
-    if (retries.length + 1 > allowed) return false
-    retries.push(this.clock.monotonic())
+    const account = this.getAccount(service)
+    const now = this.clock.monotonic()
+    const callsOfRunsShare = account.callsOfRuns.read(now) / Math.max(1, account.calls.read(now))
+    const maxAttempts = this.computeBudget(account) * (USED_BUDGET_SHARE - CALLS_BUDGET_SHARE * callsOfRunsShare)
+    if (!this.hasBudget(account, 1) || account.attempts.read(now) + 1 > maxAttempts) return false
+    account.attempts.add(now)
     return true
   }
 
-  private getCounts (service: string): Counts {
-    const counts = this.counts.get(service) ?? { calls: [], retries: [] }
-    this.counts.set(service, counts)
-    const oldest = this.clock.monotonic() - this.budget.windowMs
-    removeBefore(counts.calls, oldest)
-    removeBefore(counts.retries, oldest)
-    return counts
+  private hasBudget (account: Account, repeats: number): boolean {
+    const now = this.clock.monotonic()
+    const used = account.attempts.read(now) + account.callsOfRepeats.read(now)
+    return used + repeats <= this.computeBudget(account) * USED_BUDGET_SHARE
   }
-}
 
-function removeBefore (times: number[], oldest: number): void {
-  const firstKept = times.findIndex(time => time >= oldest)
-  times.splice(0, firstKept < 0 ? times.length : firstKept)
+  /** Returns the part of this node, in repeats within the window. */
+  private computeBudget ({ calls }: Account): number {
+    return calls.read(this.clock.monotonic()) * this.budget.ratio + this.budget.extra / Math.max(1, this.countNodes())
+  }
+
+  private listCharges (): Charge[] {
+    const now = this.clock.monotonic()
+    const runs = Math.max(1, this.runs.read(now))
+    return [...this.accounts.values()].map(account => ({ account, calls: account.callsOfRuns.read(now) / runs })).filter(({ calls }) => calls > 0)
+  }
+
+  private getAccount (service: string): Account {
+    const { windowMs } = this.budget
+    const makeSum = (): SlidingSum => new SlidingSum(windowMs)
+    return getOrMake(this.accounts, service, () => ({ calls: makeSum(), callsOfRuns: makeSum(), attempts: makeSum(), callsOfRepeats: makeSum() }))
+  }
 }
--- a/src/request/tasks/attempt.ts
+++ b/src/request/tasks/attempt.ts
@@ -15,7 +15,7 @@
 import { deriveFailureOutcome, deriveResponseOutcome } from '../queries/outcome.js'
 import type { ResolvedRoute } from '../queries/route.js'
 import { HEADERS } from '../schema.js'
-import type { Call } from '../schema.js'
+import type { Call, RunOrigin } from '../schema.js'
 import type { RequestScope } from '../scope.js'
 import { runLocal } from './inbound.js'
 import type { InboundContext } from './inbound.js'
@@ -23,10 +23,18 @@
 const FIRST_SERVER_ERROR_STATUS = 500
 
 /** A call after route resolution: the state that all its attempts share. */
-export interface ActiveCall { call: Call, resolved: ResolvedRoute, headers: Headers, body: RequestBody, scope: RequestScope, suspect: SuspectCall }
+export interface ActiveCall {
+  call: Call
+  resolved: ResolvedRoute
+  headers: Headers
+  body: RequestBody
+  scope: RequestScope
+  suspect: SuspectCall
+  /** The probability that a repeated run on this host made the call. */
+  repeatShare: number
+}
 
-/** `reached` is the number of targets that earlier attempts of the call reached. */
-export interface Attempt { activeCall: ActiveCall, target: Target, number: number, reached: number }
+export interface Attempt { activeCall: ActiveCall, target: Target, number: number, origin: RunOrigin }
 
 /** `finish` ends the accounting of the attempt after the response has been forwarded. */
 export interface AttemptResponse { targetResponse: TargetResponse, finish: (delivery: DeliveryOutcome) => void }
@@ -60,7 +68,7 @@
 }
 
 async function attemptLocal (context: AttemptContext, attempt: Attempt): Promise<Result<ReceivedResponse, Failure>> {
-  const { activeCall, target, number, reached } = attempt
+  const { activeCall, target, number, origin } = attempt
   const { local } = context.inbound
   const name = local.resolveTarget(getTargetName(target), target.service)
   const result = await runLocal(context.inbound, {
@@ -68,7 +76,7 @@
     target: name,
     routeClass: activeCall.resolved.route.class,
     attempt: number,
-    reached,
+    origin,
     objectiveMs: measureRemainingObjective(activeCall),
     scope: activeCall.scope,
     outgoing: makeOutgoingRequest(attempt),
@@ -109,7 +117,7 @@
   }
 }
 
-function makeOutgoingRequest ({ activeCall, target, number, reached }: Attempt): Pick<OutgoingRequest, 'method' | 'path' | 'headers'> {
+function makeOutgoingRequest ({ activeCall, target, number, origin }: Attempt): Pick<OutgoingRequest, 'method' | 'path' | 'headers'> {
   const { call, resolved, headers, scope, suspect } = activeCall
   const outgoingHeaders: Headers = {
     ...headers,
@@ -118,12 +126,13 @@
     [HEADERS.service]: resolved.service,
     [HEADERS.hops]: String(call.hops + 1),
     [HEADERS.attempt]: String(number),
-    [HEADERS.reached]: String(reached),
+    [HEADERS.repeatPercent]: String(Math.round(origin.repeatShare * 100)),
     [HEADERS.deadline]: String(scope.forwardedDeadlineMs),
     [HEADERS.routeClass]: resolved.route.class,
     [HEADERS.target]: getTargetName(target),
     ...call.caller === undefined ? {} : { [HEADERS.caller]: call.caller }
   }
+  if (origin.isRepeat) outgoingHeaders[HEADERS.repeat] = '1'
   const objectiveMs = measureRemainingObjective(activeCall)
   if (objectiveMs !== undefined) outgoingHeaders[HEADERS.objective] = String(Math.round(objectiveMs))
   // Services further down must not retry a request that is itself a retry, or the attempts would multiply with each hop.
--- a/src/request/tasks/attempts.ts
+++ b/src/request/tasks/attempts.ts
@@ -8,7 +8,7 @@
 import type { TargetResponse } from '../httpclient.js'
 import type { TargetLoad } from '../load.js'
 import type { RetryDecision, RetryPolicy } from '../retry.js'
-import type { Call } from '../schema.js'
+import type { Call, RunOrigin } from '../schema.js'
 import { attemptTarget, getTargetName } from './attempt.js'
 import type { AttemptContext, ActiveCall, AttemptResponse } from './attempt.js'
 
@@ -53,9 +53,7 @@
       const target = this.pickTarget()
       if (target === undefined) return this.finish(this.worstFailure ?? this.makeNoTargetFailure())
       this.attemptNumber += 1
-      const result = await attemptTarget(this.context, {
-        activeCall: this.activeCall, target, number: this.attemptNumber, reached: this.reachedCount
-      })
+      const result = await attemptTarget(this.context, { activeCall: this.activeCall, target, number: this.attemptNumber, origin: this.origin })
       const failure = this.recordResult(target, result)
       if (failure === undefined) return result.map(response => this.makeResponse(response))
       body.release()
@@ -67,6 +65,11 @@
     return this.finish(this.worstFailure ?? makeFailure('not-run', 504, 'deadline', 'the deadline passed before the request was sent'))
   }
 
+  private get origin (): RunOrigin {
+    const isRepeat = this.reachedCount > 0
+    return { isRepeat, repeatShare: isRepeat ? 1 : this.activeCall.repeatShare }
+  }
+
   private pickTarget (): Target | undefined {
     const { resolved, call } = this.activeCall
     const { targets, document: { zones } } = resolved
--- a/src/request/tasks/caller.ts
+++ b/src/request/tasks/caller.ts
@@ -100,12 +100,12 @@
   if (deadlineMs > (context.getTimeToShutdownMs?.() ?? Infinity)) return Err(makeFailure('not-run', 503, 'stopping', 'this node stops before the deadline of the request', RETRY_AFTER_MS))
   const scope = new RequestScope(context.clock, deadlineMs, response)
   await scope.awaitPendingClose()
-  context.retry.countCall(service)
-  context.inbound.repeats.recordCall(service)
+  const { isOfRun, repeatShare } = context.inbound.repeats.recordCall(service, call.deadlineMs)
+  context.retry.countCall(service, isOfRun)
   const run = async (): Promise<Result<AttemptResponse, Failure>> => {
     const suspect = new SuspectCall(context.suspects, call, body.buffered)
     const headers = context.inbound.adapter.filterRequestHeaders(message.headers)
-    return await new Attempts(context, { call, resolved: resolved.val, headers, body, scope, suspect }).run()
+    return await new Attempts(context, { call, resolved: resolved.val, headers, body, scope, suspect, repeatShare }).run()
   }
   if (call.hasBody && !await body.bufferShortBody(scope.signal)) {
     scope.end()
--- a/src/request/tasks/inbound.ts
+++ b/src/request/tasks/inbound.ts
@@ -21,16 +21,17 @@
 import type { InboundRequest } from '../queries/inbound.js'
 import { RequestScope } from '../scope.js'
 import type { RepeatMeter, TrackedRun } from '../repeats.js'
+import type { RetryPolicy } from '../retry.js'
 import type { Permit } from '../slots.js'
 import { HEADERS } from '../schema.js'
+import type { RunOrigin } from '../schema.js'
 
 export interface LocalRequest {
   service: string
   target: string
   routeClass: RouteClass
   attempt: number
-  /** The number of targets that the request has reached before. */
-  reached: number
+  origin: RunOrigin
   /** Time left until the latency objective of the route passes. */
   objectiveMs: number | undefined
   scope: RequestScope
@@ -45,6 +46,7 @@
   crashes: CrashTracker
   suspects: SuspectTable
   repeats: RepeatMeter
+  retry: RetryPolicy
   adapter: ProtocolAdapter
   /** Responses up to this size are buffered and forwarded only when they are complete. */
   responseBufferBytes: number
@@ -52,12 +54,13 @@
 
 export interface LocalResponse { targetResponse: TargetResponse, permit: Permit }
 
+const RETRY_AFTER_MS = 200
 const SHED_CODES = new Set(['queue_full', 'shed'])
 
 /** Runs a request on a target of this host. The permit must be released after the response has been forwarded or truncated. */
 export async function runLocal (context: InboundContext, localRequest: LocalRequest): Promise<Result<LocalResponse, Failure>> {
   const { local, client, crashes, suspects, adapter } = context
-  const { target, routeClass, attempt, scope, outgoing, body } = localRequest
+  const { service, target, routeClass, attempt, origin, scope, outgoing, body } = localRequest
   const { signal } = scope
   if (body !== undefined && !await body.bufferShortBody(signal)) return Err(makeFailure('not-run', 504, 'deadline', 'the request body did not arrive before the deadline'))
   const admitted = await local.admit({ target, routeClass, leftMs: Math.max(0, scope.leftMs), objectiveMs: localRequest.objectiveMs, signal })
@@ -72,9 +75,15 @@
     permit.release()
     return tracked
   }
-  const run = context.repeats.beginRun(localRequest.service, localRequest.reached > 0)
+  if (!context.retry.admitRun(origin)) {
+    tracked.val.discard()
+    permit.release()
+    return Err(makeFailure('not-run', 503, 'retry_budget', 'the retry budgets of the services that the target calls are used up', RETRY_AFTER_MS))
+  }
+  const leftMs = scope.forwardedDeadlineMs
+  const run = context.repeats.beginRun(service, origin, leftMs)
   const runPermit = addRun(permit, run)
-  const headers = adapter.makeTargetHeaders({ headers: outgoing.headers, target, leftMs: scope.forwardedDeadlineMs })
+  const headers = adapter.makeTargetHeaders({ headers: outgoing.headers, target, leftMs })
   const received = await client.send({
     ...outgoing,
     headers,
@@ -144,13 +153,13 @@
 
 async function forwardInbound (context: InboundContext, inbound: InboundRequest, body: RequestBody, response: ServerResponse): Promise<void> {
   const scope = new RequestScope(context.clock, inbound.deadlineMs, response)
-  const { request, service, routeClass, attempt, reached, objectiveMs, method, path, headers } = inbound
+  const { request, service, routeClass, attempt, origin, objectiveMs, method, path, headers } = inbound
   const outgoing = { method, path, headers }
   try {
     await scope.awaitPendingClose()
     const target = context.local.resolveTarget(inbound.target, service)
     const result = await runLocal(context, {
-      service, target, routeClass, attempt, reached, objectiveMs, scope, outgoing, body: inbound.hasBody ? body : undefined
+      service, target, routeClass, attempt, origin, objectiveMs, scope, outgoing, body: inbound.hasBody ? body : undefined
     })
     response.setHeader(HEADERS.load, formatLoad(context.local.measureLoad(target)))
     if (result.err) {
--- a/tests/delaypicker.test.ts
+++ b/tests/delaypicker.test.ts
@@ -91,7 +91,7 @@
   for (let node = 0; node < nodes; node += 1) {
     const policy = new SharedBudgetRetryPolicy(budget, () => nodes, clock)
     for (let call = 0; call < 50; call += 1) {
-      policy.countCall('desk')
+      policy.countCall('desk', false)
       const failure = { verdict: 'not-run', status: 503, code: 'target_refused', message: '', reached: true } as const
       const question = {
         service: 'desk', kind: 'plain', retries: { attempts: 3, budgetPercent: 0, minPerSecond: 0 }, failure, attempt: 1, reached: 1, attempts: 3, leftMs: 500, canResend: true
--- a/tests/repeats.test.ts
+++ b/tests/repeats.test.ts
@@ -4,6 +4,8 @@
 import { afterEach, expect, test } from '@jest/globals'
 import { Agent, request } from 'undici'
 import { RepeatMeter } from '../src/request/index.js'
+import type { RunOrigin } from '../src/request/schema.js'
+import { makeClock } from './fixtures/clock.js'
 import { startMesh } from './fixtures/mesh.js'
 import type { Mesh, MeshOptions } from './fixtures/mesh.js'
 
@@ -33,23 +35,33 @@
   expect(counts.reduce((sum, { arrivals }) => sum + arrivals, 0)).toBe(8 + made)
 })
 
+const FIRST: RunOrigin = { isRepeat: false, repeatShare: 0 }
+const REPEAT: RunOrigin = { isRepeat: true, repeatShare: 1 }
+
 test('a call counts as one of a repeated run by the share of repeats among the runs in flight', () => {
-  const meter = new RepeatMeter()
-  const first = meter.beginRun('desk', false)
-  const repeat = meter.beginRun('desk', true)
-  meter.recordCall('gallery')
+  const meter = new RepeatMeter(makeClock())
+  const first = meter.beginRun('desk', FIRST, 1_000)
+  const repeat = meter.beginRun('desk', REPEAT, 1_000)
+  expect(meter.recordCall('gallery', 500)).toEqual({ isOfRun: true, repeatShare: 0.5 })
   first.end()
-  meter.recordCall('gallery')
+  expect(meter.recordCall('gallery', 500)).toEqual({ isOfRun: true, repeatShare: 1 })
   repeat.end()
-  meter.recordCall('gallery')
+  expect(meter.recordCall('gallery', 500)).toEqual({ isOfRun: false, repeatShare: 0 })
   expect(meter.collectCounts().get('gallery')).toMatchObject({ calls: 3, callsOfRepeats: 1.5 })
 })
 
+/** Callers of the same host call the same services. Their calls must not count as repeats. */
+test('a call that expires later than each run in flight was made by none of them', () => {
+  const meter = new RepeatMeter(makeClock())
+  meter.beginRun('desk', REPEAT, 1_000)
+  expect(meter.recordCall('gallery', 4_000)).toEqual({ isOfRun: false, repeatShare: 0 })
+})
+
 test('a run whose request was not sent is no arrival, and ends once', () => {
-  const meter = new RepeatMeter()
-  const run = meter.beginRun('desk', true)
+  const meter = new RepeatMeter(makeClock())
+  const run = meter.beginRun('desk', REPEAT, 1_000)
   run.cancel()
   run.end()
-  expect(meter.repeatedShare).toBe(0)
+  expect(meter.recordCall('gallery', 500)).toEqual({ isOfRun: false, repeatShare: 0 })
   expect(meter.collectCounts().get('desk')).toMatchObject({ arrivals: 0, repeatedArrivals: 0 })
 })
--- a/tests/retrybudget.test.ts
+++ b/tests/retrybudget.test.ts
@@ -37,7 +37,7 @@
   let known = 14
   const policy = new SharedBudgetRetryPolicy(BUDGET, () => known, clock)
   clock.advance(60_000)
-  policy.countCall('desk')
+  policy.countCall('desk', false)
   clock.advance(60_000)
   known = 2
   const decisions = Array.from({ length: 50 }, () => policy.decide(makeRejection()))
