Give a node no part of the extra retries until a window after its start

A node that started again had forgotten the repeats that it had caused, and took its part of the extra once more within the window. A node that has just started may know few others, so that part may be many times too large.

A node has its share of its own calls from its first call on.

--- a/src/request/sharedbudget.ts
+++ b/src/request/sharedbudget.ts
@@ -41,11 +41,13 @@
 export class SharedBudgetRetryPolicy extends RetryPolicy {
   private readonly accounts = new Map<string, Account>()
   private readonly runs: SlidingSum
+  private readonly startedAt: number
 
   /** `countNodes` returns the number of nodes that this node knows, itself included. */
   constructor (private readonly budget: SharedRetryBudget, private readonly countNodes: () => number, private readonly clock: Clock) {
     super()
     this.runs = new SlidingSum(budget.windowMs)
+    this.startedAt = clock.monotonic()
   }
 
   override countCall (service: string, isOfRun: boolean): void {
@@ -95,7 +97,13 @@
 
   /** Returns the part of this node, in repeats within the window. */
   private computeBudget ({ calls }: Account): number {
-    return calls.read(this.clock.monotonic()) * this.budget.ratio + this.budget.extra / Math.max(1, this.countNodes())
+    return calls.read(this.clock.monotonic()) * this.budget.ratio + this.computeExtra()
+  }
+
+  /** A node that has just started may have spent its part before, and knows few others yet. */
+  private computeExtra (): number {
+    const { extra, windowMs } = this.budget
+    return this.clock.monotonic() - this.startedAt < windowMs ? 0 : extra / Math.max(1, this.countNodes())
   }
 
   private listCharges (): Charge[] {
