Divide the extra retries by the largest number of nodes that a node has known

A node that is cut off removes the hosts that it cannot reach, and so do the nodes on the other side. Each divided the extra by the few that were left, so both sides together spent a multiple of it.

--- a/src/request/sharedbudget.ts
+++ b/src/request/sharedbudget.ts
@@ -42,6 +42,7 @@
   private readonly accounts = new Map<string, Account>()
   private readonly runs: SlidingSum
   private readonly startedAt: number
+  private mostNodes = 1
 
   /** `countNodes` returns the number of nodes that this node knows, itself included. */
   constructor (private readonly budget: SharedRetryBudget, private readonly countNodes: () => number, private readonly clock: Clock) {
@@ -51,6 +52,7 @@
   }
 
   override countCall (service: string, isOfRun: boolean): void {
+    this.mostNodes = Math.max(this.mostNodes, this.countNodes())
     const { calls, callsOfRuns } = this.getAccount(service)
     const now = this.clock.monotonic()
     calls.add(now)
@@ -100,10 +102,13 @@
     return calls.read(this.clock.monotonic()) * this.budget.ratio + this.computeExtra()
   }
 
-  /** A node that has just started may have spent its part before, and knows few others yet. */
+  /**
+   * A node that has just started may have spent its part before, and knows few others yet. One that is cut off from the others comes to
+   * know fewer of them, and so do the others, so the largest number that this node has known counts.
+   */
   private computeExtra (): number {
     const { extra, windowMs } = this.budget
-    return this.clock.monotonic() - this.startedAt < windowMs ? 0 : extra / Math.max(1, this.countNodes())
+    return this.clock.monotonic() - this.startedAt < windowMs ? 0 : extra / this.mostNodes
   }
 
   private listCharges (): Charge[] {
