--- a/tests/platform/silent.test.ts
+++ b/tests/platform/silent.test.ts
@@ -2,15 +2,14 @@
  * Guards against a node that goes on waiting for changes on a connection to the store that has gone silent. Callers then get 404 for
  * routes that were added, and old routes, from every node at once.
  */
-import { once } from 'node:events'
-import { connect, createServer } from 'node:net'
-import type { AddressInfo, Server, Socket } from 'node:net'
 import { setTimeout as delay } from 'node:timers/promises'
 import { afterEach, beforeEach, expect, test } from '@jest/globals'
 import { StoreClient } from '../../platform/client.js'
 import { PlatformConfigurationSource } from '../../platform/configuration.js'
 import { SeededRandom, SystemClock } from '../../src/core/index.js'
 import { followConfiguration } from '../../src/node/tasks/configuration.js'
+import { startLink } from '../fixtures/link.js'
+import type { SilentLink } from '../fixtures/link.js'
 import { makeNullLog } from '../fixtures/log.js'
 import { makePlatformConfiguration, makeStoreFixture } from '../fixtures/platform.js'
 import type { StoreFixture } from '../fixtures/platform.js'
@@ -20,18 +19,12 @@
 const CHECK_INTERVAL_MS = 20
 
 let store: StoreFixture
-let link: Server
-let sockets: Socket[]
+let link: SilentLink
 let client: StoreClient
 let stopped: AbortController
 let following: Promise<void>
 let versions: number[]
 
-/** Connections that are open stay open and forward nothing any more. New ones work. */
-function silenceConnections (): void {
-  for (const socket of sockets) socket.unpipe().pause()
-}
-
 /** Returns false if the version is not in force in time. */
 async function awaitVersion (version: number): Promise<boolean> {
   const endsAt = performance.now() + IN_FORCE_MS
@@ -41,19 +34,10 @@
 
 beforeEach(async () => {
   store = await makeStoreFixture()
-  sockets = []
   versions = []
   stopped = new AbortController()
-  const [host, port] = store.address.split(':')
-  link = createServer(near => {
-    const far = connect(Number(port), host)
-    for (const socket of [near, far]) socket.on('error', () => {})
-    near.pipe(far).pipe(near)
-    sockets.push(near, far)
-  })
-  link.listen(0, '127.0.0.1')
-  await once(link, 'listening')
-  client = new StoreClient(`http://127.0.0.1:${(link.address() as AddressInfo).port}`)
+  link = await startLink(store.address)
+  client = new StoreClient(`http://${link.address}`)
   store.server.writeObject('config', 'main', makePlatformConfiguration(1))
   following = followConfiguration({
     source: new PlatformConfigurationSource(client),
@@ -71,7 +55,6 @@
   stopped.abort()
   await following
   await client.close()
-  for (const socket of sockets) socket.destroy()
   link.close()
   await store.close()
 })
@@ -80,7 +63,7 @@
   expect(await awaitVersion(1)).toBe(true)
   // Until the node waits for changes.
   await delay(1_000)
-  silenceConnections()
+  link.silence()
   store.server.writeObject('config', 'main', makePlatformConfiguration(2))
   expect(await awaitVersion(2)).toBe(true)
 })
