Return the budget of second attempts that reach no target

An allowed attempt is pending until it reaches a target or is given up. It counts from the decision until a window after it ended, so it also covers the time at which it arrives, which is later than the decision.

tests/repeats.test.ts: of 12 second attempts that the budget allows, none is left when those that reached no target count, and all 12 with this change.

--- a/src/request/retry.ts
+++ b/src/request/retry.ts
@@ -27,6 +27,8 @@
   /** Called once for each call. The retry budget is a share of these calls. `isOfRun`: a run on this host may have made the call. */
   abstract countCall (service: string, isOfRun: boolean): void
   abstract decide (context: RetryContext): RetryDecision
+  /** Called once for each attempt that was allowed after one that reached a target: when it has reached a target, or is not made. */
+  abstract finishRetry (service: string, hasReachedTarget: boolean): void
   /** Called for each run on this host before its request is sent to the target. Returns false if a repeat must not run. */
   abstract admitRun (origin: RunOrigin): boolean
 }
@@ -86,6 +88,8 @@
     this.getBudget(service).countCall(this.clock.monotonic())
   }
 
+  override finishRetry (): void {}
+
   override admitRun (): boolean {
     return true
   }
--- a/src/request/sharedbudget.ts
+++ b/src/request/sharedbudget.ts
@@ -31,6 +31,8 @@
   /** Calls that a run on this host may have made. */
   readonly callsOfRuns: SlidingSum
   readonly attempts: SlidingSum
+  /** Attempts that were allowed and have not reached a target yet. */
+  pendingAttempts: number
   /** Calls of repeated runs, as charged when the runs began. */
   readonly callsOfRepeats: SlidingSum
 }
@@ -66,6 +68,13 @@
     return failure.verdict === 'not-run' && failure.status >= 500 && attempt < MAX_ATTEMPTS ? 0 : 'final'
   }
 
+  /** Counts the attempt for a whole window after its end, since it reached the target some time after it was allowed. */
+  override finishRetry (service: string, hasReachedTarget: boolean): void {
+    const account = this.getAccount(service)
+    account.pendingAttempts -= 1
+    if (hasReachedTarget) account.attempts.add(this.clock.monotonic())
+  }
+
   override admitRun ({ isRepeat, repeatShare }: RunOrigin): boolean {
     const now = this.clock.monotonic()
     const charges = repeatShare > 0 ? this.listCharges() : []
@@ -86,17 +95,21 @@
     const now = this.clock.monotonic()
     const callsOfRunsShare = account.callsOfRuns.read(now) / Math.max(1, account.calls.read(now))
     const maxAttempts = this.computeBudget(account) * (USED_BUDGET_SHARE - CALLS_BUDGET_SHARE * callsOfRunsShare)
-    if (!this.hasBudget(account, 1) || account.attempts.read(now) + 1 > maxAttempts) return false
-    account.attempts.add(now)
+    if (!this.hasBudget(account, 1) || this.countAttempts(account) + 1 > maxAttempts) return false
+    account.pendingAttempts += 1
     return true
   }
 
   private hasBudget (account: Account, repeats: number): boolean {
     const now = this.clock.monotonic()
-    const used = account.attempts.read(now) + account.callsOfRepeats.read(now)
+    const used = this.countAttempts(account) + account.callsOfRepeats.read(now)
     return used + repeats <= this.computeBudget(account) * USED_BUDGET_SHARE
   }
 
+  private countAttempts ({ attempts, pendingAttempts }: Account): number {
+    return attempts.read(this.clock.monotonic()) + pendingAttempts
+  }
+
   /** Returns the part of this node, in repeats within the window. */
   private computeBudget ({ calls }: Account): number {
     return calls.read(this.clock.monotonic()) * this.budget.ratio + this.computeExtra()
@@ -120,6 +133,8 @@
   private getAccount (service: string): Account {
     const { windowMs } = this.budget
     const makeSum = (): SlidingSum => new SlidingSum(windowMs)
-    return getOrMake(this.accounts, service, () => ({ calls: makeSum(), callsOfRuns: makeSum(), attempts: makeSum(), callsOfRepeats: makeSum() }))
+    return getOrMake(this.accounts, service, () => ({
+      calls: makeSum(), callsOfRuns: makeSum(), attempts: makeSum(), pendingAttempts: 0, callsOfRepeats: makeSum()
+    }))
   }
 }
--- a/src/request/tasks/attempts.ts
+++ b/src/request/tasks/attempts.ts
@@ -40,6 +40,8 @@
   private reachedCount = 0
   private worstFailure: Failure | undefined
   private needsFreeSlot = false
+  /** The retry budget has allowed an attempt that has not reached a target yet. */
+  private hasAllowedRetry = false
   /** A server error response of a target. The caller gets it when no other attempt yields a better response. */
   private fallbackResponse: AttemptResponse | undefined
 
@@ -55,6 +57,7 @@
       this.attemptNumber += 1
       const result = await attemptTarget(this.context, { activeCall: this.activeCall, target, number: this.attemptNumber, origin: this.origin })
       const failure = this.recordResult(target, result)
+      if (hasReachedTarget(result)) this.finishRetry(true)
       if (failure === undefined) return result.map(response => this.makeResponse(response))
       body.release()
       const decision = this.decide(failure)
@@ -122,10 +125,19 @@
       leftMs: scope.leftMs,
       canResend: !call.hasBody || body.canResend
     })
-    if (failure.reached === true) this.context.inbound.repeats.recordDecision(service, decision)
+    if (failure.reached === true) {
+      this.context.inbound.repeats.recordDecision(service, decision)
+      this.hasAllowedRetry = typeof decision === 'number'
+    }
     return decision
   }
 
+  private finishRetry (hasReachedTarget: boolean): void {
+    if (!this.hasAllowedRetry) return
+    this.hasAllowedRetry = false
+    this.context.retry.finishRetry(this.activeCall.resolved.service, hasReachedTarget)
+  }
+
   private reportFailedAttempt (target: Target, failure: Failure, decision: RetryDecision): void {
     const { call, resolved: { service }, scope: { leftMs } } = this.activeCall
     this.context.onAttemptFailed?.({ call, service, target, number: this.attemptNumber, failure, decision, leftMs })
@@ -141,11 +153,17 @@
   }
 
   private finish (failure: Failure | undefined): Result<AttemptResponse, Failure> {
+    this.finishRetry(false)
     if (this.fallbackResponse !== undefined) return Ok(this.fallbackResponse)
     return Err(pickWorse(this.worstFailure, failure ?? this.makeNoTargetFailure()))
   }
 }
 
+/** An attempt whose outcome is unknown may have reached its target. */
+function hasReachedTarget (result: Result<AttemptResponse, Failure>): boolean {
+  return result.ok || result.val.reached === true || result.val.verdict !== 'not-run'
+}
+
 /** Only a fully buffered response can be kept as the fallback while another attempt is made. */
 function findServerError ({ statusCode, body }: TargetResponse): Failure | undefined {
   if (statusCode < FIRST_SERVER_ERROR_STATUS || !Buffer.isBuffer(body)) return undefined
--- a/tests/repeats.test.ts
+++ b/tests/repeats.test.ts
@@ -3,11 +3,13 @@
  */
 import { afterEach, expect, test } from '@jest/globals'
 import { Agent, request } from 'undici'
-import { RepeatMeter } from '../src/request/index.js'
+import { SystemClock } from '../src/core/index.js'
+import { RepeatMeter, SharedBudgetRetryPolicy } from '../src/request/index.js'
 import type { RunOrigin } from '../src/request/schema.js'
 import { makeClock } from './fixtures/clock.js'
 import { startMesh } from './fixtures/mesh.js'
 import type { Mesh, MeshOptions } from './fixtures/mesh.js'
+import { makeRejection } from './fixtures/repeats.js'
 
 const agent = new Agent()
 let mesh: Mesh | undefined
@@ -65,3 +67,19 @@
   expect(meter.recordCall('gallery', 500)).toEqual({ isOfRun: false, repeatShare: 0 })
   expect(meter.collectCounts().get('desk')).toMatchObject({ arrivals: 0, repeatedArrivals: 0 })
 })
+
+/** An address that refuses connections: listening on port 1 of loopback needs privileges that tests do not have. */
+const REFUSING = '127.0.0.1:1'
+const CALLS = 30
+
+test('second attempts that reach no target leave their part of the budget to others', async () => {
+  const retry = new SharedBudgetRetryPolicy({ ratio: 0.5, extra: 0, windowMs: 60_000 }, () => 1, new SystemClock())
+  mesh = await startMesh({ targets: [message => { message.socket.destroy() }, REFUSING, REFUSING], retry })
+  for (let call = 0; call < CALLS; call += 1) {
+    const response = await request(`http://${mesh.caller}/read`, { dispatcher: agent, headers: { 'x-comfreyspoke-service': 'desk' } })
+    await response.body.dump()
+  }
+  expect(mesh.context.inbound.repeats.collectCounts().get('desk')?.repeats).toBeGreaterThan(0)
+  const decisions = Array.from({ length: CALLS }, () => retry.decide(makeRejection()))
+  expect(decisions.filter(decision => typeof decision === 'number').length).toBe(CALLS * 0.5 * 0.8)
+})
