--- a/src/node/telemetry.ts
+++ b/src/node/telemetry.ts
@@ -131,7 +131,7 @@
   recordRepeats (counts: ReadonlyMap<string, RepeatCounts>): void {
     for (const [service, serviceCounts] of counts) {
       const { calls, callsOfRepeats, repeats, denied, arrivals, repeatedArrivals } = serviceCounts
-      this.metrics.count('requests_total', { service }, calls)
+      this.metrics.count('service_calls_total', { service }, calls)
       this.metrics.count('repeats_total', { service, decision: 'made' }, repeats)
       this.metrics.count('repeats_total', { service, decision: 'denied' }, denied)
       this.metrics.count('arrivals_total', { service, repeated: 'no' }, arrivals - repeatedArrivals)
--- a/src/request/repeats.ts
+++ b/src/request/repeats.ts
@@ -18,19 +18,12 @@
   repeats: number
   /** The same, denied by the retry budget. */
   denied: number
-  /** Requests that were sent to the targets of this host. */
+  /** Requests that reached the targets of this host. */
   arrivals: number
   /** How many of them had reached a target before. */
   repeatedArrivals: number
 }
 
-/** A request that is being sent to a target of this host, and its run there. */
-export interface TrackedRun {
-  end: () => void
-  /** Ends a run whose request was not sent. */
-  cancel: () => void
-}
-
 /** Which runs on this host may have made a call. */
 export interface CallOrigin {
   isOfRun: boolean
@@ -64,16 +57,18 @@
     if (decision === 'spent') this.getCounts(service).denied += 1
   }
 
-  /** `leftMs` is the time that the target has for the run. */
-  beginRun (service: string, { isRepeat, repeatShare }: RunOrigin, leftMs: number): TrackedRun {
+  /** Called before a request is sent to a target. `leftMs` is the time that the target has for it. Returns a function that ends the run. */
+  beginRun ({ repeatShare }: RunOrigin, leftMs: number): () => void {
     const run: Run = { repeatShare, endsAt: this.clock.monotonic() + leftMs }
-    const repeats = isRepeat ? 1 : 0
     this.runs.add(run)
-    this.countArrival(service, 1, repeats)
-    return {
-      end: () => { this.runs.delete(run) },
-      cancel: () => { if (this.runs.delete(run)) this.countArrival(service, -1, -repeats) }
-    }
+    return () => { this.runs.delete(run) }
+  }
+
+  /** Called once a request has reached a target of this host. */
+  recordArrival (service: string, { isRepeat }: RunOrigin): void {
+    const counts = this.getCounts(service)
+    counts.arrivals += 1
+    if (isRepeat) counts.repeatedArrivals += 1
   }
 
   /** Returns the counts of all services since the last call, and begins new ones. */
@@ -95,12 +90,6 @@
     return { isOfRun: runs > 0, repeatShare: runs === 0 ? 0 : repeats / runs }
   }
 
-  private countArrival (service: string, arrivals: number, repeats: number): void {
-    const counts = this.getCounts(service)
-    counts.arrivals += arrivals
-    counts.repeatedArrivals += repeats
-  }
-
   private getCounts (service: string): RepeatCounts {
     return getOrMake(this.counts, service, () => ({ calls: 0, callsOfRepeats: 0, repeats: 0, denied: 0, arrivals: 0, repeatedArrivals: 0 }))
   }
--- a/src/request/tasks/inbound.ts
+++ b/src/request/tasks/inbound.ts
@@ -20,7 +20,7 @@
 import { readInboundRequest } from '../queries/inbound.js'
 import type { InboundRequest } from '../queries/inbound.js'
 import { RequestScope } from '../scope.js'
-import type { RepeatMeter, TrackedRun } from '../repeats.js'
+import type { RepeatMeter } from '../repeats.js'
 import type { RetryPolicy } from '../retry.js'
 import type { Permit } from '../slots.js'
 import { HEADERS } from '../schema.js'
@@ -81,8 +81,7 @@
     return Err(makeFailure('not-run', 503, 'retry_budget', 'the retry budgets of the services that the target calls are used up', RETRY_AFTER_MS))
   }
   const leftMs = scope.forwardedDeadlineMs
-  const run = context.repeats.beginRun(service, origin, leftMs)
-  const runPermit = addRun(permit, run)
+  const runPermit = makeRunPermit(permit, context.repeats.beginRun(origin, leftMs))
   const headers = adapter.makeTargetHeaders({ headers: outgoing.headers, target, leftMs })
   const received = await client.send({
     ...outgoing,
@@ -93,20 +92,20 @@
     bufferBytes: context.responseBufferBytes,
     checkHead: head => adapter.checkResponse(headers, head)
   })
+  if (received.ok || received.val.verdict !== 'not-run' || received.val.reached === true) context.repeats.recordArrival(service, origin)
   if (received.ok) {
     watchResponse(received.val, tracked.val, runPermit, announcement.address)
     return received.map(targetResponse => ({ targetResponse, permit: runPermit }))
   }
-  if (received.val.verdict === 'not-run' && received.val.reached !== true) run.cancel()
   runPermit.release()
   return Err(await checkCrash(received.val, tracked.val, localRequest.target, announcement.address))
 }
 
 /** A run ends when its slot is released. */
-function addRun (permit: Permit, run: TrackedRun): Permit {
+function makeRunPermit (permit: Permit, endRun: () => void): Permit {
   return {
     release: () => {
-      run.end()
+      endRun()
       permit.release()
     }
   }
