--- a/tests/platform/epochs.test.ts
+++ b/tests/platform/epochs.test.ts
@@ -15,14 +15,13 @@
 import { applyConfiguration } from '../../src/node/commands/apply.js'
 import { storeLocalRecord } from '../../src/node/commands/records.js'
 import { HostDirectory } from '../../src/node/tasks/directory.js'
-import type { StoreCopy } from '../../standins/objects/server.js'
 import { startFollower } from '../fixtures/follower.js'
 import { makeMemoryLog } from '../fixtures/log.js'
-import { makePlatformConfiguration, makeStoreFixture } from '../fixtures/platform.js'
+import { makeStoreFixture } from '../fixtures/platform.js'
 import type { StoreFixture } from '../fixtures/platform.js'
+import { editAfterCopy, editAfterRestore, HOST_KIND } from '../fixtures/restore.js'
 import { makeState } from '../fixtures/state.js'
 
-const KIND = 'comfreyspoke-host'
 const LIMIT_MS = 5_000
 const STALE_MS = 3_000
 
@@ -39,47 +38,29 @@
   await fixture.close()
 })
 
-function edit (version: number): void {
-  fixture.server.writeObject('config', 'main', makePlatformConfiguration(version))
-}
-
-/** Writes four versions. The copy that is returned contains only the first one. */
-function editAfterCopy (): StoreCopy {
-  edit(1)
-  const copy = fixture.server.makeCopy()
-  for (const version of [2, 3, 4]) edit(version)
-  return copy
-}
-
-function writeOtherObjects (count: number): void {
-  for (let index = 0; index < count; index += 1) fixture.server.writeObject(KIND, `host-${index}`, {})
-}
-
 test('a watch from an earlier epoch fails at once if another call has already shown the restore', async () => {
-  const copy = editAfterCopy()
+  const copy = editAfterCopy(fixture.server)
   const source = new PlatformConfigurationSource(fixture.client)
   const read = await source.read()
   if (read.err) throw new Error(read.val.message)
   fixture.server.restoreCopy(copy)
-  edit(5)
-  writeOtherObjects(10)
+  editAfterRestore(fixture.server)
   await delay(100)
   // The list of the hosts shows the new epoch while the task of the configuration pauses.
-  await fixture.client.call({ method: 'GET', kind: KIND })
+  await fixture.client.call({ method: 'GET', kind: HOST_KIND })
   const watched = await Promise.race([source.watch(read.val.position, stopped.signal), delay(LIMIT_MS).then(() => 'waits')])
   expect(watched).toMatchObject({ err: true, val: { code: 'restored' } })
 }, 2 * LIMIT_MS)
 
 test('a node that starts after a restore is not misled by a copy that serves stale reads and still contains what the store lost', async () => {
-  const copy = editAfterCopy()
+  const copy = editAfterCopy(fixture.server)
   fixture.server.switches.staleCopy = fixture.server.makeCopy()
   fixture.server.restoreCopy(copy)
   const follower = startFollower(fixture, false)
   try {
     await delay(LIMIT_MS)
     fixture.server.switches.staleCopy = undefined
-    edit(5)
-    writeOtherObjects(10)
+    editAfterRestore(fixture.server)
     expect(await follower.awaitVersion(5, LIMIT_MS)).toBe(true)
   } finally {
     follower.stop()
@@ -90,7 +71,7 @@
   const clock = new SystemClock()
   const log = makeMemoryLog()
   const state = makeState({ host: 'h1', incarnation: 2_000 }, clock)
-  fixture.server.writeObject(KIND, 'h1', makeState({ host: 'h1', incarnation: 1_000 }, clock).localHost.makeRecord())
+  fixture.server.writeObject(HOST_KIND, 'h1', makeState({ host: 'h1', incarnation: 1_000 }, clock).localHost.makeRecord())
   fixture.server.switches.staleCopy = fixture.server.makeCopy()
   const directory = new HostDirectory({ state, store: new PlatformStore(fixture.client), clock, random: new SeededRandom(1), log })
   storeLocalRecord(state, state.localHost.makeRecord(), clock)
@@ -125,7 +106,7 @@
 }
 
 test('a restore costs a node that watches a few calls, and it loses the store once', async () => {
-  const copy = editAfterCopy()
+  const copy = editAfterCopy(fixture.server)
   const follower = startFollower(fixture, true)
   try {
     expect(await follower.awaitVersion(4, LIMIT_MS)).toBe(true)
@@ -141,7 +122,7 @@
 }, 4 * LIMIT_MS)
 
 test('a node that polls asks for current data after a restore, until a copy for stale reads cannot contain what was lost', async () => {
-  const copy = editAfterCopy()
+  const copy = editAfterCopy(fixture.server)
   const follower = startFollower(fixture, false)
   try {
     expect(await follower.awaitVersion(4, LIMIT_MS)).toBe(true)
@@ -149,8 +130,7 @@
     fixture.server.restoreCopy(copy)
     await delay(9_000)
     fixture.server.switches.staleCopy = undefined
-    edit(5)
-    writeOtherObjects(10)
+    editAfterRestore(fixture.server)
     expect(await follower.awaitVersion(5, LIMIT_MS)).toBe(true)
   } finally {
     follower.stop()
@@ -158,13 +138,12 @@
 }, 6 * LIMIT_MS)
 
 test('a version of a later epoch from a peer makes the node read the store, which may have a still newer one', async () => {
-  const copy = editAfterCopy()
+  const copy = editAfterCopy(fixture.server)
   const follower = startFollower(fixture, false)
   try {
     expect(await follower.awaitVersion(4, LIMIT_MS)).toBe(true)
     fixture.server.restoreCopy(copy)
-    edit(5)
-    writeOtherObjects(10)
+    editAfterRestore(fixture.server)
     applyConfiguration(follower.state, { version: 5, entries: [], replacesAll: true, position: { epoch: 2, revision: 13 } })
     fixture.server.calls.length = 0
     await delay(LIMIT_MS)
--- a/tests/platform/restored.test.ts
+++ b/tests/platform/restored.test.ts
@@ -4,11 +4,11 @@
  */
 import { setTimeout as delay } from 'node:timers/promises'
 import { afterEach, beforeEach, describe, expect, test } from '@jest/globals'
-import type { StoreCopy } from '../../standins/objects/server.js'
 import { startFollower } from '../fixtures/follower.js'
 import type { Follower } from '../fixtures/follower.js'
-import { makePlatformConfiguration, makeStoreFixture } from '../fixtures/platform.js'
+import { makeStoreFixture } from '../fixtures/platform.js'
 import type { StoreFixture } from '../fixtures/platform.js'
+import { editAfterCopy, editAfterRestore, editVersion, HOST_KIND } from '../fixtures/restore.js'
 
 /** Time within which a version that the store acknowledged is in force. */
 const IN_FORCE_LIMIT_MS = 2_500
@@ -25,30 +25,13 @@
   await fixture.close()
 })
 
-function edit (version: number): void {
-  fixture.server.writeObject('config', 'main', makePlatformConfiguration(version))
-}
-
-/** Writes four versions. The copy that is returned contains only the first one. */
-function editAfterCopy (): StoreCopy {
-  edit(1)
-  const copy = fixture.server.makeCopy()
-  for (const version of [2, 3, 4]) edit(version)
-  return copy
-}
-
-/** Assigns this many revisions to objects of another kind, as the nodes do that write their host records again. */
-function writeOtherObjects (count: number): void {
-  for (let index = 0; index < count; index += 1) fixture.server.writeObject('comfreyspoke-host', `host-${index}`, {})
-}
-
 async function followUpTo (version: number, isReader = true): Promise<void> {
   follower = startFollower(fixture, isReader)
   expect(await follower.awaitVersion(version, POLLED_LIMIT_MS)).toBe(true)
 }
 
 test('a restore is logged with the positions before and after it', async () => {
-  const copy = editAfterCopy()
+  const copy = editAfterCopy(fixture.server)
   await followUpTo(4)
   fixture.server.restoreCopy(copy)
   await delay(IN_FORCE_LIMIT_MS)
@@ -58,44 +41,41 @@
 
 describe.each([['watches the store', true, IN_FORCE_LIMIT_MS], ['polls the store', false, POLLED_LIMIT_MS]])('a node that %s', (_name, isReader, limitMs) => {
   test('puts a version in force in time that gets a revision from before the restore', async () => {
-    const copy = editAfterCopy()
+    const copy = editAfterCopy(fixture.server)
     await followUpTo(4, isReader)
     fixture.server.restoreCopy(copy)
     await delay(IN_FORCE_LIMIT_MS)
     expect(follower.state.version).toBe(4)
-    edit(5)
-    writeOtherObjects(10)
+    editAfterRestore(fixture.server)
     expect(await follower.awaitVersion(5, limitMs)).toBe(true)
   })
 
   test('puts a version in force in time that is written before the node calls the restored store', async () => {
-    const copy = editAfterCopy()
+    const copy = editAfterCopy(fixture.server)
     await followUpTo(4, isReader)
     fixture.server.restoreCopy(copy)
-    edit(5)
-    writeOtherObjects(10)
+    editAfterRestore(fixture.server)
     expect(await follower.awaitVersion(5, limitMs)).toBe(true)
   })
 })
 
 test('a node that polls is not misled by a copy that serves stale reads and still contains what the store lost', async () => {
-  const copy = editAfterCopy()
+  const copy = editAfterCopy(fixture.server)
   await followUpTo(4, false)
   fixture.server.switches.staleCopy = fixture.server.makeCopy()
   fixture.server.restoreCopy(copy)
   await delay(POLLED_LIMIT_MS)
   fixture.server.switches.staleCopy = undefined
-  edit(5)
-  writeOtherObjects(10)
+  editAfterRestore(fixture.server)
   expect(await follower.awaitVersion(5, POLLED_LIMIT_MS)).toBe(true)
 })
 
 test('a watch on a connection that has become silent ends when another call shows that the store was restored', async () => {
-  const copy = editAfterCopy()
+  const copy = editAfterCopy(fixture.server)
   await followUpTo(4)
   await delay(IN_FORCE_LIMIT_MS)
   fixture.server.restoreCopy(copy, 'keep-silent')
-  edit(5)
-  await fixture.client.call({ method: 'GET', kind: 'comfreyspoke-host' })
+  editVersion(fixture.server, 5)
+  await fixture.client.call({ method: 'GET', kind: HOST_KIND })
   expect(await follower.awaitVersion(5, IN_FORCE_LIMIT_MS)).toBe(true)
 })
