Check the retry budget in the soak, whose targets now call each other and reject requests

Targets of one service call the other while they run a request, and a fault makes a target reject a part of its requests. The record counts the arrivals of each request, and the calls of repeated runs, and compares them with the budget at the end. The extra is 10 in place of 64, so that the callers of eight hosts can use it up.

--- a/standins/layout/platformnode.ts
+++ b/standins/layout/platformnode.ts
@@ -6,12 +6,15 @@
 import { mkdtempSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
+import type { SharedRetryBudget } from '../../src/request/index.js'
 
 const PORTS = ['target', 'caller', 'inbound', 'ready', 'control', 'peer', 'admin'] as const
 const FIRST_PORT = 7_000
 /** The flags of the deploy file. */
 const DEFAULT_FLAGS = ['--max-old-space-size=200', '--max-semi-space-size=2']
 
+const RETRY_BUDGET: SharedRetryBudget = { ratio: 0.2, extra: 64, windowMs: 10_000 }
+
 export type NodeAddresses = Record<typeof PORTS[number], string>
 
 export interface PlatformNodeOptions {
@@ -25,6 +28,7 @@
   program: string
   heartbeatMs: number
   graceMs: number
+  retryBudget?: SharedRetryBudget
   flags?: readonly string[]
   /** A file descriptor for the output of the process, which is discarded otherwise. */
   output?: number
@@ -36,9 +40,19 @@
 }
 
 export function spawnPlatformNode (options: PlatformNodeOptions): ChildProcess {
-  const { host, zone, region, service, store, addresses, heartbeatMs, graceMs } = options
+  const { host, zone, region, service, store, addresses, heartbeatMs, graceMs, retryBudget: { ratio, extra, windowMs } = RETRY_BUDGET } = options
   const values = {
-    host, zone, region, service, store, heartbeat: `${heartbeatMs}ms`, grace: `${graceMs}ms`, 'retry-ratio': '0.2', 'retry-extra': '64', 'retry-window': '10s', ...addresses
+    host,
+    zone,
+    region,
+    service,
+    store,
+    heartbeat: `${heartbeatMs}ms`,
+    grace: `${graceMs}ms`,
+    'retry-ratio': String(ratio),
+    'retry-extra': String(extra),
+    'retry-window': `${windowMs}ms`,
+    ...addresses
   }
   const file = join(mkdtempSync(join(tmpdir(), 'node-')), 'node.settings')
   writeFileSync(file, Object.entries(values).map(([name, value]) => `${name}=${value}`).join('\n'))
--- a/standins/soak/caller.ts
+++ b/standins/soak/caller.ts
@@ -41,7 +41,7 @@
 async function sendRequest ({ host, services, record, random }: CallerOptions, client: Client): Promise<boolean> {
   const kind = random.next() < PLAIN_SHARE ? 'plain' : 'idempotent'
   const service = services[random.pickIndex(services.length)] ?? ''
-  const request = record.beginRequest(kind, host.options.index)
+  const request = record.beginRequest(service, kind, host.options.index)
   const { id } = request
   const leaveAfterMs = random.next() < LEAVE_SHARE ? LEAVE_AFTER_MS : 2 * TIMEOUT_MS
   try {
--- a/standins/soak/faults.ts
+++ b/standins/soak/faults.ts
@@ -8,7 +8,7 @@
 import type { FaultKind } from './plan.js'
 import type { FaultProxy, ProxyState } from './proxy.js'
 import {
-  EndlessResponse, LostResponse, MalformedResponse, NoResponse, RepeatedRefusal, SecondResponse, TruncatedResponse
+  EndlessResponse, LostResponse, MalformedResponse, NoResponse, Rejection, RepeatedRefusal, SecondResponse, TruncatedResponse
 } from './responses.js'
 import type { ResponseBehaviour } from './responses.js'
 
@@ -212,6 +212,7 @@
   'target-crash': new CrashFault(),
   'target-leave': new LeaveFault(),
   'target-reuse': new ReuseFault(),
+  rejections: new ResponseFault(new Rejection()),
   'lost-answer': new ResponseFault(new LostResponse()),
   'repeated-refusal': new ResponseFault(new RepeatedRefusal()),
   'second-answer': new ResponseFault(new SecondResponse()),
--- a/standins/soak/host.ts
+++ b/standins/soak/host.ts
@@ -18,6 +18,8 @@
   index: number
   block: number
   service: string
+  /** The service that the targets of other services call. */
+  callee: string
   zone: string
   region: string
   /** Address of the store. */
@@ -29,6 +31,8 @@
 }
 
 export const GRACE_MS = 6_000
+/** With a small extra, so that few requests use it up. */
+export const RETRY_BUDGET = { ratio: 0.2, extra: 10, windowMs: 10_000 }
 const HEARTBEAT_MS = 1_000
 const PROGRAM = 'target/node.cjs'
 const READY_POLL_MS = 50
@@ -51,14 +55,14 @@
   private readonly ownAddress: string
 
   constructor (readonly options: SoakHostOptions) {
-    const { index, block, record, random, store } = options
+    const { index, block, callee, record, random, store } = options
     this.addresses = makeNodeAddresses(block, index)
     this.ownAddress = deriveAddress(this.addresses.target, block, 2)
     this.storeLinkAddress = deriveAddress(this.addresses.target, block, 3)
     this.targetLink = new FaultProxy(this.ownAddress)
     this.storeLink = new FaultProxy(store)
-    const { target: announcedAddress, control } = this.addresses
-    this.target = new SoakTarget({ address: this.ownAddress, announcedAddress, control, record, random })
+    const { target: announcedAddress, control, caller } = this.addresses
+    this.target = new SoakTarget({ address: this.ownAddress, announcedAddress, control, caller, callee, host: index, record, random })
   }
 
   async start (): Promise<void> {
@@ -82,6 +86,7 @@
       program: PROGRAM,
       heartbeatMs: HEARTBEAT_MS,
       graceMs: GRACE_MS,
+      retryBudget: RETRY_BUDGET,
       output
     })
     closeSync(output)
--- a/standins/soak/operator.ts
+++ b/standins/soak/operator.ts
@@ -80,7 +80,7 @@
 
   /** Returns the status of the response, or undefined without one and from a starting node, which does not know its routes yet. */
   private async queryRoute (host: SoakHost, version: number): Promise<number | undefined> {
-    const probe = this.record.beginRequest('idempotent', host.options.index)
+    const probe = this.record.beginRequest(this.services[0] ?? '', 'idempotent', host.options.index)
     try {
       const response = await request(`http://${host.addresses.caller}/version-${version}/x`, {
         headers: { host: 'soak.example', 'x-attempt-id': probe.id, 'x-timeout-ms': String(PROBE_TIMEOUT_MS) },
--- a/standins/soak/plan.ts
+++ b/standins/soak/plan.ts
@@ -17,7 +17,7 @@
   // Of a target process.
   'target-crash', 'target-leave', 'target-reuse',
   // Of the responses of a target.
-  'lost-answer', 'repeated-refusal', 'second-answer', 'garbage', 'endless', 'truncated', 'hang',
+  'rejections', 'lost-answer', 'repeated-refusal', 'second-answer', 'garbage', 'endless', 'truncated', 'hang',
   // Edits by the operator.
   'edit', 'edit-storm'
 ])
--- a/standins/soak/record.ts
+++ b/standins/soak/record.ts
@@ -3,13 +3,21 @@
  * since the start of the run.
  */
 
+import type { SharedRetryBudget } from '../../src/request/index.js'
+import { measureExcess } from './repeats.js'
+
 export type RequestKind = 'idempotent' | 'plain'
 
 export interface RequestRecord {
   id: string
+  service: string
   kind: RequestKind
   host: number
   sentAt: number
+  /** A target made this request while it ran one that had reached a target before. */
+  isOfRepeat: boolean
+  /** Times at which the request reached a target, which may have rejected it. */
+  arrivals: number[]
   /** Times at which a target began to run the request. */
   runs: number[]
   status?: number
@@ -43,13 +51,19 @@
   }
 
   /** Makes the id of the request, by which callers and targets report on it. */
-  beginRequest (kind: RequestKind, host: number): RequestRecord {
+  beginRequest (service: string, kind: RequestKind, host: number, isOfRepeat = false): RequestRecord {
     const id = `r${this.requests.size + 1}`
-    const request: RequestRecord = { id, kind, host, sentAt: this.elapsedMs, runs: [] }
+    const request: RequestRecord = { id, service, kind, host, sentAt: this.elapsedMs, isOfRepeat, arrivals: [], runs: [] }
     this.requests.set(id, request)
     return request
   }
 
+  /** Returns false if the request has not reached a target before. */
+  recordArrival (id: string): boolean {
+    const arrivals = this.requests.get(id)?.arrivals ?? []
+    return arrivals.push(this.elapsedMs) > 1
+  }
+
   recordRun (target: string, id: string): void {
     const request = this.requests.get(id)
     if (request === undefined) {
@@ -89,6 +103,14 @@
     }
   }
 
+  /** Checks that second arrivals at the targets of a service, and calls that repeated runs made to it, stay within its retry budget. */
+  checkRepeats (service: string, budget: SharedRetryBudget): void {
+    const requests = [...this.requests.values()].filter(request => request.service === service)
+    const repeats = requests.flatMap(({ arrivals, isOfRepeat }) => arrivals.slice(isOfRepeat ? 0 : 1)).sort((left, right) => left - right)
+    const excess = measureExcess({ requests: requests.map(({ sentAt }) => sentAt), repeats }, budget)
+    if (excess > 0) this.recordViolation(`${service} got ${Math.ceil(excess)} repeats more than its budget of a window`)
+  }
+
   /** Checks that a stop cut no request that had reached a target. */
   checkStop (host: number, from: number, to: number): void {
     for (const request of this.requests.values()) {
--- a/standins/soak/responses.ts
+++ b/standins/soak/responses.ts
@@ -29,6 +29,13 @@
   }
 }
 
+/** Rejects each request, as a target does that is full. */
+export class Rejection extends CorrectResponse {
+  override admit (): boolean {
+    return false
+  }
+}
+
 /** Rejects the first request on a connection, and writes that rejection once more while it runs each later one. */
 export class RepeatedRefusal extends CorrectResponse {
   private readonly refusals = new WeakMap<Socket, string>()
--- a/standins/soak/run.ts
+++ b/standins/soak/run.ts
@@ -9,7 +9,7 @@
 import { findBlock } from '../layout/processes.js'
 import { ObjectsServer } from '../objects/server.js'
 import { runCaller } from './caller.js'
-import { SoakHost } from './host.js'
+import { RETRY_BUDGET, SoakHost } from './host.js'
 import { FaultInjector } from './injector.js'
 import { SoakOperator } from './operator.js'
 import { makePlan } from './plan.js'
@@ -60,6 +60,7 @@
       index,
       block,
       service: SERVICES[Math.floor(index / ZONES) % SERVICES.length] ?? SERVICES[0],
+      callee: SERVICES[1],
       zone: `z${zone}`,
       region: `r${Math.floor(zone / ZONES_PER_REGION)}`,
       store: storeAddress,
@@ -85,6 +86,7 @@
     ended.abort()
     await Promise.all([...callers, checks])
     record.checkVerdicts()
+    for (const service of SERVICES) record.checkRepeats(service, RETRY_BUDGET)
   } finally {
     ended.abort()
     for (const host of hosts) await host.close()
--- a/standins/soak/target.ts
+++ b/standins/soak/target.ts
@@ -17,12 +17,20 @@
   announcedAddress: string
   /** Address of the node for heartbeats. */
   control: string
+  /** Address of the node for calls of the target. */
+  caller: string
+  /** The service that each run of a target of another service calls. */
+  callee: string
+  /** Index of the host. */
+  host: number
   record: SoakRecord
   random: Random
 }
 
 const HEARTBEAT_INTERVAL_MS = 1_000
 const CALL_TIMEOUT_MS = 1_000
+/** Deadline of a call to another service. */
+const CALL_DEADLINE_MS = 400
 const SLOTS = 6
 const SERVICE_MS = 30
 /** Share of the requests that a response fault affects. */
@@ -124,18 +132,37 @@
     }
     const { socket } = message
     const { random, record } = this.options
+    const isRepeat = record.recordArrival(id)
     const behaviour = random.next() < FAULT_SHARE ? this.behaviour : CORRECT
     if (this.running >= SLOTS || !behaviour.admit(socket, id, random)) {
       response.writeHead(503, { 'x-not-executed': '1', 'x-attempt-id': id, 'content-length': 0 }).end()
       return
     }
     record.recordRun(this.id, id)
+    if (message.method === 'GET') void this.callOther(isRepeat)
     this.running += 1
     response.once('close', () => { this.running = Math.max(0, this.running - 1) })
     behaviour.begin(socket)
     setTimeout(() => { this.respond(socket, response, id, behaviour) }, SERVICE_MS * (0.5 + random.next()))
   }
 
+  /** Makes a call of its own through the node, as a target does that needs another service. */
+  private async callOther (isRepeat: boolean): Promise<void> {
+    const { caller, callee, host, record } = this.options
+    if (callee === this.service) return
+    const call = record.beginRequest(callee, 'idempotent', host, isRepeat)
+    try {
+      const response = await sendRequest(`http://${caller}/${callee}/idempotent/${call.id}`, {
+        headers: { host: 'soak.example', 'x-attempt-id': call.id, 'x-timeout-ms': String(CALL_DEADLINE_MS) },
+        signal: AbortSignal.timeout(CALL_DEADLINE_MS)
+      })
+      await response.body.dump()
+      call.status = response.statusCode
+    } catch (error) {
+      call.isCut = (error as { name?: unknown }).name !== 'TimeoutError'
+    }
+  }
+
   private respond (socket: Socket, response: ServerResponse, id: string, behaviour: ResponseBehaviour): void {
     if (socket.destroyed) return
     const body = makeBody(id)
--- a/tests/retrybudget.test.ts
+++ b/tests/retrybudget.test.ts
@@ -4,8 +4,9 @@
  */
 import { expect, test } from '@jest/globals'
 import { SharedBudgetRetryPolicy } from '../src/request/index.js'
+import { measureExcess } from '../standins/soak/repeats.js'
 import { makeClock } from './fixtures/clock.js'
-import { makeRejection, measureExcess, simulateRepeats } from './fixtures/repeats.js'
+import { makeRejection, simulateRepeats } from './fixtures/repeats.js'
 import type { RepeatLoad } from './fixtures/repeats.js'
 
 const BUDGET = { ratio: 0.2, extra: 62, windowMs: 10_000 }
--- a/tests/soak.test.ts
+++ b/tests/soak.test.ts
@@ -4,6 +4,7 @@
  */
 import { expect, test } from '@jest/globals'
 import { makePlan } from '../standins/soak/plan.js'
+import { SoakRecord } from '../standins/soak/record.js'
 import { runSoak } from '../standins/soak/run.js'
 
 const DURATION_MS = 15_000
@@ -17,6 +18,21 @@
   expect(makePlan(options)).not.toEqual(makePlan({ ...options, seed: 4712 }))
 })
 
+test('repeats above the budget of a service are reported, those of calls of repeated runs among them', () => {
+  const record = new SoakRecord()
+  const budget = { ratio: 0, extra: 2, windowMs: 10_000 }
+  const first = record.beginRequest('left', 'idempotent', 0)
+  const call = record.beginRequest('left', 'idempotent', 0, true)
+  for (const { id } of [first, first, call]) record.recordArrival(id)
+  record.checkRepeats('left', budget)
+  expect(record.violations).toEqual([])
+  record.recordArrival(call.id)
+  record.checkRepeats('right', budget)
+  expect(record.violations).toEqual([])
+  record.checkRepeats('left', budget)
+  expect(record.violations).toHaveLength(1)
+})
+
 test.each(SEEDS)('the nodes keep their promises under the faults of seed %i', async seed => {
   const { requests, succeeded, violations } = await runSoak({ seed, durationMs: DURATION_MS, hosts: HOSTS })
   expect(violations).toEqual([])
