Leave a killed node out of both readings of the bytes in the demo

The table had negative bytes between regions: the killed node counted in the first reading and not in the second.

--- a/standins/bench/fleet.ts
+++ b/standins/bench/fleet.ts
@@ -7,7 +7,7 @@
 import { applyDocument } from '../../src/document/index.js'
 import type { Document } from '../../src/document/index.js'
 import { HttpObjectStore } from '../../src/store/index.js'
-import { collectTimelines, measureConvergence, sumLinkBytes } from '../demo/measure.js'
+import { collectLinkBytes, collectTimelines, measureConvergence, sumLinkBytes } from '../demo/measure.js'
 import type { AcceptedEdit, Convergence } from '../demo/measure.js'
 import { findBlock, Processes } from '../layout/processes.js'
 import { formatAddress, MANDAP, placeHosts } from '../layout/schema.js'
@@ -70,7 +70,7 @@
   async readTraffic (): Promise<Traffic> {
     const response = await request(`${this.processes.platform}/control`)
     const { counts } = await response.body.json() as { counts: Record<string, number> }
-    return { ...await sumLinkBytes(this.placement.hosts), calls: counts }
+    return { ...sumLinkBytes(await collectLinkBytes(this.placement.hosts)), calls: counts }
   }
 
   /** Sums the usage over the processes. The metrics of one node cover all nodes of its process. */
--- a/standins/demo/main.ts
+++ b/standins/demo/main.ts
@@ -18,7 +18,8 @@
 import { findBlock, Processes } from '../layout/processes.js'
 import { formatAddress, KAMISORI, MANDAP, placeHosts } from '../layout/schema.js'
 import type { HostLayout, Placement } from '../layout/schema.js'
-import { collectRuns, collectTimelines, measureConvergence, sumLinkBytes } from './measure.js'
+import { collectLinkBytes, collectRuns, collectTimelines, computeTraffic, measureConvergence } from './measure.js'
+import type { LinkBytes } from '../link/dialer.js'
 import type { AcceptedEdit } from './measure.js'
 
 const ROOT = fileURLToPath(new URL('../../../', import.meta.url))
@@ -83,7 +84,7 @@
   const callKinds = isKamisori ? KAMISORI_CALLS : MANDAP_CALLS
   const pendingResults = callerHosts.map(async host =>
     await sendCalls(() => formatAddress(host, 'caller'), callKinds, CALL_INTERVAL_MS, loadController.signal))
-  const bytesBefore = await sumLinkBytes(hosts)
+  const bytesBefore = await collectLinkBytes(hosts)
   const pendingEdits = editRepeatedly(platform, layout.services[0]?.service ?? '')
   await delay(EDIT_COUNT * EDIT_INTERVAL_MS / 2)
   processes.signal(`node ${killedNodeHost.host}`, 'SIGKILL')
@@ -99,7 +100,7 @@
 interface DemoOutcome {
   results: CallResult[]
   edits: AcceptedEdit[]
-  bytesBefore: { zone: number, region: number, platform: number }
+  bytesBefore: ReadonlyMap<string, LinkBytes>
   liveHosts: HostLayout[]
 }
 
@@ -107,7 +108,7 @@
   const timelines = await collectTimelines(liveHosts)
   if (timelineFile !== undefined) await writeFile(timelineFile, formatHtmlPage(mergeEvents(timelines)))
   const convergence = measureConvergence(edits, timelines)
-  const bytesAfter = await sumLinkBytes(liveHosts)
+  const traffic = computeTraffic(bytesBefore, await collectLinkBytes(liveHosts))
   const runs = await collectRuns(hosts)
   const countVerdict = (verdict: CallResult['verdict']): number => results.filter(result => result.verdict === verdict).length
   const falseVerdicts = results.filter(result => result.key !== undefined && result.verdict === 'not-run' && runs.has(result.key)).length
@@ -126,9 +127,9 @@
     'convergence max ms': convergence.max,
     'edits missing on a node': convergence.missing,
     'versions reverted': convergence.reverted,
-    'control bytes between zones': bytesAfter.zone - bytesBefore.zone,
-    'control bytes between regions': bytesAfter.region - bytesBefore.region,
-    'platform bytes between regions': bytesAfter.platform - bytesBefore.platform
+    'control bytes between zones': traffic.zone,
+    'control bytes between regions': traffic.region,
+    'platform bytes between regions': traffic.platform
   }
   process.stdout.write(isJson ? `${JSON.stringify(rows)}\n` : formatTable(`${layout.name}: ${hosts.length} nodes, ${hosts.length} targets`, rows))
   const mustBeZero = ['lost', 'wrong or cut answers', 'doubled', 'untrue verdicts', 'edits missing on a node', 'versions reverted']
--- a/standins/demo/measure.ts
+++ b/standins/demo/measure.ts
@@ -47,21 +47,35 @@
   return reverts
 }
 
-/** Sums the bytes over all reachable nodes. Each node counts both directions of the links that it opened. */
-export async function sumLinkBytes (hosts: readonly HostLayout[]): Promise<LinkBytes> {
-  const sum: LinkBytes = { zone: 0, region: 0, platform: 0 }
+const LINK_KINDS = ['zone', 'region', 'platform'] as const
+
+/** Returns the bytes of each reachable node by its host. Each node counts both directions of the links that it opened. */
+export async function collectLinkBytes (hosts: readonly HostLayout[]): Promise<Map<string, LinkBytes>> {
+  const collected = new Map<string, LinkBytes>()
   for (const host of hosts) {
     try {
       const response = await request(`http://${formatAddress(host, 'links')}/links`)
-      const bytes = await response.body.json() as LinkBytes
-      for (const kind of ['zone', 'region', 'platform'] as const) sum[kind] += bytes[kind]
+      collected.set(host.host, await response.body.json() as LinkBytes)
     } catch {
       continue
     }
   }
+  return collected
+}
+
+export function sumLinkBytes (collected: ReadonlyMap<string, LinkBytes>): LinkBytes {
+  const sum: LinkBytes = { zone: 0, region: 0, platform: 0 }
+  for (const bytes of collected.values()) for (const kind of LINK_KINDS) sum[kind] += bytes[kind]
   return sum
 }
 
+/** Returns the bytes between two readings, of the nodes that are in both: a node that was killed in between is in the first one only. */
+export function computeTraffic (before: ReadonlyMap<string, LinkBytes>, after: ReadonlyMap<string, LinkBytes>): LinkBytes {
+  const sumBefore = sumLinkBytes(new Map([...before].filter(([host]) => after.has(host))))
+  const sumAfter = sumLinkBytes(new Map([...after].filter(([host]) => before.has(host))))
+  return { zone: sumAfter.zone - sumBefore.zone, region: sumAfter.region - sumBefore.region, platform: sumAfter.platform - sumBefore.platform }
+}
+
 /** Returns how often each idempotency key ran, summed over all reachable targets. */
 export async function collectRuns (hosts: readonly HostLayout[]): Promise<Map<string, number>> {
   const runs = new Map<string, number>()
