--- a/src/request/tasks/inbound.ts
+++ b/src/request/tasks/inbound.ts
@@ -3,7 +3,7 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { finished } from 'node:stream'
-import { Err, makeFailure } from '../../core/index.js'
+import { Err, makeFailure, Ok } from '../../core/index.js'
 import type { Clock, Failure, Result } from '../../core/index.js'
 import type { RouteClass } from '../../document/index.js'
 import { writeResponse, writeFailure } from '../response.js'
@@ -59,46 +59,62 @@
 
 /** Runs a request on a target of this host. The permit must be released after the response has been forwarded or truncated. */
 export async function runLocal (context: InboundContext, localRequest: LocalRequest): Promise<Result<LocalResponse, Failure>> {
-  const { local, client, crashes, suspects, adapter } = context
-  const { service, target, routeClass, attempt, origin, scope, outgoing, body } = localRequest
-  const { signal } = scope
+  const { body, scope: { signal } } = localRequest
   if (body !== undefined && !await body.bufferShortBody(signal)) return Err(makeFailure('not-run', 504, 'deadline', 'the request body did not arrive before the deadline'))
-  const admitted = await local.admit({ target, routeClass, leftMs: Math.max(0, scope.leftMs), objectiveMs: localRequest.objectiveMs, signal })
+  const admitted = await admitRun(context, localRequest)
+  return admitted.ok ? await sendRun(context, localRequest, admitted.val) : admitted
+}
+
+/** A request that may be sent to its target. */
+interface AdmittedRun { address: string, permit: Permit, inFlight: InFlightRequest }
+
+/** Waits for a slot. No byte of the request has been sent to the target when it is rejected here. */
+async function admitRun (context: InboundContext, localRequest: LocalRequest): Promise<Result<AdmittedRun, Failure>> {
+  const { target, routeClass, attempt, objectiveMs, origin, scope, outgoing } = localRequest
+  const { signal } = scope
+  const admitted = await context.local.admit({ target, routeClass, leftMs: Math.max(0, scope.leftMs), objectiveMs, signal })
   if (admitted.err) return admitted.mapErr(failure => markNoRetry(failure, attempt))
-  const { announcement, permit } = admitted.val
+  const { announcement: { address }, permit } = admitted.val
   if (signal.aborted) {
     permit.release()
     return Err(makeFailure('not-run', 504, 'deadline_in_queue', 'the deadline passed before the request was sent'))
   }
-  const tracked = crashes.beginRequest(target, receiveFingerprint(suspects, outgoing.headers))
-  if (tracked.err) {
+  const inFlight = context.crashes.beginRequest(target, receiveFingerprint(context.suspects, outgoing.headers))
+  if (inFlight.err) {
     permit.release()
-    return tracked
+    return inFlight
   }
   if (!context.retry.admitRun(origin)) {
-    tracked.val.discard()
+    inFlight.val.discard()
     permit.release()
     return Err(makeFailure('not-run', 503, 'retry_budget', 'the retry budgets of the services that the target calls are used up', RETRY_AFTER_MS))
   }
+  return Ok({ address, permit, inFlight: inFlight.val })
+}
+
+async function sendRun (
+  context: InboundContext, { service, target, origin, scope, outgoing, body }: LocalRequest, { address, permit, inFlight }: AdmittedRun
+): Promise<Result<LocalResponse, Failure>> {
+  const { client, repeats, adapter, responseBufferBytes } = context
   const leftMs = scope.forwardedDeadlineMs
-  const runPermit = makeRunPermit(permit, context.repeats.beginRun(origin, leftMs))
   const headers = adapter.makeTargetHeaders({ headers: outgoing.headers, target, leftMs })
+  const runPermit = makeRunPermit(permit, repeats.beginRun(origin, leftMs))
   const received = await client.send({
     ...outgoing,
     headers,
-    address: announcement.address,
+    address,
     body: body?.open(),
-    signal,
-    bufferBytes: context.responseBufferBytes,
+    signal: scope.signal,
+    bufferBytes: responseBufferBytes,
     checkHead: head => adapter.checkResponse(headers, head)
   })
-  if (received.ok || received.val.verdict !== 'not-run' || received.val.reached === true) context.repeats.recordArrival(service, origin)
+  if (received.ok || received.val.verdict !== 'not-run' || received.val.reached === true) repeats.recordArrival(service, origin)
   if (received.ok) {
-    watchResponse(received.val, tracked.val, runPermit, announcement.address)
+    watchResponse(received.val, inFlight, runPermit, address)
     return received.map(targetResponse => ({ targetResponse, permit: runPermit }))
   }
   runPermit.release()
-  return Err(await checkCrash(received.val, tracked.val, localRequest.target, announcement.address))
+  return Err(await checkCrash(received.val, inFlight, target, address))
 }
 
 /** A run ends when its slot is released. */
