--- a/src/request/repeats.ts
+++ b/src/request/repeats.ts
@@ -42,7 +42,7 @@
 
   constructor (private readonly clock: Clock) {}
 
-  /** `leftMs` is the time until the call expires. */
+  /** `leftMs` is the time until the call expires; without a deadline any run in flight may have made it. */
   recordCall (service: string, leftMs = 0): CallOrigin {
     const origin = this.deriveOrigin(leftMs)
     const counts = this.getCounts(service)
