--- a/src/request/tasks/attempts.ts
+++ b/src/request/tasks/attempts.ts
@@ -48,6 +48,14 @@
   constructor (private readonly context: AttemptsContext, private readonly activeCall: ActiveCall) {}
 
   async run (): Promise<Result<AttemptResponse, Failure>> {
+    try {
+      return await this.attemptInTurn()
+    } finally {
+      this.finishRetry(false)
+    }
+  }
+
+  private async attemptInTurn (): Promise<Result<AttemptResponse, Failure>> {
     const { scope, suspect, body } = this.activeCall
     while (!scope.signal.aborted) {
       const blocked = suspect.reject()
@@ -153,7 +161,6 @@
   }
 
   private finish (failure: Failure | undefined): Result<AttemptResponse, Failure> {
-    this.finishRetry(false)
     if (this.fallbackResponse !== undefined) return Ok(this.fallbackResponse)
     return Err(pickWorse(this.worstFailure, failure ?? this.makeNoTargetFailure()))
   }
