Remove what has left the window when an amount is added to a sliding sum

A node without repeats never reads the sums of its calls, so it kept an entry for each call that it ever took.

--- a/src/request/schema.ts
+++ b/src/request/schema.ts
@@ -15,6 +15,7 @@
   routeClass: 'x-comfreyspoke-class',
   /** Present if the request has reached a target before. */
   repeat: 'x-comfreyspoke-repeat',
+  /** The probability that a repeated run on the host of the caller made the request, in percent. */
   repeatPercent: 'x-comfreyspoke-repeat-percent',
   noRetry: 'x-comfreyspoke-no-retry',
   load: 'x-comfreyspoke-load',
--- a/src/request/slidingsum.ts
+++ b/src/request/slidingsum.ts
@@ -11,8 +11,14 @@
 
   constructor (private readonly windowMs: number) {}
 
+  /** The number of entries that are kept. */
+  get size (): number {
+    return this.entries.length
+  }
+
   /** Times must not decrease from call to call. */
   add (at: number, amount = 1): void {
+    this.discardBefore(at - this.windowMs)
     this.entries.push({ at, amount })
     this.sum += amount
   }
