--- a/standins/layout/platformnode.ts
+++ b/standins/layout/platformnode.ts
@@ -13,7 +13,7 @@
 /** The flags of the deploy file. */
 const DEFAULT_FLAGS = ['--max-old-space-size=200', '--max-semi-space-size=2']
 
-const RETRY_BUDGET: SharedRetryBudget = { ratio: 0.2, extra: 64, windowMs: 10_000 }
+const DEFAULT_RETRY_BUDGET: SharedRetryBudget = { ratio: 0.2, extra: 64, windowMs: 10_000 }
 
 export type NodeAddresses = Record<typeof PORTS[number], string>
 
@@ -40,7 +40,8 @@
 }
 
 export function spawnPlatformNode (options: PlatformNodeOptions): ChildProcess {
-  const { host, zone, region, service, store, addresses, heartbeatMs, graceMs, retryBudget: { ratio, extra, windowMs } = RETRY_BUDGET } = options
+  const { host, zone, region, service, store, addresses, heartbeatMs, graceMs } = options
+  const { ratio, extra, windowMs } = options.retryBudget ?? DEFAULT_RETRY_BUDGET
   const values = {
     host,
     zone,
--- a/standins/soak/record.ts
+++ b/standins/soak/record.ts
@@ -58,7 +58,7 @@
     return request
   }
 
-  /** Returns false if the request has not reached a target before. */
+  /** Returns true if the request has reached a target before. */
   recordArrival (id: string): boolean {
     const arrivals = this.requests.get(id)?.arrivals ?? []
     return arrivals.push(this.elapsedMs) > 1
