Wait for the documents before the path test expects a 404

The set-up applies two documents and waits until the nodes are ready, which they are with the first of them. A node that has heard of a newer version from a peer rejects with 503 outdated until it has that version, since the newer one may allow the call.

Traced with the test's processes, a second document applied while all four nodes are asked every 30 ms: 503, 404, 503, 503 at first, and 404 from all nodes 553 ms later; the log of a 503 says code outdated, version 3, newestSeen 6. So the nodes are right and the test asked too early.

The test now waits, within the 5 s in which an accepted document has to be in force, until status shows both documents on all nodes, and asks each node instead of one.

--- a/tests/path.test.ts
+++ b/tests/path.test.ts
@@ -3,12 +3,18 @@
  * tool, and a call goes through two nodes to a target and back.
  */
 import { spawnSync } from 'node:child_process'
+import { setTimeout as delay } from 'node:timers/promises'
 import { afterAll, beforeAll, describe, expect, test } from '@jest/globals'
 import { sendCall } from '../standins/caller/load.js'
 import { findBlock, Processes } from '../standins/layout/processes.js'
 import { formatAddress, MANDAP, placeHosts } from '../standins/layout/schema.js'
 import type { HostLayout, Placement } from '../standins/layout/schema.js'
 
+const SERVICES = ['design-gallery', 'counter-desk']
+/** An accepted document is in force on every node within this time. */
+const IN_FORCE_LIMIT_MS = 5_000
+const POLL_INTERVAL_MS = 100
+
 let placement: Placement
 let processes: Processes
 
@@ -31,7 +37,7 @@
     processes.startNode(host)
     processes.startTarget(host)
   }
-  for (const service of ['design-gallery', 'counter-desk']) expect(runTool('apply', `examples/${service}.yaml`)).toMatchObject({ code: 0 })
+  for (const service of SERVICES) expect(runTool('apply', `examples/${service}.yaml`)).toMatchObject({ code: 0 })
   await processes.awaitReady(placement.hosts, 30_000)
 })
 
@@ -44,9 +50,12 @@
     expect(result).toMatchObject({ verdict: 'ran', status: 200 })
   })
 
-  test('a call to an unknown service is rejected as not run', async () => {
-    const result = await sendCall(formatAddress(getHost(0), 'caller'), { service: 'nobody', method: 'GET', path: '/', keyed: false, bodyBytes: 0 })
-    expect(result).toMatchObject({ verdict: 'not-run', status: 404 })
+  /** Until then a peer may have a newer version that allows the call, so a node that lags rejects it with a status that callers repeat. */
+  test('once the documents are in force on all nodes, a call to an unknown service is rejected as not run and wrong', async () => {
+    await awaitInForce()
+    const call = { service: 'nobody', method: 'GET', path: '/', keyed: false, bodyBytes: 0 } as const
+    const results = await Promise.all(placement.hosts.map(async host => await sendCall(formatAddress(host, 'caller'), call)))
+    for (const result of results) expect(result).toMatchObject({ verdict: 'not-run', status: 404 })
   })
 
   test('a stale edit fails with a conflict and an exit code of its own', () => {
@@ -62,11 +71,21 @@
   })
 })
 
+/** Waits until each node has the accepted version of both documents in force. */
+async function awaitInForce (): Promise<void> {
+  const inForce = `in force on ${placement.hosts.length} of ${placement.hosts.length} nodes`
+  const deadlineMs = Date.now() + IN_FORCE_LIMIT_MS
+  while (runTool('status').stdout.split(inForce).length <= SERVICES.length) {
+    if (Date.now() > deadlineMs) throw new Error(`not in force on all nodes after ${IN_FORCE_LIMIT_MS} ms`)
+    await delay(POLL_INTERVAL_MS)
+  }
+}
+
 /** Retries until a target has run the call, since targets are announced shortly after the nodes are ready. */
 async function sendUntilRun (host: HostLayout, call: Parameters<typeof sendCall>[1]): ReturnType<typeof sendCall> {
   for (let attempt = 0; ; attempt += 1) {
     const result = await sendCall(formatAddress(host, 'caller'), call)
     if (result.verdict === 'ran' || attempt === 50) return result
-    await new Promise(resolve => { setTimeout(resolve, 100) })
+    await delay(POLL_INTERVAL_MS)
   }
 }
