Count the calls of a repeated run until a window after its end

A node charged a repeated run with the calls that a run makes on average when the run began, and dropped the charge a window later. The calls arrive while the run lasts, so the late ones of one window and those of the runs admitted in the next could arrive within one window, by the length of a run.

The charge is now pending until the run ends and counts for a whole window from then on, as an allowed attempt does until it has reached its target.

tests/retrybudget.test.ts, 'until a window after its end': with the charge counted from the begin of the run the test fails, as a repeat is admitted 12 s after the begin and 6 s after the end of the runs before it; with the change it passes.

--- a/src/request/retry.ts
+++ b/src/request/retry.ts
@@ -23,14 +23,20 @@
 /** Milliseconds to wait before the next attempt. `spent`: another attempt would be allowed, but the retry budget is used up. */
 export type RetryDecision = number | 'final' | 'spent'
 
+/** Calls after the first have no effect. */
+export type EndRun = () => void
+
 export abstract class RetryPolicy {
   /** Called once for each call. The retry budget is a share of these calls. `isOfRun`: a run on this host may have made the call. */
   abstract countCall (service: string, isOfRun: boolean): void
   abstract decide (context: RetryContext): RetryDecision
   /** Called once for each attempt that was allowed after one that reached a target: when it has reached a target, or is not made. */
   abstract finishRetry (service: string, hasReachedTarget: boolean): void
-  /** Called for each run on this host before its request is sent to the target. Returns false if a repeat must not run. */
-  abstract admitRun (origin: RunOrigin): boolean
+  /**
+   * Called for each run on this host before its request is sent to the target. Returns a function to call when the run has ended, or
+   * undefined if a repeat must not run.
+   */
+  abstract admitRun (origin: RunOrigin): EndRun | undefined
 }
 
 const BUCKET_MS = 1_000
@@ -90,8 +96,8 @@
 
   override finishRetry (): void {}
 
-  override admitRun (): boolean {
-    return true
+  override admitRun (): EndRun {
+    return () => {}
   }
 
   override decide (context: RetryContext): RetryDecision {
--- a/src/request/sharedbudget.ts
+++ b/src/request/sharedbudget.ts
@@ -9,7 +9,7 @@
 import type { Clock } from '../core/index.js'
 import { getOrMake } from '../core/index.js'
 import { RetryPolicy } from './retry.js'
-import type { RetryDecision, RetryContext } from './retry.js'
+import type { EndRun, RetryDecision, RetryContext } from './retry.js'
 import type { RunOrigin } from './schema.js'
 import { SlidingSum } from './slidingsum.js'
 
@@ -33,16 +33,20 @@
   readonly attempts: SlidingSum
   /** Attempts that were allowed and have not reached a target yet. */
   pendingAttempts: number
-  /** Calls of repeated runs, as charged when the runs began. */
+  /** Calls with which repeated runs in flight were charged when they began. */
+  pendingCallsOfRepeats: number
+  /** The same for the runs that have ended. */
   readonly callsOfRepeats: SlidingSum
 }
 
-/** The calls to a service that one run on this host makes on average. */
+/** The calls to a service with which a repeated run is charged: as many as a run on this host makes on average. */
 interface Charge { account: Account, calls: number }
 
 export class SharedBudgetRetryPolicy extends RetryPolicy {
   private readonly accounts = new Map<string, Account>()
   private readonly runs: SlidingSum
+  /** The charges of runs in flight. */
+  private readonly openCharges = new Set<Charge[]>()
   private readonly startedAt: number
   private mostNodes = 1
 
@@ -75,14 +79,24 @@
     if (hasReachedTarget) account.attempts.add(this.clock.monotonic())
   }
 
-  override admitRun ({ isRepeat, repeatShare }: RunOrigin): boolean {
-    const now = this.clock.monotonic()
-    const charges = repeatShare > 0 ? this.listCharges() : []
+  override admitRun ({ isRepeat, repeatShare }: RunOrigin): EndRun | undefined {
+    const charges = repeatShare > 0 ? this.listCharges(repeatShare) : []
     const hasBudget = charges.every(({ account, calls }) => this.hasBudget(account, calls))
-    if (isRepeat && !hasBudget) return false
-    for (const { account, calls } of charges) account.callsOfRepeats.add(now, calls * repeatShare)
-    this.runs.add(now)
-    return true
+    if (isRepeat && !hasBudget) return undefined
+    for (const { account, calls } of charges) account.pendingCallsOfRepeats += calls
+    this.openCharges.add(charges)
+    this.runs.add(this.clock.monotonic())
+    return () => { this.endRun(charges) }
+  }
+
+  /** The charge stays for a whole window after the end of the run, since the run may have made its calls until then. */
+  private endRun (charges: Charge[]): void {
+    if (!this.openCharges.delete(charges)) return
+    const now = this.clock.monotonic()
+    for (const { account, calls } of charges) {
+      account.pendingCallsOfRepeats -= calls
+      account.callsOfRepeats.add(now, calls)
+    }
   }
 
   private decideReached ({ service, kind, failure, reached, attempts }: RetryContext): RetryDecision {
@@ -102,7 +116,7 @@
 
   private hasBudget (account: Account, repeats: number): boolean {
     const now = this.clock.monotonic()
-    const used = this.countAttempts(account) + account.callsOfRepeats.read(now)
+    const used = this.countAttempts(account) + account.pendingCallsOfRepeats + account.callsOfRepeats.read(now)
     return used + repeats <= this.computeBudget(account) * USED_BUDGET_SHARE
   }
 
@@ -124,17 +138,19 @@
     return this.clock.monotonic() - this.startedAt < windowMs ? 0 : extra / this.mostNodes
   }
 
-  private listCharges (): Charge[] {
+  private listCharges (repeatShare: number): Charge[] {
     const now = this.clock.monotonic()
     const runs = Math.max(1, this.runs.read(now))
-    return [...this.accounts.values()].map(account => ({ account, calls: account.callsOfRuns.read(now) / runs })).filter(({ calls }) => calls > 0)
+    return [...this.accounts.values()]
+      .map(account => ({ account, calls: repeatShare * account.callsOfRuns.read(now) / runs }))
+      .filter(({ calls }) => calls > 0)
   }
 
   private getAccount (service: string): Account {
     const { windowMs } = this.budget
     const makeSum = (): SlidingSum => new SlidingSum(windowMs)
     return getOrMake(this.accounts, service, () => ({
-      calls: makeSum(), callsOfRuns: makeSum(), attempts: makeSum(), pendingAttempts: 0, callsOfRepeats: makeSum()
+      calls: makeSum(), callsOfRuns: makeSum(), attempts: makeSum(), pendingAttempts: 0, pendingCallsOfRepeats: 0, callsOfRepeats: makeSum()
     }))
   }
 }
--- a/src/request/tasks/inbound.ts
+++ b/src/request/tasks/inbound.ts
@@ -84,12 +84,13 @@
     permit.release()
     return inFlight
   }
-  if (!context.retry.admitRun(origin)) {
+  const endRun = context.retry.admitRun(origin)
+  if (endRun === undefined) {
     inFlight.val.discard()
     permit.release()
     return Err(makeFailure('not-run', 503, 'retry_budget', 'the retry budgets of the services that the target calls are used up', RETRY_AFTER_MS))
   }
-  return Ok({ address, permit, inFlight: inFlight.val })
+  return Ok({ address, permit: makeRunPermit(permit, endRun), inFlight: inFlight.val })
 }
 
 async function sendRun (
--- a/tests/retrybudget.test.ts
+++ b/tests/retrybudget.test.ts
@@ -4,6 +4,7 @@
  */
 import { expect, test } from '@jest/globals'
 import { SharedBudgetRetryPolicy } from '../src/request/index.js'
+import type { RunOrigin } from '../src/request/schema.js'
 import { measureExcess } from '../standins/soak/repeats.js'
 import { makeClock } from './fixtures/clock.js'
 import { makeRejection, simulateRepeats } from './fixtures/repeats.js'
@@ -11,6 +12,9 @@
 
 const BUDGET = { ratio: 0.2, extra: 62, windowMs: 10_000 }
 
+const FIRST: RunOrigin = { isRepeat: false, repeatShare: 0 }
+const REPEAT: RunOrigin = { isRepeat: true, repeatShare: 1 }
+
 function makeLoad (change: Partial<RepeatLoad> = {}): RepeatLoad {
   return { budget: BUDGET, nodesPerService: 7, deskCallsPerSecond: 150, callsPerRun: 2, rejectedShare: () => 0.5, seconds: 40, ...change }
 }
@@ -44,3 +48,27 @@
   const decisions = Array.from({ length: 50 }, () => policy.decide(makeRejection()))
   expect(decisions.filter(decision => typeof decision === 'number').length).toBeLessThanOrEqual(BUDGET.extra / 14)
 })
+
+/** Otherwise the calls that a long run makes late, and those of the next repeated runs, come within one window. */
+test('the calls of a repeated run use the budget until a window after its end', () => {
+  const clock = makeClock()
+  const policy = new SharedBudgetRetryPolicy({ ...BUDGET, ratio: 0 }, () => 1, clock)
+  const serveRuns = (): void => {
+    for (let run = 0; run < 20; run += 1) {
+      policy.admitRun(FIRST)?.()
+      policy.countCall('gallery', true)
+    }
+  }
+  clock.advance(60_000)
+  serveRuns()
+  const ends: Array<() => void> = []
+  for (let end = policy.admitRun(REPEAT); end !== undefined; end = policy.admitRun(REPEAT)) ends.push(end)
+  clock.advance(6_000)
+  for (const end of ends) end()
+  clock.advance(6_000)
+  serveRuns()
+  expect(policy.admitRun(REPEAT)).toBeUndefined()
+  clock.advance(6_000)
+  serveRuns()
+  expect(policy.admitRun(REPEAT)).toBeDefined()
+})
