Report a node that stays without a configuration in the soak

Since the operator's check of a soak run ignored each 503 not_ready, whenever it came, to leave out nodes that have just started. A node that never became ready without having been restarted by a stop of the injector would have gone unnoticed there.

The response is now ignored only until 6 s after the start of the node and after the last disturbance of its host or of the store; later it is a violation.

--- a/standins/soak/host.ts
+++ b/standins/soak/host.ts
@@ -46,6 +46,8 @@
   readonly targetLink: FaultProxy
   /** Increases with each start of the node. */
   incarnation = 0
+  /** Time of the last start of the node, in milliseconds since the start of the run. */
+  startedAt = 0
   /** Time of the last fault that affected this host or its node, in milliseconds since the start of the run. */
   disturbedAt = 0
   /** True while a fault replaces the target. */
@@ -75,6 +77,7 @@
   startNode (): void {
     const { index, service, zone, region, folder, record } = this.options
     this.incarnation += 1
+    this.startedAt = record.elapsedMs
     const output = openSync(join(folder, `host-${index}.log`), 'a')
     const node = spawnPlatformNode({
       host: `host-${index}`,
--- a/standins/soak/operator.ts
+++ b/standins/soak/operator.ts
@@ -60,7 +60,11 @@
     const { incarnation } = host
     const sentAt = record.elapsedMs
     const newest = this.version
-    const status = await this.queryRoute(host, version)
+    const { status, isReady } = await this.queryRoute(host, version)
+    if (!isReady) {
+      this.checkStarting(host, incarnation, sentAt)
+      return
+    }
     const isOvertaken = version <= this.version - KEPT_VERSIONS && version > newest - KEPT_VERSIONS
     if (status === undefined || isOvertaken || host.incarnation !== incarnation) return
     const { index } = host.options
@@ -78,8 +82,14 @@
     if (isServed && (!isKnown || seen.version < version)) this.seen.set(index, { version, at: record.elapsedMs, incarnation })
   }
 
-  /** Returns the status of the response, or undefined without one and from a starting node, which does not know its routes yet. */
-  private async queryRoute (host: SoakHost, version: number): Promise<number | undefined> {
+  /** A node that has just started does not know its routes yet. */
+  private checkStarting (host: SoakHost, incarnation: number, at: number): void {
+    if (host.incarnation !== incarnation || at - host.startedAt <= SETTLE_MS || !this.isUndisturbed(host, at)) return
+    this.record.recordViolation(`host ${host.options.index} is not ready ${SETTLE_MS} ms after its start, without a disturbance since`)
+  }
+
+  /** The status is undefined without a response. */
+  private async queryRoute (host: SoakHost, version: number): Promise<{ status?: number, isReady: boolean }> {
     const probe = this.record.beginRequest(this.services[0] ?? '', 'idempotent', host.options.index)
     try {
       const response = await request(`http://${host.addresses.caller}/version-${version}/x`, {
@@ -88,9 +98,9 @@
       })
       const text = await response.body.text()
       probe.status = response.statusCode
-      return response.statusCode === REJECTED && text.includes(NOT_READY_CODE) ? undefined : response.statusCode
+      return { status: response.statusCode, isReady: response.statusCode !== REJECTED || !text.includes(NOT_READY_CODE) }
     } catch {
-      return undefined
+      return { isReady: true }
     }
   }
 
