Put records of another writer to use in the proof of malformed input

The proof wrote records to the store under names other than that of their host and with most of their fields replaced or missing, so the node left out all of them: it checked the parsing of objects and nothing behind it.

Records now bear the name of their object, and half of the records, configurations, heartbeats and messages of peers have one part replaced only, so that some are valid and odd.

--- a/tests/proofs/malformed-input.test.ts
+++ b/tests/proofs/malformed-input.test.ts
@@ -14,6 +14,7 @@
 import { encode } from '@msgpack/msgpack'
 import * as fc from 'fast-check'
 import { Agent, request } from 'undici'
+import { Dialer, MsgpackCodec, PeerClient } from '../../src/peer/index.js'
 import { makeNodeAddresses, spawnPlatformNode } from '../../standins/layout/platformnode.js'
 import type { NodeAddresses } from '../../standins/layout/platformnode.js'
 import { findBlock } from '../../standins/layout/processes.js'
@@ -25,6 +26,8 @@
 const PORTS = ['caller', 'inbound', 'ready', 'control', 'peer', 'admin'] as const
 const READY_TIMEOUT_MS = 20_000
 const ANSWER_TIMEOUT_MS = 1_000
+/** The node lists the hosts at least once in this time. */
+const LIST_TIMEOUT_MS = 8_000
 /** Time in which the node reads the store several times. */
 const STORE_READS_MS = 2_500
 
@@ -38,9 +41,17 @@
   return fc.sample(arbitrary, { seed: SEED, numRuns: runs })
 }
 
+const other = fc.oneof(fc.jsonValue(), fc.constant(null), fc.integer(), fc.string())
+
+/** Values of the right shape with one part replaced by another value. Some of them are valid, so the node puts them to use. */
+function mutatePart (value: unknown): fc.Arbitrary<unknown> {
+  if (typeof value !== 'object' || value === null || Object.keys(value).length === 0) return other
+  return fc.constantFrom(...Object.entries(value)).chain(([key, part]) => mutatePart(part).map(mutated =>
+    Array.isArray(value) ? value.map((item, index) => String(index) === key ? mutated : item) : { ...value, [key]: mutated }))
+}
+
 /** Values of the right shape in which any part may be replaced by any other value. */
 function mutate (value: unknown): fc.Arbitrary<unknown> {
-  const other = fc.oneof(fc.jsonValue(), fc.constant(null), fc.integer(), fc.string())
   const entries = typeof value === 'object' && value !== null ? Object.entries(value) : undefined
   if (entries === undefined) return fc.oneof({ arbitrary: fc.constant(value), weight: 3 }, other)
   const parts = fc.record(Object.fromEntries(entries.map(([key, part]) => [key, mutate(part)])), { requiredKeys: [] })
@@ -85,6 +96,20 @@
   expect([status, node.exitCode, node.signalCode]).toEqual([200, null, null])
 }
 
+/** Otherwise the node would have left out all objects by their names, and none would have been put to use. */
+async function expectReadHosts (): Promise<void> {
+  const client = new PeerClient(new MsgpackCodec(), new Dialer())
+  const deadline = performance.now() + LIST_TIMEOUT_MS
+  let hosts: string[] = []
+  while (hosts.length === 0 && performance.now() < deadline) {
+    const status = await client.queryStatus(addresses.peer)
+    hosts = status.ok ? status.val.records.flatMap(({ host }) => /^x\d+$/.test(host) ? host : []) : []
+    if (hosts.length === 0) await delay(50)
+  }
+  client.close()
+  expect(hosts.length).toBeGreaterThan(0)
+}
+
 async function expectNoUnexpectedError (): Promise<void> {
   const response = await request(`http://${addresses.admin}/metrics`, { dispatcher: agent })
   expect(await response.body.text()).not.toContain('unexpected_errors_total')
@@ -125,8 +150,10 @@
   await expectNoUnexpectedError()
 })
 
+const HEARTBEAT = makeHeartbeat({ address: '1.2.3.4:5', born: 7 })
+
 test('heartbeats and deregistrations with random values', async () => {
-  for (const value of sample(fc.tuple(mutate(makeHeartbeat({ address: '1.2.3.4:5', born: 7 })), fc.string()))) {
+  for (const value of sample(fc.tuple(fc.oneof(mutate(HEARTBEAT), mutatePart(HEARTBEAT)), fc.string()))) {
     await post(addresses.control, `/-/Instances.Heartbeat/${encodeURIComponent(value[1])}`, JSON.stringify(value[0]))
     await post(addresses.control, `/-/Instances.Deregister/${encodeURIComponent(value[1])}`, JSON.stringify(value[0]))
   }
@@ -147,6 +174,12 @@
   state: 'serving',
   targets: [{ service: 'desk', target: 'i-2', address: '127.0.0.1:1', slots: 6, connections: 10, labels: {}, state: 'leaving' }]
 }
+/** A record is read only from the object that bears the name of its host. */
+function renameHost (record: unknown, host: string): unknown {
+  const hasName = typeof record === 'object' && record !== null && 'host' in record && record.host === RECORD.host
+  return hasName ? { ...record, host } : record
+}
+
 const EXCHANGE = { host: 'h2', version: 0, wantsConfiguration: true, zones: {}, records: [RECORD], marks: [], cleared: [], stamp: { wall: 1, counter: 0 } }
 
 test('messages of peers with random values', async () => {
@@ -157,7 +190,8 @@
       client.makeUnaryRequest(path, identity, identity, bytes, { deadline: Date.now() + ANSWER_TIMEOUT_MS }, () => { resolve() })
     })
   }
-  for (const value of sample(fc.oneof(mutate(EXCHANGE).map(message => Buffer.concat([Buffer.from([0]), encode(message)])), fc.uint8Array()))) {
+  const messages = fc.oneof(mutate(EXCHANGE), mutatePart(EXCHANGE)).map(message => Buffer.concat([Buffer.from([0]), encode(message)]))
+  for (const value of sample(fc.oneof(messages, fc.uint8Array()))) {
     for (const path of ['/comfreyspoke.Peer/Exchange', '/comfreyspoke.OperatorQueries/Timeline', '/comfreyspoke.OperatorCommands/None']) await call(path, Buffer.from(value))
   }
   client.close()
@@ -166,9 +200,12 @@
 }, 120_000)
 
 test('objects of another writer and responses of the store with random values', async () => {
-  const records = sample(mutate(RECORD))
-  for (const [index, record] of records.entries()) store.server.writeObject('comfreyspoke-host', `x${index}`, record)
-  for (const configuration of sample(mutate(makePlatformConfiguration(4)))) {
+  for (const [index, record] of sample(fc.oneof(mutate(RECORD), mutatePart(RECORD))).entries()) {
+    const name = `x${index}`
+    store.server.writeObject('comfreyspoke-host', name, renameHost(record, name))
+  }
+  await expectReadHosts()
+  for (const configuration of sample(fc.oneof(mutate(makePlatformConfiguration(4)), mutatePart(makePlatformConfiguration(4))))) {
     store.server.writeObject('config', 'main', configuration)
     await delay(STORE_READS_MS / RUNS)
   }
