Charge a repeated run with the calls that runs of its kind make

A node charged each repeated run with the average calls of all runs on its host. Where only some requests make calls, and just those are repeated (a target that fails because a call failed is one reason), the charge was too small and the calls of repeats exceeded the budget of the service called.

CallRates counts runs by kind (service, class and method, which the node beside the target knows without another header) and ascribes a call to the runs in flight in proportion to the calls that their kinds make. The probability that the call comes from a repeat is derived in the same way.

Ruled out: a header with the name of the route (names need not fit into a header, and each request between nodes would carry it), and a least-squares fit (more state, no gain in the tests).

--- a/src/request/repeats.ts
+++ b/src/request/repeats.ts
@@ -1,10 +1,12 @@
 /**
  * Counts arrivals at targets beyond the first of each request, by origin: attempts after one that reached a target, and calls that a
  * target makes while it serves such an attempt. A call does not name the run that made it, but it expires no later than that run, so it
- * counts by the share of repeats among the runs on this host that last as long.
+ * counts by the probability that one of the repeats among the runs on this host that last as long has made it.
  */
 import type { Clock } from '../core/index.js'
 import { getOrMake } from '../core/index.js'
+import { CallRates } from './callrates.js'
+import type { ExpectedCalls } from './callrates.js'
 import type { RetryDecision } from './retry.js'
 import type { RunOrigin } from './schema.js'
 
@@ -31,7 +33,7 @@
   repeatShare: number
 }
 
-interface Run { repeatShare: number, endsAt: number }
+interface Run { kind: string, repeatShare: number, endsAt: number }
 
 /** A target counts its time from the arrival of the request, which is later than its sending. */
 const MAX_ARRIVAL_DELAY_MS = 30
@@ -39,12 +41,15 @@
 export class RepeatMeter {
   private readonly counts = new Map<string, RepeatCounts>()
   private readonly runs = new Set<Run>()
+  private readonly rates: CallRates
 
-  constructor (private readonly clock: Clock) {}
+  constructor (private readonly clock: Clock) {
+    this.rates = new CallRates(clock)
+  }
 
   /** `leftMs` is the time until the call expires; without a deadline any run in flight may have made it. */
   recordCall (service: string, leftMs = 0): CallOrigin {
-    const origin = this.deriveOrigin(leftMs)
+    const origin = this.deriveOrigin(service, leftMs)
     const counts = this.getCounts(service)
     counts.calls += 1
     counts.callsOfRepeats += origin.repeatShare
@@ -57,10 +62,19 @@
     if (decision === 'spent') this.getCounts(service).denied += 1
   }
 
-  /** Called before a request is sent to a target. `leftMs` is the time that the target has for it. Returns a function that ends the run. */
-  beginRun ({ repeatShare }: RunOrigin, leftMs: number): () => void {
-    const run: Run = { repeatShare, endsAt: this.clock.monotonic() + leftMs }
+  /** Returns the calls that a run of a kind is expected to make. */
+  listExpectedCalls (kind: string): ExpectedCalls[] {
+    return this.rates.listExpectedCalls(kind)
+  }
+
+  /**
+   * Called before a request is sent to a target. Runs of one `kind` make similar calls. `leftMs` is the time that the target has for the
+   * request. Returns a function that ends the run.
+   */
+  beginRun (kind: string, { repeatShare }: RunOrigin, leftMs: number): () => void {
+    const run: Run = { kind, repeatShare, endsAt: this.clock.monotonic() + leftMs }
     this.runs.add(run)
+    this.rates.recordRun(kind)
     return () => { this.runs.delete(run) }
   }
 
@@ -78,16 +92,12 @@
     return collected
   }
 
-  private deriveOrigin (leftMs: number): CallOrigin {
+  private deriveOrigin (service: string, leftMs: number): CallOrigin {
     const expiresAt = this.clock.monotonic() + leftMs - MAX_ARRIVAL_DELAY_MS
-    let runs = 0
-    let repeats = 0
-    for (const { repeatShare, endsAt } of this.runs) {
-      if (endsAt < expiresAt) continue
-      runs += 1
-      repeats += repeatShare
-    }
-    return { isOfRun: runs > 0, repeatShare: runs === 0 ? 0 : repeats / runs }
+    const runs = [...this.runs].filter(({ endsAt }) => endsAt >= expiresAt)
+    if (runs.length === 0) return { isOfRun: false, repeatShare: 0 }
+    const shares = this.rates.recordCall(service, runs.map(({ kind }) => kind))
+    return { isOfRun: true, repeatShare: runs.reduce((sum, { repeatShare }, index) => sum + repeatShare * (shares[index] ?? 0), 0) }
   }
 
   private getCounts (service: string): RepeatCounts {
--- a/src/request/retry.ts
+++ b/src/request/retry.ts
@@ -4,6 +4,7 @@
 import type { Clock, Failure, Random } from '../core/index.js'
 import { computeBackoff, getOrMake } from '../core/index.js'
 import type { Retries, RouteKind } from '../document/index.js'
+import type { ExpectedCalls } from './callrates.js'
 import type { RunOrigin } from './schema.js'
 
 export interface RetryContext {
@@ -33,10 +34,10 @@
   /** Called once for each attempt that was allowed after one that reached a target: when it has reached a target, or is not made. */
   abstract finishRetry (service: string, hasReachedTarget: boolean): void
   /**
-   * Called for each run on this host before its request is sent to the target. Returns a function to call when the run has ended, or
-   * undefined if a repeat must not run.
+   * Called for each run on this host before its request is sent to the target, with the calls that it is expected to make. Returns a
+   * function to call when the run has ended, or undefined if a repeat must not run.
    */
-  abstract admitRun (origin: RunOrigin): EndRun | undefined
+  abstract admitRun (origin: RunOrigin, expectedCalls: readonly ExpectedCalls[]): EndRun | undefined
 }
 
 const BUCKET_MS = 1_000
--- a/src/request/sharedbudget.ts
+++ b/src/request/sharedbudget.ts
@@ -3,11 +3,12 @@
  * up to less than the whole budget. An attempt that reached no target does not count, since the targets then get the call only once.
  *
  * The load pattern is an overloaded service whose targets call another one. A run that repeats an earlier attempt makes its calls again,
- * and these use the budget of the service that they reach. So a node charges each repeated run on its host with the calls that a run
- * makes on average, and does not admit a repeat for whose calls there is no budget left.
+ * and these use the budget of the service that they reach. So a node charges each repeated run on its host with the calls that it is
+ * expected to make, and does not admit a repeat for whose calls there is no budget left.
  */
 import type { Clock } from '../core/index.js'
 import { getOrMake } from '../core/index.js'
+import type { ExpectedCalls } from './callrates.js'
 import { RetryPolicy } from './retry.js'
 import type { EndRun, RetryDecision, RetryContext } from './retry.js'
 import type { RunOrigin } from './schema.js'
@@ -16,10 +17,15 @@
 /** Repeats within the window: `ratio` of the calls of a service, plus `extra` for all nodes together. */
 export interface SharedRetryBudget { ratio: number, extra: number, windowMs: number }
 
-/** The rest is for repeats that arrive later than they were counted, and for runs that make more calls than the average. */
+/** The rest is for repeats that arrive later than they were counted, and for runs that make more calls than expected. */
 const USED_BUDGET_SHARE = 0.8
 /** Share of the budget for calls of repeated runs, which second attempts may not use, if runs on this host make all calls to the service. */
 const CALLS_BUDGET_SHARE = 0.3
+/**
+ * In the first window of a node, too few runs are known to tell those that make many calls from the others, so a repeat is charged with
+ * more than it is expected to make.
+ */
+const FIRST_WINDOW_CHARGE_FACTOR = 2
 /** A call that this many targets rejected is rejected itself. */
 const MAX_ATTEMPTS = 4
 /** With less time than this before the deadline, no target can give a useful response. */
@@ -39,12 +45,11 @@
   readonly callsOfRepeats: SlidingSum
 }
 
-/** The calls to a service with which a repeated run is charged: as many as a run on this host makes on average. */
+/** The calls to a service with which a repeated run is charged. */
 interface Charge { account: Account, calls: number }
 
 export class SharedBudgetRetryPolicy extends RetryPolicy {
   private readonly accounts = new Map<string, Account>()
-  private readonly runs: SlidingSum
   /** The charges of runs in flight. */
   private readonly openCharges = new Set<Charge[]>()
   private readonly startedAt: number
@@ -53,7 +58,6 @@
   /** `countNodes` returns the number of nodes that this node knows, itself included. */
   constructor (private readonly budget: SharedRetryBudget, private readonly countNodes: () => number, private readonly clock: Clock) {
     super()
-    this.runs = new SlidingSum(budget.windowMs)
     this.startedAt = clock.monotonic()
   }
 
@@ -79,13 +83,14 @@
     if (hasReachedTarget) account.attempts.add(this.clock.monotonic())
   }
 
-  override admitRun ({ isRepeat, repeatShare }: RunOrigin): EndRun | undefined {
-    const charges = repeatShare > 0 ? this.listCharges(repeatShare) : []
+  override admitRun ({ isRepeat, repeatShare }: RunOrigin, expectedCalls: readonly ExpectedCalls[]): EndRun | undefined {
+    const charges = expectedCalls
+      .map(({ service, calls }): Charge => ({ account: this.getAccount(service), calls: calls * repeatShare * this.chargeFactor }))
+      .filter(({ calls }) => calls > 0)
     const hasBudget = charges.every(({ account, calls }) => this.hasBudget(account, calls))
     if (isRepeat && !hasBudget) return undefined
     for (const { account, calls } of charges) account.pendingCallsOfRepeats += calls
     this.openCharges.add(charges)
-    this.runs.add(this.clock.monotonic())
     return () => { this.endRun(charges) }
   }
 
@@ -134,16 +139,15 @@
    * know fewer of them, and so do the others, so the largest number that this node has known counts.
    */
   private computeExtra (): number {
-    const { extra, windowMs } = this.budget
-    return this.clock.monotonic() - this.startedAt < windowMs ? 0 : extra / this.mostNodes
+    return this.isInFirstWindow ? 0 : this.budget.extra / this.mostNodes
   }
 
-  private listCharges (repeatShare: number): Charge[] {
-    const now = this.clock.monotonic()
-    const runs = Math.max(1, this.runs.read(now))
-    return [...this.accounts.values()]
-      .map(account => ({ account, calls: repeatShare * account.callsOfRuns.read(now) / runs }))
-      .filter(({ calls }) => calls > 0)
+  private get chargeFactor (): number {
+    return this.isInFirstWindow ? FIRST_WINDOW_CHARGE_FACTOR : 1
+  }
+
+  private get isInFirstWindow (): boolean {
+    return this.clock.monotonic() - this.startedAt < this.budget.windowMs
   }
 
   private getAccount (service: string): Account {
--- a/src/request/tasks/inbound.ts
+++ b/src/request/tasks/inbound.ts
@@ -84,7 +84,7 @@
     permit.release()
     return inFlight
   }
-  const endRun = context.retry.admitRun(origin)
+  const endRun = context.retry.admitRun(origin, origin.repeatShare > 0 ? context.repeats.listExpectedCalls(getRunKind(localRequest)) : [])
   if (endRun === undefined) {
     inFlight.val.discard()
     permit.release()
@@ -94,12 +94,13 @@
 }
 
 async function sendRun (
-  context: InboundContext, { service, target, origin, scope, outgoing, body }: LocalRequest, { address, permit, inFlight }: AdmittedRun
+  context: InboundContext, localRequest: LocalRequest, { address, permit, inFlight }: AdmittedRun
 ): Promise<Result<LocalResponse, Failure>> {
   const { client, repeats, adapter, responseBufferBytes } = context
+  const { service, target, origin, scope, outgoing, body } = localRequest
   const leftMs = scope.forwardedDeadlineMs
   const headers = adapter.makeTargetHeaders({ headers: outgoing.headers, target, leftMs })
-  const runPermit = makeRunPermit(permit, repeats.beginRun(origin, leftMs))
+  const runPermit = makeRunPermit(permit, repeats.beginRun(getRunKind(localRequest), origin, leftMs))
   const received = await client.send({
     ...outgoing,
     headers,
@@ -118,6 +119,11 @@
   return Err(await checkCrash(received.val, inFlight, target, address))
 }
 
+/** Requests that agree in this are likely to be served by the same code of the target, which makes the same calls. */
+function getRunKind ({ service, routeClass, outgoing: { method } }: LocalRequest): string {
+  return `${service} ${routeClass} ${method}`
+}
+
 /** A run ends when its slot is released. */
 function makeRunPermit (permit: Permit, endRun: () => void): Permit {
   return {
--- a/tests/repeats.test.ts
+++ b/tests/repeats.test.ts
@@ -37,13 +37,14 @@
   expect(counts.reduce((sum, { arrivals }) => sum + arrivals, 0)).toBe(8 + made)
 })
 
+const KIND = 'desk normal GET'
 const FIRST: RunOrigin = { isRepeat: false, repeatShare: 0 }
 const REPEAT: RunOrigin = { isRepeat: true, repeatShare: 1 }
 
 test('a call counts as one of a repeated run by the share of repeats among the runs in flight', () => {
   const meter = new RepeatMeter(makeClock())
-  const endFirst = meter.beginRun(FIRST, 1_000)
-  const endRepeat = meter.beginRun(REPEAT, 1_000)
+  const endFirst = meter.beginRun(KIND, FIRST, 1_000)
+  const endRepeat = meter.beginRun(KIND, REPEAT, 1_000)
   expect(meter.recordCall('gallery', 500)).toEqual({ isOfRun: true, repeatShare: 0.5 })
   endFirst()
   expect(meter.recordCall('gallery', 500)).toEqual({ isOfRun: true, repeatShare: 1 })
@@ -55,7 +56,7 @@
 /** Callers of the same host call the same services. Their calls must not count as repeats. */
 test('a call that expires later than each run in flight was made by none of them', () => {
   const meter = new RepeatMeter(makeClock())
-  meter.beginRun(REPEAT, 1_000)
+  meter.beginRun(KIND, REPEAT, 1_000)
   expect(meter.recordCall('gallery', 4_000)).toEqual({ isOfRun: false, repeatShare: 0 })
 })
 
--- a/tests/retrybudget.test.ts
+++ b/tests/retrybudget.test.ts
@@ -12,7 +12,6 @@
 
 const BUDGET = { ratio: 0.2, extra: 62, windowMs: 10_000 }
 
-const FIRST: RunOrigin = { isRepeat: false, repeatShare: 0 }
 const REPEAT: RunOrigin = { isRepeat: true, repeatShare: 1 }
 
 function makeLoad (change: Partial<RepeatLoad> = {}): RepeatLoad {
@@ -23,6 +22,7 @@
   ['each run makes two calls', { callsPerRun: 2 }],
   ['each run makes six calls', { callsPerRun: 6 }],
   ['few calls and many made by each run', { callsPerRun: 6, deskCallsPerSecond: 20 }],
+  ['only the requests whose runs make calls are repeated', { plainShare: 0.8, callsPerRun: 6 }],
   ['rejections begin at once and end again', { rejectedShare: (second: number) => second % 20 < 8 ? 0 : 0.7 }]
 ])('second attempts and the calls of repeated runs stay within the budget together (%s)', (_, change) => {
   const { desk, gallery } = simulateRepeats(makeLoad(change))
@@ -53,22 +53,14 @@
 test('the calls of a repeated run use the budget until a window after its end', () => {
   const clock = makeClock()
   const policy = new SharedBudgetRetryPolicy({ ...BUDGET, ratio: 0 }, () => 1, clock)
-  const serveRuns = (): void => {
-    for (let run = 0; run < 20; run += 1) {
-      policy.admitRun(FIRST)?.()
-      policy.countCall('gallery', true)
-    }
-  }
+  const admitRepeat = (): (() => void) | undefined => policy.admitRun(REPEAT, [{ service: 'gallery', calls: 1 }])
   clock.advance(60_000)
-  serveRuns()
   const ends: Array<() => void> = []
-  for (let end = policy.admitRun(REPEAT); end !== undefined; end = policy.admitRun(REPEAT)) ends.push(end)
+  for (let end = admitRepeat(); end !== undefined; end = admitRepeat()) ends.push(end)
   clock.advance(6_000)
   for (const end of ends) end()
   clock.advance(6_000)
-  serveRuns()
-  expect(policy.admitRun(REPEAT)).toBeUndefined()
+  expect(admitRepeat()).toBeUndefined()
   clock.advance(6_000)
-  serveRuns()
-  expect(policy.admitRun(REPEAT)).toBeDefined()
+  expect(admitRepeat()).toBeDefined()
 })
