Ignore late heartbeats of a target that deregistered without its start time

The log of the node shows the cause: it had started again 0.4 s before and did not know its target. The target deregistered, which carries no start time, so the node kept the process with start 0. A heartbeat that came 2.7 s later has a start time above 0 and counted as that of a new process: 'target_heard ready, as new' at 31.826 s, and requests from 31.89 s on. The same happens without a restart if a target starts again under its id and its first heartbeats are late.

A deregistration now keeps its wall-clock time. A process that started until then is the one that left, or an earlier one, so its heartbeats are late. Target and node share the clock of their host, and a process that reuses the id starts after the drain of the one that left. Deregistrations are logged always; that of the unknown target left no line, and the field that named the sequence of the record is now called recordSequence.

tests/platform/control.test.ts, 'a late heartbeat of a target that has deregistered without its start time does not restore it': both cases fail before the change and pass with it.

--- a/src/membership/commands/heartbeat.ts
+++ b/src/membership/commands/heartbeat.ts
@@ -17,7 +17,15 @@
 
 export interface HeartbeatResult { outcome: HeartbeatOutcome, record?: HostRecord }
 
-interface TargetProcess { startedAt: number, sequence: number, hasLeft: boolean, lastHeartbeatAt: number }
+interface TargetProcess {
+  /** 0 if it is not known. */
+  startedAt: number
+  sequence: number
+  hasLeft: boolean
+  lastHeartbeatAt: number
+  /** The wall-clock time of the last deregistration. Processes that started until then have left. */
+  deregisteredAt: number
+}
 
 /** After this time without a heartbeat, a heartbeat without a start time may come from another process with the same target id. */
 const ID_REUSE_AFTER_MS = 5_000
@@ -36,6 +44,7 @@
     const isNew = current === undefined || startedAt > current.startedAt ||
       (startedAt === 0 && sequence < current.sequence && at - current.lastHeartbeatAt > ID_REUSE_AFTER_MS)
     if (!isNew && startedAt < current.startedAt) return { outcome: 'earlier' }
+    if (isNew && startedAt !== 0 && startedAt <= (current?.deregisteredAt ?? 0)) return { outcome: 'late' }
     if (this.hasLaterTarget(target, startedAt)) return { outcome: 'earlier' }
     const isLeaving = announcement.state === 'leaving' || (!isNew && current.hasLeft)
     if (!isNew && sequence <= current.sequence && !isLeaving) return { outcome: 'late' }
@@ -43,22 +52,28 @@
       startedAt,
       sequence: isNew ? sequence : Math.max(sequence, current.sequence),
       hasLeft: isLeaving,
-      lastHeartbeatAt: at
+      lastHeartbeatAt: at,
+      deregisteredAt: current?.deregisteredAt ?? 0
     })
     if (isNew) this.removeOtherTargets(target)
     const record = registerTarget(this.localHost, isLeaving ? { ...announcement, state: 'leaving' } : announcement, at)
     return { outcome: isNew ? 'new' : 'taken', ...record === undefined ? {} : { record } }
   }
 
-  /** Marks a target as leaving. No earlier heartbeat with the state `leaving` is needed. */
-  deregister (target: string, startedAt: number, at: number): HeartbeatResult {
+  /**
+   * Marks a target as leaving. No earlier heartbeat with the state `leaving` is needed. `startedAt` is 0 if the target does not send it;
+   * then this may be a process of which this node has had no heartbeat yet, and `wallTime` tells its late heartbeats from those of a later
+   * process.
+   */
+  deregister (target: string, startedAt: number, at: number, wallTime: number): HeartbeatResult {
     const current = this.processes.get(target)
     if (current !== undefined && startedAt !== 0 && startedAt < current.startedAt) return { outcome: 'earlier' }
     this.processes.set(target, {
       startedAt: Math.max(startedAt, current?.startedAt ?? 0),
       sequence: current?.sequence ?? 0,
       hasLeft: true,
-      lastHeartbeatAt: at
+      lastHeartbeatAt: at,
+      deregisteredAt: startedAt === 0 ? wallTime : current?.deregisteredAt ?? 0
     })
     const announcement = this.localHost.findAnnouncement(target)
     const record = announcement === undefined ? undefined : registerTarget(this.localHost, { ...announcement, state: 'leaving' }, at)
--- a/src/node/commands/localhost.ts
+++ b/src/node/commands/localhost.ts
@@ -53,7 +53,8 @@
 
   /** Marks a target of the local host as leaving. */
   deregisterTarget (target: string, startedAt: number): HeartbeatResult {
-    return this.applyHeartbeat(target, 'deregistered', this.targetProcesses.deregister(target, startedAt, this.context.clock.monotonic()))
+    const { clock } = this.context
+    return this.applyHeartbeat(target, 'deregistered', this.targetProcesses.deregister(target, startedAt, clock.monotonic(), clock.now()))
   }
 
   /** Handles targets whose heartbeats stopped. */
--- a/src/node/telemetry.ts
+++ b/src/node/telemetry.ts
@@ -89,9 +89,10 @@
     this.recorder.record('document-refused', reason)
   }
 
+  /** A deregistration is always logged, since it also decides on later heartbeats of a target that this node does not know. */
   recordHeartbeat (target: string, state: string, { outcome, record }: HeartbeatResult): void {
-    if (record === undefined && outcome === 'taken') return
-    this.log.log('change', 'target_heard', { target, state, as: outcome, sequence: record?.sequence })
+    if (record === undefined && outcome === 'taken' && state !== 'deregistered') return
+    this.log.log('change', 'target_heard', { target, state, as: outcome, recordSequence: record?.sequence })
     if (record !== undefined) this.recorder.record(state === 'ready' ? 'target-joined' : 'target-leaving', target, { host: record.host })
   }
 
--- a/tests/platform/control.test.ts
+++ b/tests/platform/control.test.ts
@@ -17,15 +17,17 @@
 let server: Server
 let localHost: LocalHost
 let now: number
+let wallTime: number
 
 beforeEach(async () => {
   localHost = new LocalHost({ host: 'h', zone: 'a', region: 'r', inbound: '', peer: '', admin: '', incarnation: 1 })
   now = 0
+  wallTime = 15
   const processes = new TargetProcesses(localHost)
   const registrar = {
     address: ADDRESS,
     receiveHeartbeat: (heartbeat: Parameters<TargetProcesses['receiveHeartbeat']>[0]) => processes.receiveHeartbeat(heartbeat, now),
-    deregisterTarget: (target: string, startedAt: number) => processes.deregister(target, startedAt, now),
+    deregisterTarget: (target: string, startedAt: number) => processes.deregister(target, startedAt, now, wallTime),
     reportInvalidCall: () => {}
   }
   server = createServer((message, response) => { void serveControl(registrar, message, response) })
@@ -90,6 +92,18 @@
   expect(listStates()).toEqual(['i-1 leaving'])
 })
 
+/** The node has started again and forgotten its target, or has missed the first heartbeats of a process with a reused id. */
+test.each([['that the node does not know', []], ['of an earlier process with the same id', [10]]])(
+  'a late heartbeat of a target that has deregistered without its start time does not restore it (a target %s)', async (_case, known) => {
+    for (const born of known) await sendHeartbeat('i-1', { born, seq: 30 })
+    wallTime = 50
+    expect(await post('/-/Instances.Deregister/i-1', '')).toBe(200)
+    expect(await sendHeartbeat('i-1', { born: 40, seq: 2 })).toBe(200)
+    expect(listStates()).not.toContain('i-1 ready')
+    await sendHeartbeat('i-1', { born: 60, seq: 1 })
+    expect(listStates()).toEqual(['i-1 ready'])
+  })
+
 test.each([
   ['invalid JSON', '{"address'],
   ['no state', { ...makeHeartbeat() as object, status: { seq: 2 } }],
