--- a/src/node/tasks/list.ts
+++ b/src/node/tasks/list.ts
@@ -7,6 +7,7 @@
 import type { RepeatCounts, RepeatMeter } from '../../request/index.js'
 import type { NodeState } from '../state.js'
 import { followConfiguration } from './configuration.js'
+import { sendCrashMarks } from './crashmarks.js'
 import type { HostDirectory } from './directory.js'
 import { expireTargetsPeriodically } from './expire.js'
 import type { PeerSynchronizer } from './peers.js'
@@ -41,7 +42,7 @@
     { name: 'directory', run: async () => { await directory.run(signal) } },
     { name: 'expiry', run: async () => { await expireTargetsPeriodically(expiry, signal) } },
     { name: 'exchange', run: async () => { await peers.exchangePeriodically(signal) } },
-    { name: 'crash marks', run: async () => { await peers.sendCrashMarks(signal) } },
+    { name: 'crash marks', run: async () => { await sendCrashMarks({ state, peers, clock }, signal) } },
     { name: 'repeats', run: async () => { await reportRepeats(repeats, signal) } },
     { name: 'removal', run: async () => { await peers.removeUnreachable(host => { void directory.remove(host) }, signal) } }
   ]
--- a/src/node/tasks/peers.ts
+++ b/src/node/tasks/peers.ts
@@ -4,13 +4,11 @@
  */
 import { applyChange } from '../../configuration/index.js'
 import type { Configuration, ConfigurationChange } from '../../configuration/index.js'
-import { Channel } from '../../core/index.js'
 import type { Clock, Random, StructuredLog } from '../../core/index.js'
 import { evictTombstones, makeTombstone, REMOVE_UNREACHABLE_AFTER_MS } from '../../membership/index.js'
 import type { HostRecord } from '../../membership/index.js'
 import type { ExchangeRequest, ExchangeResponse, PeerTransport } from '../../peer/index.js'
-import { addCrashMarks, clearCrashMarks, CrashMarkAnnouncer } from '../../suspect/index.js'
-import type { SuspectMessages } from '../../suspect/index.js'
+import { addCrashMarks, clearCrashMarks } from '../../suspect/index.js'
 import { storeRecords } from '../commands/records.js'
 import { VersionLag } from '../lag.js'
 import { collectZoneDigests, findDifferingBuckets, listBucketRecords, listNewer, listZoneHosts, makeExchangeResponse } from '../queries/difference.js'
@@ -40,13 +38,11 @@
 const REMOVAL_CHECK_INTERVAL_MS = 10_000
 /** Maximum time for which a starting node compares its version with peers, since some of them may not respond. */
 const COMPARISON_TIMEOUT_MS = 500
-/** Most requests whose target ended complete elsewhere within this time. */
-const CRASH_MARK_COLLECT_MS = 300
 
 /** `version` 0 asks for the whole configuration. */
-type ExchangePayload = Pick<ExchangeRequest, 'records' | 'marks' | 'cleared' | 'complete' | 'configurationChange'> & Partial<Pick<ExchangeRequest, 'version'>>
+export type ExchangePayload = Pick<ExchangeRequest, 'records' | 'marks' | 'cleared' | 'complete' | 'configurationChange'> & Partial<Pick<ExchangeRequest, 'version'>>
 
-const EMPTY_PAYLOAD: ExchangePayload = { records: [], marks: [], cleared: [] }
+export const EMPTY_PAYLOAD: ExchangePayload = { records: [], marks: [], cleared: [] }
 
 export class PeerSynchronizer {
   /** The monotonic time since which a host has not responded to this node. */
@@ -107,40 +103,6 @@
     }
   }
 
-  /** Sends changes of crash marks to the peers. */
-  async sendCrashMarks (signal: AbortSignal): Promise<void> {
-    const { state, clock } = this.context
-    const announcer = new CrashMarkAnnouncer(state.identity.host)
-    const wakeUps = new Channel<'changed'>(1)
-    const subscription = state.suspects.changes.stream.subscribe({
-      next: change => {
-        announcer.collect(change)
-        if (!announcer.isIdle) wakeUps.push('changed')
-      },
-      error: () => { wakeUps.close() },
-      complete: () => {}
-    })
-    signal.addEventListener('abort', () => { wakeUps.close() }, { once: true })
-    try {
-      while (await wakeUps.receive() !== undefined) {
-        await clock.sleep(CRASH_MARK_COLLECT_MS, signal)
-        if (!announcer.isIdle) await this.sendSuspectMessages(announcer.consume())
-      }
-    } finally {
-      subscription.unsubscribe()
-    }
-  }
-
-  private async sendSuspectMessages ({ marks, cleared, clearedByHost }: SuspectMessages): Promise<void> {
-    const { state } = this.context
-    const toAll = marks.length + cleared.length === 0 ? undefined : this.notifyPeers({ marks, cleared }, 'many')
-    const toHosts = [...clearedByHost].map(async ([host, fingerprints]) => {
-      const peer = state.members.get(host)
-      if (peer !== undefined) await this.exchange(peer, { ...EMPTY_PAYLOAD, cleared: fingerprints })
-    })
-    await Promise.all([toAll, ...toHosts])
-  }
-
   /** Removes hosts that have not responded for REMOVE_UNREACHABLE_AFTER_MS. Calls `onRemoved` for each of them. */
   async removeUnreachable (onRemoved: (host: string) => void, signal: AbortSignal): Promise<void> {
     const { state, clock } = this.context
