Limit how long a deregistration hides processes with the same id

Since a process that started before a deregistration counts as the one that left. If the deregistration itself is late, that may be the next process with the id, which would stay hidden for ever. Found while reading, not seen.

The rule now holds for 10 s after the deregistration. tests/platform/control.test.ts, 'a target whose id was deregistered after its start is registered by heartbeats that come long after that', fails without the limit.

--- a/src/membership/commands/heartbeat.ts
+++ b/src/membership/commands/heartbeat.ts
@@ -30,6 +30,12 @@
 /** After this time without a heartbeat, a heartbeat without a start time may come from another process with the same target id. */
 const ID_REUSE_AFTER_MS = 5_000
 
+/**
+ * A heartbeat that arrives later than this after a deregistration is not of the process that left. A late deregistration would otherwise
+ * hide the next process with the same id for ever.
+ */
+const MAX_HEARTBEAT_DELAY_MS = 10_000
+
 /** Tracks the newest process of each target of the local host. */
 export class TargetProcesses {
   private readonly processes = new Map<string, TargetProcess>()
@@ -44,7 +50,7 @@
     const isNew = current === undefined || startedAt > current.startedAt ||
       (startedAt === 0 && sequence < current.sequence && at - current.lastHeartbeatAt > ID_REUSE_AFTER_MS)
     if (!isNew && startedAt < current.startedAt) return { outcome: 'earlier' }
-    if (isNew && startedAt !== 0 && startedAt <= (current?.deregisteredAt ?? 0)) return { outcome: 'late' }
+    if (isNew && startedAt !== 0 && isOfDeregistered(current, startedAt, at)) return { outcome: 'late' }
     if (this.hasLaterTarget(target, startedAt)) return { outcome: 'earlier' }
     const isLeaving = announcement.state === 'leaving' || (!isNew && current.hasLeft)
     if (!isNew && sequence <= current.sequence && !isLeaving) return { outcome: 'late' }
@@ -91,3 +97,7 @@
     for (const other of this.localHost.listHeartbeats()) if (other.target !== target) this.localHost.removeTarget(other.target)
   }
 }
+
+function isOfDeregistered (known: TargetProcess | undefined, startedAt: number, at: number): boolean {
+  return known !== undefined && known.hasLeft && startedAt <= known.deregisteredAt && at - known.lastHeartbeatAt <= MAX_HEARTBEAT_DELAY_MS
+}
--- a/tests/platform/control.test.ts
+++ b/tests/platform/control.test.ts
@@ -104,6 +104,18 @@
     expect(listStates()).toEqual(['i-1 ready'])
   })
 
+/** The deregistration of an earlier process may be late itself. */
+test('a target whose id was deregistered after its start is registered by heartbeats that come long after that', async () => {
+  wallTime = 50
+  await post('/-/Instances.Deregister/i-1', '')
+  now = 9_000
+  await sendHeartbeat('i-1', { born: 40, seq: 2 })
+  expect(listStates()).toEqual([])
+  now = 11_000
+  await sendHeartbeat('i-1', { born: 40, seq: 4 })
+  expect(listStates()).toEqual(['i-1 ready'])
+})
+
 test.each([
   ['invalid JSON', '{"address'],
   ['no state', { ...makeHeartbeat() as object, status: { seq: 2 } }],
