Name the times of a target's process, the tolerance of an estimate and a fuzzed value

Found while reading the change as a whole. lastHeartbeatAt was also set by a deregistration; it is lastHeardAt now, and the limit of the rule in says what it measures. The bounds of tests/callrates.test.ts are derived from the share of the retry budget that is kept for errors of the estimate, with the same values. ExchangePayload is not exported. No change of behaviour.

--- a/src/membership/commands/heartbeat.ts
+++ b/src/membership/commands/heartbeat.ts
@@ -22,8 +22,9 @@
   startedAt: number
   sequence: number
   hasLeft: boolean
-  lastHeartbeatAt: number
-  /** The wall-clock time of the last deregistration. Processes that started until then have left. */
+  /** The monotonic time of the last heartbeat or deregistration. */
+  lastHeardAt: number
+  /** The wall-clock time of the last deregistration without a start time, 0 if there was none. Processes that started until then have left. */
   deregisteredAt: number
 }
 
@@ -31,10 +32,10 @@
 const ID_REUSE_AFTER_MS = 5_000
 
 /**
- * A heartbeat that arrives later than this after a deregistration is not of the process that left. A late deregistration would otherwise
- * hide the next process with the same id for ever.
+ * A process that was not heard for this time after its deregistration has ended, and a heartbeat that comes then is of another one. A
+ * deregistration that is late itself would otherwise hide the next process with the same id for ever.
  */
-const MAX_HEARTBEAT_DELAY_MS = 10_000
+const ENDED_AFTER_MS = 10_000
 
 /** Tracks the newest process of each target of the local host. */
 export class TargetProcesses {
@@ -48,7 +49,7 @@
     const { target } = announcement
     const current = this.processes.get(target)
     const isNew = current === undefined || startedAt > current.startedAt ||
-      (startedAt === 0 && sequence < current.sequence && at - current.lastHeartbeatAt > ID_REUSE_AFTER_MS)
+      (startedAt === 0 && sequence < current.sequence && at - current.lastHeardAt > ID_REUSE_AFTER_MS)
     if (!isNew && startedAt < current.startedAt) return { outcome: 'earlier' }
     if (isNew && startedAt !== 0 && isOfDeregistered(current, startedAt, at)) return { outcome: 'late' }
     if (this.hasLaterTarget(target, startedAt)) return { outcome: 'earlier' }
@@ -58,7 +59,7 @@
       startedAt,
       sequence: isNew ? sequence : Math.max(sequence, current.sequence),
       hasLeft: isLeaving,
-      lastHeartbeatAt: at,
+      lastHeardAt: at,
       deregisteredAt: current?.deregisteredAt ?? 0
     })
     if (isNew) this.removeOtherTargets(target)
@@ -78,7 +79,7 @@
       startedAt: Math.max(startedAt, current?.startedAt ?? 0),
       sequence: current?.sequence ?? 0,
       hasLeft: true,
-      lastHeartbeatAt: at,
+      lastHeardAt: at,
       deregisteredAt: startedAt === 0 ? wallTime : current?.deregisteredAt ?? 0
     })
     const announcement = this.localHost.findAnnouncement(target)
@@ -99,5 +100,5 @@
 }
 
 function isOfDeregistered (known: TargetProcess | undefined, startedAt: number, at: number): boolean {
-  return known !== undefined && known.hasLeft && startedAt <= known.deregisteredAt && at - known.lastHeartbeatAt <= MAX_HEARTBEAT_DELAY_MS
+  return known !== undefined && known.hasLeft && startedAt <= known.deregisteredAt && at - known.lastHeardAt <= ENDED_AFTER_MS
 }
--- a/src/node/tasks/peers.ts
+++ b/src/node/tasks/peers.ts
@@ -40,7 +40,7 @@
 const COMPARISON_TIMEOUT_MS = 500
 
 /** `version` 0 asks for the whole configuration. */
-export type ExchangePayload = Pick<ExchangeRequest, 'records' | 'marks' | 'cleared' | 'complete' | 'configurationChange'> & Partial<Pick<ExchangeRequest, 'version'>>
+type ExchangePayload = Pick<ExchangeRequest, 'records' | 'marks' | 'cleared' | 'complete' | 'configurationChange'> & Partial<Pick<ExchangeRequest, 'version'>>
 
 export const EMPTY_PAYLOAD: ExchangePayload = { records: [], marks: [], cleared: [] }
 
--- a/standins/soak/operator.ts
+++ b/standins/soak/operator.ts
@@ -88,7 +88,7 @@
     this.record.recordViolation(`host ${host.options.index} is not ready ${SETTLE_MS} ms after its start, without a disturbance since`)
   }
 
-  /** The status is undefined without a response. */
+  /** The status is undefined without a response. `isReady` is false if the node says that it has no configuration yet. */
   private async queryRoute (host: SoakHost, version: number): Promise<{ status?: number, isReady: boolean }> {
     const probe = this.record.beginRequest(this.services[0] ?? '', 'idempotent', host.options.index)
     try {
--- a/tests/callrates.test.ts
+++ b/tests/callrates.test.ts
@@ -11,8 +11,10 @@
 const STEPS = 10_000
 const STEP_MS = 4
 const CALLS_PER_RUN = 6
+/** The retry budget keeps this share for errors of the estimate. */
+const TOLERANCE = 0.2
 
-/** In each step three runs are in flight, and one of them may make a call. */
+/** In each step three runs are in flight. Each of them that is of the calling kind makes its calls. */
 function recordSteps (rates: CallRates, clock: ReturnType<typeof makeClock>, callingShare: number): void {
   const random = new SeededRandom(5)
   for (let step = 0; step < STEPS; step += 1) {
@@ -32,9 +34,9 @@
   const clock = makeClock()
   const rates = new CallRates(clock)
   recordSteps(rates, clock, callingShare)
-  expect(readExpectedCalls(rates, 'calling')).toBeGreaterThan(0.8 * CALLS_PER_RUN)
-  expect(readExpectedCalls(rates, 'calling')).toBeLessThan(1.2 * CALLS_PER_RUN)
-  expect(readExpectedCalls(rates, 'plain')).toBeLessThan(0.2 * CALLS_PER_RUN)
+  expect(readExpectedCalls(rates, 'calling')).toBeGreaterThan((1 - TOLERANCE) * CALLS_PER_RUN)
+  expect(readExpectedCalls(rates, 'calling')).toBeLessThan((1 + TOLERANCE) * CALLS_PER_RUN)
+  expect(readExpectedCalls(rates, 'plain')).toBeLessThan(TOLERANCE * CALLS_PER_RUN)
 })
 
 test('a run of a kind that was not seen lately is expected to make the average calls of all kinds', () => {
--- a/tests/proofs/malformed-input.test.ts
+++ b/tests/proofs/malformed-input.test.ts
@@ -41,11 +41,11 @@
   return fc.sample(arbitrary, { seed: SEED, numRuns: runs })
 }
 
-const other = fc.oneof(fc.jsonValue(), fc.constant(null), fc.integer(), fc.string())
+const anyValue = fc.oneof(fc.jsonValue(), fc.constant(null), fc.integer(), fc.string())
 
 /** Values of the right shape with one part replaced by another value. Some of them are valid, so the node puts them to use. */
 function mutatePart (value: unknown): fc.Arbitrary<unknown> {
-  if (typeof value !== 'object' || value === null || Object.keys(value).length === 0) return other
+  if (typeof value !== 'object' || value === null || Object.keys(value).length === 0) return anyValue
   return fc.constantFrom(...Object.entries(value)).chain(([key, part]) => mutatePart(part).map(mutated =>
     Array.isArray(value) ? value.map((item, index) => String(index) === key ? mutated : item) : { ...value, [key]: mutated }))
 }
@@ -53,9 +53,9 @@
 /** Values of the right shape in which any part may be replaced by any other value. */
 function mutate (value: unknown): fc.Arbitrary<unknown> {
   const entries = typeof value === 'object' && value !== null ? Object.entries(value) : undefined
-  if (entries === undefined) return fc.oneof({ arbitrary: fc.constant(value), weight: 3 }, other)
+  if (entries === undefined) return fc.oneof({ arbitrary: fc.constant(value), weight: 3 }, anyValue)
   const parts = fc.record(Object.fromEntries(entries.map(([key, part]) => [key, mutate(part)])), { requiredKeys: [] })
-  return fc.oneof({ arbitrary: parts.map(record => Array.isArray(value) ? Object.values(record) : record), weight: 6 }, other)
+  return fc.oneof({ arbitrary: parts.map(record => Array.isArray(value) ? Object.values(record) : record), weight: 6 }, anyValue)
 }
 
 async function writeRaw (address: string, bytes: Uint8Array | string): Promise<void> {
