--- a/review/lib/mesh.js
+++ b/review/lib/mesh.js
@@ -10,6 +10,8 @@
 
 const READY_TIMEOUT_MS = 15_000
 const MAX_RUN_MS = 110_000
+/** A process is started again a short time after it has ended. */
+const RESTART_DELAY_MS = 500
 
 /** Writes what was sent, answered and run to a file, one line each, with the seconds since the start. */
 export class Recorder {
@@ -74,6 +76,7 @@
     this.node.pause()
     await delay(darkMs)
     await this.node.end('SIGKILL')
+    await delay(RESTART_DELAY_MS)
     this.node.start()
     this.disturbedAt = Date.now()
   }
@@ -112,15 +115,15 @@
   store.close()
 }
 
-/** Columns and rows as the operator writes them. */
-export function makeConfiguration ({ version, routes, services, limits = {} }) {
+/** Columns and rows as the operator writes them, with the limits of the example that `fleetbench wire` prints. */
+export function makeConfiguration ({ version, routes, services }) {
   const routeColumns = ['name', 'host', 'pathPrefix', 'kind', 'timeout', 'targetLatency', 'priority', 'maxAttempts', 'service']
   const defaults = { timeout: '2s', targetLatency: '600ms', priority: 1, maxAttempts: 3 }
   return {
     version,
     routes: { columns: routeColumns, rows: routes.map(route => routeColumns.map(column => ({ ...defaults, ...route })[column] ?? null)) },
     services: { columns: ['name', 'healthPath', 'maxConns'], rows: services.map(name => [name, '/healthz', 130]) },
-    limits: { maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeout: '5s', idleTimeout: '20s', ...limits }
+    limits: { maxHeaderBytes: 16_384, maxBodyBytes: 67_108_864, headerTimeout: '3000ms', idleTimeout: '15000ms' }
   }
 }
 
