Take over the record of the earlier process of a host before the first own record

Cause: which processes of a target have left was known to the memory of one process. The record that the store and the peers had of it named the target as leaving, but not its start or sequence, and the first record of the new process superseded it unread. The acknowledgement was also given before any other process had the record.

Ruled out: a deregistration that was not announced (all peers logged the host as leaving before the kill).

Change: a record names the last processes of its targets. A starting node makes no record until it has read the newest earlier one from the store or from peers, and heartbeats wait until then. A call of a leaving target is acknowledged once the store or, while it does not respond, a peer has the record.

--- a/src/membership/commands/heartbeat.ts
+++ b/src/membership/commands/heartbeat.ts
@@ -4,8 +4,8 @@
  */
 import * as z from 'zod'
 import type { LocalHost } from '../localhost.js'
-import { announcementSchema, startTimeSchema } from '../schema.js'
-import type { HostRecord } from '../schema.js'
+import { announcementSchema, MAX_KNOWN_PROCESSES, startTimeSchema } from '../schema.js'
+import type { Announcement, HostRecord, TargetProcess } from '../schema.js'
 import { registerTarget } from './announce.js'
 
 /** `startedAt`: wall-clock milliseconds at the target, 0 if the target does not send it. `sequence` increases with each heartbeat of a process. */
@@ -17,15 +17,9 @@
 
 export interface HeartbeatResult { outcome: HeartbeatOutcome, record?: HostRecord }
 
-interface TargetProcess {
-  /** 0 if it is not known. */
-  startedAt: number
-  sequence: number
-  hasLeft: boolean
-  /** The monotonic time of the last heartbeat or deregistration. */
+interface KnownProcess extends TargetProcess {
+  /** The monotonic time of the last heartbeat or deregistration, or when the process was read from an earlier record. */
   lastHeardAt: number
-  /** The wall-clock time of the last deregistration without a start time, 0 if there was none. Processes that started until then have left. */
-  deregisteredAt: number
 }
 
 /** After this time without a heartbeat, a heartbeat without a start time may come from another process with the same target id. */
@@ -37,9 +31,10 @@
  */
 const ENDED_AFTER_MS = 10_000
 
-/** Tracks the newest process of each target of the local host. */
+/** Tracks the newest process of each target of the local host. The record of the host names them, for the next process of the node. */
 export class TargetProcesses {
-  private readonly processes = new Map<string, TargetProcess>()
+  /** The process that was heard last is last. */
+  private readonly processes = new Map<string, KnownProcess>()
 
   constructor (private readonly localHost: LocalHost) {}
 
@@ -55,7 +50,8 @@
     if (this.hasLaterTarget(target, startedAt)) return { outcome: 'earlier' }
     const isLeaving = announcement.state === 'leaving' || (!isNew && current.hasLeft)
     if (!isNew && sequence <= current.sequence && !isLeaving) return { outcome: 'late' }
-    this.processes.set(target, {
+    this.setProcess({
+      target,
       startedAt,
       sequence: isNew ? sequence : Math.max(sequence, current.sequence),
       hasLeft: isLeaving,
@@ -63,7 +59,8 @@
       deregisteredAt: current?.deregisteredAt ?? 0
     })
     if (isNew) this.removeOtherTargets(target)
-    const record = registerTarget(this.localHost, isLeaving ? { ...announcement, state: 'leaving' } : announcement, at)
+    const changed = registerTarget(this.localHost, isLeaving ? { ...announcement, state: 'leaving' } : announcement, at)
+    const record = changed ?? (isNew ? this.localHost.makeRecord() : undefined)
     return { outcome: isNew ? 'new' : 'taken', ...record === undefined ? {} : { record } }
   }
 
@@ -75,7 +72,8 @@
   deregister (target: string, startedAt: number, at: number, wallTime: number): HeartbeatResult {
     const current = this.processes.get(target)
     if (current !== undefined && startedAt !== 0 && startedAt < current.startedAt) return { outcome: 'earlier' }
-    this.processes.set(target, {
+    this.setProcess({
+      target,
       startedAt: Math.max(startedAt, current?.startedAt ?? 0),
       sequence: current?.sequence ?? 0,
       hasLeft: true,
@@ -83,14 +81,44 @@
       deregisteredAt: startedAt === 0 ? wallTime : current?.deregisteredAt ?? 0
     })
     const announcement = this.localHost.findAnnouncement(target)
-    const record = announcement === undefined ? undefined : registerTarget(this.localHost, { ...announcement, state: 'leaving' }, at)
-    return { outcome: 'taken', ...record === undefined ? {} : { record } }
+    const changed = announcement === undefined ? undefined : registerTarget(this.localHost, { ...announcement, state: 'leaving' }, at)
+    return { outcome: 'taken', record: changed ?? this.localHost.makeRecord() }
+  }
+
+  /**
+   * Takes over the processes that an earlier record of this host names. Returns a new record if a target that is registered has left
+   * according to it.
+   */
+  adopt (processes: readonly TargetProcess[], at: number): HostRecord | undefined {
+    for (const process of processes) this.adoptProcess(process, at)
+    const left = this.localHost.listAnnouncements().filter(({ target, state }) => state !== 'leaving' && this.processes.get(target)?.hasLeft === true)
+    return left.map((announcement): Announcement => ({ ...announcement, state: 'leaving' }))
+      .map(announcement => registerTarget(this.localHost, announcement, at)).at(-1)
+  }
+
+  private adoptProcess (adopted: TargetProcess, at: number): void {
+    const current = this.processes.get(adopted.target)
+    const deregisteredAt = Math.max(adopted.deregisteredAt, current?.deregisteredAt ?? 0)
+    if (current === undefined || current.startedAt < adopted.startedAt) this.setProcess({ ...adopted, deregisteredAt, lastHeardAt: at })
+    else if (current.startedAt > adopted.startedAt) this.setProcess({ ...current, deregisteredAt })
+    else {
+      const sequence = Math.max(current.sequence, adopted.sequence)
+      this.setProcess({ ...current, sequence, hasLeft: current.hasLeft || adopted.hasLeft, deregisteredAt })
+    }
+  }
+
+  private setProcess (process: KnownProcess): void {
+    this.processes.delete(process.target)
+    this.processes.set(process.target, process)
+    const [oldest] = this.processes.keys()
+    if (this.processes.size > MAX_KNOWN_PROCESSES && oldest !== undefined) this.processes.delete(oldest)
+    this.localHost.replaceProcesses([...this.processes.values()].map(({ lastHeardAt, ...known }) => known))
   }
 
   /** A host has one target at a time, so a target that started later has replaced this one. */
   private hasLaterTarget (target: string, startedAt: number): boolean {
     if (startedAt === 0) return false
-    const isLater = ([other, candidate]: [string, TargetProcess]): boolean => other !== target && candidate.startedAt > startedAt
+    const isLater = ([other, candidate]: [string, KnownProcess]): boolean => other !== target && candidate.startedAt > startedAt
     return [...this.processes].some(entry => isLater(entry) && this.localHost.findAnnouncement(entry[0]) !== undefined)
   }
 
@@ -99,6 +127,6 @@
   }
 }
 
-function isOfDeregistered (known: TargetProcess | undefined, startedAt: number, at: number): boolean {
+function isOfDeregistered (known: KnownProcess | undefined, startedAt: number, at: number): boolean {
   return known !== undefined && known.hasLeft && startedAt <= known.deregisteredAt && at - known.lastHeardAt <= ENDED_AFTER_MS
 }
--- a/src/membership/index.ts
+++ b/src/membership/index.ts
@@ -2,7 +2,7 @@
  * The hosts and targets of the fleet, as the node of each host reports them.
  */
 export { announcementSchema, hostRecordSchema, placeNameSchema, startTimeSchema, targetStateSchema } from './schema.js'
-export type { Announcement, HostRecord, RecordStamp, Target, TargetState } from './schema.js'
+export type { Announcement, HostRecord, RecordStamp, Target, TargetProcess, TargetState } from './schema.js'
 export { MemberTable } from './table.js'
 export { LocalHost } from './localhost.js'
 export type { HostIdentity } from './localhost.js'
@@ -14,5 +14,5 @@
 export { mergeRecords } from './commands/merge.js'
 export { supersedeRecord } from './commands/supersede.js'
 export { listDifferingBuckets } from './queries/buckets.js'
-export { compareRecords, formatRecordStamp } from './queries/order.js'
+export { compareRecords, compareRecordStamps, formatRecordStamp } from './queries/order.js'
 export { selectUsable } from './queries/usable.js'
--- a/src/membership/localhost.ts
+++ b/src/membership/localhost.ts
@@ -1,7 +1,7 @@
 /**
  * The local host of a node and its record. Only this class increments the incarnation and sequence.
  */
-import type { Announcement, HostRecord } from './schema.js'
+import type { Announcement, HostRecord, RecordStamp, TargetProcess } from './schema.js'
 
 export type HostIdentity = Pick<HostRecord, 'host' | 'zone' | 'region' | 'inbound' | 'peer' | 'admin' | 'incarnation'>
 
@@ -9,7 +9,10 @@
 
 export class LocalHost {
   private readonly registeredTargets = new Map<string, RegisteredTarget>()
+  private processes: readonly TargetProcess[] = []
   private incarnation: number
+  /** All incarnations of the records of this process. */
+  private readonly incarnations = new Set<number>()
   private sequence = 0
   private lastRecord: HostRecord | undefined
   private leaving = false
@@ -31,6 +34,11 @@
     return this.lastRecord
   }
 
+  /** False for a tombstone, which another node has made, and for a record of another process. */
+  hasMade ({ incarnation, gone }: RecordStamp): boolean {
+    return gone !== true && this.incarnations.has(incarnation)
+  }
+
   findAnnouncement (target: string): Announcement | undefined {
     return this.registeredTargets.get(target)?.announcement
   }
@@ -56,6 +64,11 @@
     return this.registeredTargets.delete(target)
   }
 
+  /** Commands only: see commands/heartbeat.ts. The next record has them. */
+  replaceProcesses (processes: readonly TargetProcess[]): void {
+    this.processes = processes
+  }
+
   /** Commands only: see commands/leave.ts. Returns false if the host was already leaving. */
   markLeaving (): boolean {
     if (this.leaving) return false
@@ -65,6 +78,7 @@
 
   /** Commands only: see commands/supersede.ts. */
   supersedeIncarnation (incarnation: number): void {
+    if (incarnation < this.incarnation) return
     this.incarnation = incarnation + 1
     this.sequence = 0
   }
@@ -72,12 +86,14 @@
   /** Returns a record that supersedes all earlier records of this process. */
   makeRecord (): HostRecord {
     this.sequence += 1
+    this.incarnations.add(this.incarnation)
     this.lastRecord = {
       ...this.identity,
       incarnation: this.incarnation,
       sequence: this.sequence,
       state: this.leaving ? 'leaving' : 'serving',
-      targets: [...this.registeredTargets.values()].map(registration => registration.announcement)
+      targets: [...this.registeredTargets.values()].map(registration => registration.announcement),
+      processes: [...this.processes]
     }
     return this.lastRecord
   }
--- a/src/membership/schema.ts
+++ b/src/membership/schema.ts
@@ -33,6 +33,22 @@
 })
 export type Announcement = z.infer<typeof announcementSchema>
 
+/** More than a host has within the time for which a heartbeat may be late. */
+export const MAX_KNOWN_PROCESSES = 8
+
+/** One process of a target, by which its heartbeats are told from those of another process with the same target id. */
+export const targetProcessSchema = z.object({
+  target: nameSchema,
+  /** 0 if it is not known. */
+  startedAt: startTimeSchema,
+  /** At least that of the last heartbeat before the record was made. */
+  sequence: z.number().int(),
+  hasLeft: z.boolean(),
+  /** The wall-clock time of the last deregistration without a start time, 0 if there was none. Processes that started until then have left. */
+  deregisteredAt: z.number().nonnegative()
+})
+export type TargetProcess = z.infer<typeof targetProcessSchema>
+
 export const hostRecordSchema = z.object({
   host: placeNameSchema,
   zone: placeNameSchema,
@@ -45,6 +61,8 @@
   sequence: z.number().int().nonnegative(),
   state: z.enum(['serving', 'leaving']),
   targets: z.array(announcementSchema),
+  /** What the next process of the host must know, since the processes of the targets may outlast that of the node. */
+  processes: z.array(targetProcessSchema).max(MAX_KNOWN_PROCESSES).default([]),
   /** Set by a node that could not reach the host for REMOVE_UNREACHABLE_AFTER_MS. Any later record of the owner clears it. */
   gone: z.literal(true).optional()
 })
--- a/src/node/commands/records.ts
+++ b/src/node/commands/records.ts
@@ -2,19 +2,16 @@
  * Stores host records and puts their targets in force.
  */
 import type { Clock } from '../../core/index.js'
-import { compareRecords, mergeRecords } from '../../membership/index.js'
+import { mergeRecords } from '../../membership/index.js'
 import type { HostRecord } from '../../membership/index.js'
 import { replaceTargets } from '../../snapshot/index.js'
 import type { NodeState, RecordUpdate } from '../state.js'
 
-/** Stores no record of the local host. A record that supersedes the newest local one is emitted to `supersedingRecords` instead. */
+/** Stores no record of the local host, but emits it to `ownRecords`. */
 export function storeRecords (state: NodeState, { records, from }: RecordUpdate, clock: Clock): void {
-  const { localHost, identity } = state
-  const others = records.filter(({ host }) => host !== identity.host)
-  for (const record of records) {
-    if (record.host === identity.host &&
-      (localHost.newestRecord === undefined || compareRecords(record, localHost.newestRecord) > 0)) state.supersedingRecords.emit(record)
-  }
+  const { host: localHost } = state.identity
+  for (const record of records) if (record.host === localHost) state.ownRecords.emit(record)
+  const others = records.filter(({ host }) => host !== localHost)
   mergeAndEmit(state, others, clock, from)
 }
 
--- a/src/node/start.ts
+++ b/src/node/start.ts
@@ -5,7 +5,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Configuration, ConfigurationUpdate } from '../configuration/index.js'
 import { makeFailure, SystemClock, SystemRandom } from '../core/index.js'
-import type { Announcement, Heartbeat, HeartbeatResult } from '../membership/index.js'
+import type { Announcement, Heartbeat } from '../membership/index.js'
 import { ControlMeter, Dialer, MsgpackCodec, PeerClient, startPeerServer } from '../peer/index.js'
 import {
   CrashTracker, isConnectionRefused, LocalTargets, RepeatMeter, serveCaller, serveInbound, verifyToken, TokenHttpClient, UndiciHttpClient,
@@ -15,6 +15,7 @@
 import { CountingObjectStore } from '../store/index.js'
 import { applyConfiguration } from './commands/apply.js'
 import { LocalHostRegistration } from './commands/localhost.js'
+import { RecordCopies } from './copies.js'
 import { makePeerHandlers } from './handlers.js'
 import { startServer } from './http.js'
 import { HttpPort } from './port.js'
@@ -82,9 +83,18 @@
     const onConfiguration = (configuration: Configuration, from: string): void => { this.applyConfiguration(configuration, from) }
     this.peers = new PeerSynchronizer({ state: this.state, transport: this.client, clock, random, log, onConfiguration })
     const store = new CountingObjectStore(parts.store, (call, kind) => { this.telemetry.recordStoreCall(call, kind) })
-    this.directory = new HostDirectory({ state: this.state, store, clock, random, log, onListed: () => { void this.peers.compareVersions() } })
+    const copies = new RecordCopies(clock)
+    this.directory = new HostDirectory({
+      state: this.state,
+      store,
+      clock,
+      random,
+      log,
+      onListed: () => { void this.peers.compareState() },
+      onWritten: record => { copies.recordStored(record) }
+    })
     const { state, telemetry, localTargets, crashWatch, directory, peers } = this
-    this.registration = new LocalHostRegistration({ state, clock, telemetry, localTargets, crashWatch, directory, peers })
+    this.registration = new LocalHostRegistration({ state, clock, telemetry, localTargets, crashWatch, directory, peers, copies })
     this.targetHttpClient = new UndiciHttpClient(MAX_TARGET_CONNECTIONS, undefined, clock, this.policies.targetIdleMs)
     const plainPeerHttpClient = new UndiciHttpClient(MAX_PEER_CONNECTIONS, address => dialer.resolve(address), clock, PEER_IDLE_TIMEOUT_MS)
     this.peerHttpClient = access.peerToken === undefined ? plainPeerHttpClient : new TokenHttpClient(plainPeerHttpClient, access.peerToken)
@@ -112,8 +122,8 @@
     telemetry.recordStart()
     observeHosts({ state, log: telemetry.log, recorder: telemetry.recorder }, signal)
     state.readiness.stream.observe(() => { telemetry.recordReady() }).catch(error => { throw error })
-    state.supersedingRecords.stream.observe(record => { this.registration.supersede(record) }).catch(error => { throw error })
-    this.registration.announceRecord(state.localHost.makeRecord())
+    state.ownRecords.stream.observe(record => { this.registration.receiveOwnRecord(record) }).catch(error => { throw error })
+    state.recovery.stream.observe(() => { this.registration.endRecovery() }).catch(error => { throw error })
     const tasks = listTasks({
       source,
       clock,
@@ -160,13 +170,18 @@
   }
 
   /** Handles a heartbeat of the target on the local host, which has one target at a time. */
-  receiveHeartbeat (heartbeat: Heartbeat): HeartbeatResult {
-    return this.registration.receiveHeartbeat(heartbeat)
+  receiveHeartbeat (heartbeat: Heartbeat): void {
+    this.registration.receiveHeartbeat(heartbeat)
   }
 
   /** Marks a target of the local host as leaving. */
-  deregisterTarget (target: string, startedAt: number): HeartbeatResult {
-    return this.registration.deregisterTarget(target, startedAt)
+  deregisterTarget (target: string, startedAt: number): void {
+    this.registration.deregisterTarget(target, startedAt)
+  }
+
+  /** Resolves to true when what this node knows of its targets will be known to its next process, and to false if it cannot be in time. */
+  async awaitCopy (): Promise<boolean> {
+    return await this.registration.awaitCopy()
   }
 
   /** Notifies the peers, stops accepting requests, and lets requests in flight end. Safe to call again. */
@@ -190,7 +205,7 @@
     const previous = this.state.version
     const result = applyConfiguration(this.state, configuration)
     if (result === undefined) return
-    void this.peers.compareVersions()
+    void this.peers.compareState()
     this.peers.announceVersion(previous, from === STORE)
     const { callerLimits } = configuration
     if (callerLimits !== undefined) this.callerPort.setTimeouts(callerLimits.headerTimeoutMs, callerLimits.idleTimeoutMs)
--- a/src/node/state.ts
+++ b/src/node/state.ts
@@ -26,8 +26,10 @@
   /** Advanced by messages from peers, so that an event after a message is later than the events before the message. */
   readonly time: HybridLogicalClock
   readonly recordUpdates = new Emitter<RecordUpdate>()
-  /** Records of the local host from the store or a peer that supersede the newest local record. */
-  readonly supersedingRecords = new Emitter<HostRecord>()
+  /** Records of the local host from the store or a peer: of an earlier process, or superseded or removed by another node. */
+  readonly ownRecords = new Emitter<HostRecord>()
+  /** Emits once, when this node knows what the earlier processes of its host have left to it. */
+  readonly recovery = new Emitter<'recovered'>()
   /** Emits once, when callers may be served for the first time. */
   readonly readiness = new Emitter<'ready'>()
   configuration: Configuration | undefined
@@ -36,6 +38,7 @@
   knowsHosts = false
   /** True while the source of the configuration responds to this node. */
   hasSource = true
+  private hasRecovered = false
   private hasComparedVersion = false
   /** The newest version that a peer has reported, and when. */
   private seen = { version: 0, at: -Infinity }
@@ -73,10 +76,21 @@
     return this.hasComparedVersion
   }
 
+  /** True once the store or some peers, as far as they respond, have been asked for the earlier records of this host. */
+  get isRecovered (): boolean {
+    return this.hasRecovered
+  }
+
   listPeers (): HostRecord[] {
     return [...this.members.list()].filter(({ host }) => host !== this.identity.host)
   }
 
+  markRecovered (): void {
+    if (this.hasRecovered) return
+    this.hasRecovered = true
+    this.recovery.emit('recovered')
+  }
+
   /**
    * Called once the hosts and a version are known and the version has been compared with those of some peers. A store that was restored
    * from an older copy may return an older version to a starting node than its peers have in force.
--- a/src/node/tasks/directory.ts
+++ b/src/node/tasks/directory.ts
@@ -19,6 +19,8 @@
   log: StructuredLog
   /** Called after each list of the hosts. */
   onListed?: () => void
+  /** Called when the store has acknowledged a record of the local host. */
+  onWritten?: (record: HostRecord) => void
 }
 
 /** Hosts that start together do not find each other in their first lists, so the next lists follow soon. */
@@ -130,6 +132,7 @@
     if (written.ok) {
       this.versions.set(host, written.val)
       this.writtenStamp = formatRecordStamp(record)
+      this.context.onWritten?.(record)
       return undefined
     }
     if (written.val.version !== undefined) this.versions.set(host, written.val.version)
--- a/src/node/tasks/peers.ts
+++ b/src/node/tasks/peers.ts
@@ -36,8 +36,10 @@
 const REGION_SHARE = 0.2
 const STORE_LOST_ANY_ZONE_SHARE = 0.5
 const REMOVAL_CHECK_INTERVAL_MS = 10_000
-/** Maximum time for which a starting node compares its version with peers, since some of them may not respond. */
+/** Maximum time for which a starting node compares its state with peers, since some of them may not respond. */
 const COMPARISON_TIMEOUT_MS = 500
+/** Without a version, each of the compared peers would send its whole configuration, so a starting node waits for the source for a moment. */
+const VERSION_WAIT_MS = 300
 
 /** `version` 0 asks for the whole configuration. */
 type ExchangePayload = Pick<ExchangeRequest, 'records' | 'marks' | 'cleared' | 'complete' | 'configurationChange'> & Partial<Pick<ExchangeRequest, 'version'>>
@@ -50,7 +52,8 @@
   readonly lag: VersionLag
   private readonly announcer: VersionAnnouncer
   private isAwaitingVersion = false
-  private isComparingVersions = false
+  private isComparing = false
+  private wakeComparison: (() => void) | undefined
 
   constructor (private readonly context: PeerSynchronizerContext) {
     const { state, clock } = context
@@ -61,20 +64,34 @@
   }
 
   /**
-   * Called when the hosts or a version have become known. Once a starting node knows both, it compares its version with those of some
-   * peers, and takes a newer one from them.
+   * Called when the hosts or a version have become known. Once a starting node knows the hosts, it compares its state with that of some
+   * peers: they have records of the earlier processes of this host, and perhaps a newer version. A version that becomes known later is
+   * compared anew.
    */
-  async compareVersions (): Promise<void> {
-    const { state, clock, random } = this.context
-    if (this.isComparingVersions || state.configuration === undefined || !state.knowsHosts) return
-    this.isComparingVersions = true
-    const peers = selectComparedPeers(state.listPeers(), state.identity.zone, random)
-    const compared = Promise.all(peers.map(async peer => { await this.exchange(peer, EMPTY_PAYLOAD) }))
+  async compareState (): Promise<void> {
+    const { state, clock } = this.context
+    if (state.configuration !== undefined) this.wakeComparison?.()
+    if (this.isComparing || !state.knowsHosts || state.isReady || (state.isRecovered && state.configuration === undefined)) return
+    this.isComparing = true
+    const waited = new AbortController()
+    this.wakeComparison = () => { waited.abort() }
+    if (state.configuration === undefined) await clock.sleep(VERSION_WAIT_MS, waited.signal)
+    const hasVersion = state.configuration !== undefined
     try {
-      await Promise.race([compared, clock.sleep(COMPARISON_TIMEOUT_MS)])
+      await this.exchangeWithSome()
     } finally {
-      state.markCompared()
+      this.isComparing = false
+      state.markRecovered()
+      if (hasVersion) state.markCompared()
     }
+    await this.compareState()
+  }
+
+  private async exchangeWithSome (): Promise<void> {
+    const { state, clock, random } = this.context
+    const peers = selectComparedPeers(state.listPeers(), state.identity.zone, random)
+    const compared = Promise.all(peers.map(async peer => { await this.exchange(peer, EMPTY_PAYLOAD) }))
+    await Promise.race([compared, clock.sleep(COMPARISON_TIMEOUT_MS)])
   }
 
   /** Handles the exchange request of a peer and returns the response. */
@@ -118,14 +135,15 @@
     }
   }
 
-  /** Resolves when each notified peer has responded or failed to respond. */
-  async notifyPeers (payload: Partial<ExchangePayload>, reach: NotificationReach): Promise<void> {
+  /** Resolves when each notified peer has responded or failed to respond. Calls `onReceived` for each that has responded. */
+  async notifyPeers (payload: Partial<ExchangePayload>, reach: NotificationReach, onReceived?: () => void): Promise<void> {
     const { state, random } = this.context
     const peers = selectNotifiedPeers(state.listPeers(), state.identity.zone, reach, random)
-    await Promise.all(peers.map(async peer => { await this.exchange(peer, { ...EMPTY_PAYLOAD, ...payload }) }))
+    await Promise.all(peers.map(async peer => { await this.exchange(peer, { ...EMPTY_PAYLOAD, ...payload }, onReceived) }))
   }
 
-  async exchange (peer: HostRecord, payload: ExchangePayload): Promise<void> {
+  /** Calls `onReceived` if the peer responds. */
+  async exchange (peer: HostRecord, payload: ExchangePayload, onReceived?: () => void): Promise<void> {
     const { state, transport, clock } = this.context
     const request = {
       host: state.identity.host,
@@ -141,13 +159,14 @@
       return
     }
     this.unreachableSince.delete(peer.host)
+    onReceived?.()
     const { records, stamp, version } = result.val
     state.time.advance(stamp)
     this.receiveConfiguration(peer, result.val)
     this.checkVersion(peer, version)
     storeRecords(state, { records, from: peer.host }, clock)
     state.knowsHosts = true
-    void this.compareVersions()
+    void this.compareState()
     if (payload.records.length === 0 && payload.complete === undefined) await this.sendMissing(peer, result.val)
   }
 
--- a/src/node/telemetry.ts
+++ b/src/node/telemetry.ts
@@ -101,6 +101,18 @@
     this.recorder.record('target-gone', target, { service, host: this.state.identity.host })
   }
 
+  /** `earlier` is the newest record of an earlier process of this host. */
+  recordRecovery (earlier: HostRecord | undefined): void {
+    const { incarnation, sequence, processes } = earlier ?? {}
+    const left = processes?.filter(({ hasLeft }) => hasLeft).map(({ target }) => target).join(', ')
+    this.log.log('change', 'node_recovered', { incarnation, sequence, left, peers: this.state.listPeers().length })
+  }
+
+  /** `record` is absent if this node has not recovered in time. */
+  recordMissingCopy (record: HostRecord | undefined): void {
+    this.log.log('failure', 'record_not_copied', { incarnation: record?.incarnation, sequence: record?.sequence, hasSource: this.state.hasSource })
+  }
+
   recordSuperseded ({ incarnation, sequence, gone, peer }: HostRecord): void {
     this.log.log('change', 'own_record_outranked', { incarnation, sequence, gone: gone ?? false, peer })
     this.recorder.record('target-joined', 'announced again: superseded by another record of this host', { host: this.state.identity.host })
--- a/standins/bench/record.ts
+++ b/standins/bench/record.ts
@@ -18,6 +18,7 @@
     incarnation: 1_796_000_000_000 + index * 7_919,
     sequence,
     state: 'serving',
-    targets: [announcement]
+    targets: [announcement],
+    processes: []
   }
 }
--- a/tests/firstversion.test.ts
+++ b/tests/firstversion.test.ts
@@ -79,7 +79,7 @@
   startNode('b', OLD)
   const { state, peers } = startNode('c', OLD)
   expect(state.isReady).toBe(false)
-  const compared = peers.compareVersions()
+  const compared = peers.compareState()
   expect(state.isReady).toBe(false)
   await compared
   expect([state.isReady, state.version]).toEqual([true, NEW])
@@ -87,14 +87,14 @@
 
 test('the first node of a fleet is ready at once', async () => {
   const { state, peers } = startNode('a', OLD)
-  await peers.compareVersions()
+  await peers.compareState()
   expect(state.isReady).toBe(true)
 })
 
 test('a node whose peers do not respond is ready after a limited time', async () => {
   startNode('a', NEW)
   const { state, peers } = startNode('b', OLD, { transport: new SilentTransport() })
-  const compared = peers.compareVersions()
+  const compared = peers.compareState()
   await settleTasks()
   expect(state.isReady).toBe(false)
   clock.advance(COMPARISON_LIMIT_MS)
@@ -115,10 +115,10 @@
 test('an unexpected error of an exchange does not leave a starting node unready for ever', async () => {
   startNode('a', NEW)
   const { state, peers } = startNode('b', OLD, { transport: new FailingTransport() })
-  await peers.compareVersions().catch(() => {})
+  await peers.compareState().catch(() => {})
   clock.advance(LONG_MS)
   await settleTasks()
-  await peers.compareVersions().catch(() => {})
+  await peers.compareState().catch(() => {})
   expect(state.isReady).toBe(true)
 })
 
@@ -133,7 +133,7 @@
   startNode('x', NEW, { zone: 'other' })
   for (const host of ['a', 'b', 'c']) startNode(host, OLD)
   const { state, peers } = startNode('d', OLD)
-  await peers.compareVersions()
+  await peers.compareState()
   expect([state.isReady, state.version]).toEqual([true, NEW])
 })
 
--- a/tests/platform/control.test.ts
+++ b/tests/platform/control.test.ts
@@ -7,27 +7,32 @@
 import type { Server } from 'node:http'
 import { connect } from 'node:net'
 import type { AddressInfo } from 'node:net'
-import { afterEach, beforeEach, expect, test } from '@jest/globals'
+import { afterEach, beforeEach, describe, expect, test } from '@jest/globals'
 import { serveControl } from '../../platform/control.js'
 import { LocalHost, TargetProcesses } from '../../src/membership/index.js'
+import type { HostRecord } from '../../src/membership/index.js'
 import { makeHeartbeat } from '../fixtures/platform.js'
 
 const ADDRESS = '127.0.0.1:9000'
 
 let server: Server
 let localHost: LocalHost
+let processes: TargetProcesses
 let now: number
 let wallTime: number
+let hasCopy: boolean
 
 beforeEach(async () => {
   localHost = new LocalHost({ host: 'h', zone: 'a', region: 'r', inbound: '', peer: '', admin: '', incarnation: 1 })
   now = 0
   wallTime = 15
-  const processes = new TargetProcesses(localHost)
+  hasCopy = true
+  processes = new TargetProcesses(localHost)
   const registrar = {
     address: ADDRESS,
     receiveHeartbeat: (heartbeat: Parameters<TargetProcesses['receiveHeartbeat']>[0]) => processes.receiveHeartbeat(heartbeat, now),
     deregisterTarget: (target: string, startedAt: number) => processes.deregister(target, startedAt, now, wallTime),
+    awaitCopy: async () => hasCopy,
     reportInvalidCall: () => {}
   }
   server = createServer((message, response) => { void serveControl(registrar, message, response) })
@@ -158,3 +163,72 @@
   expect(response).toContain('HTTP/1.1 413')
   expect(listStates()).toEqual([])
 })
+
+/** The next process of the node would take a late heartbeat of a target that has left for one of a new target. */
+test('a call of a leaving target that no other process has a copy of is not acknowledged, and takes effect', async () => {
+  await sendHeartbeat('i-1', { born: 10, seq: 1 })
+  hasCopy = false
+  expect(await sendHeartbeat('i-1', { born: 10, seq: 2 })).toBe(200)
+  expect(await sendHeartbeat('i-1', { born: 10, seq: 3, state: 'draining' })).toBe(503)
+  expect(listStates()).toEqual(['i-1 leaving'])
+  expect(await post('/-/Instances.Deregister/i-1', { born: 10 })).toBe(503)
+})
+
+/** The record of the host would be rejected by all other nodes, together with every message that contains it. */
+test('a deregistration of an id that no record can have is rejected', async () => {
+  expect(await post('/-/Instances.Deregister/Bad_Id', { born: 10 })).toBe(400)
+  expect(localHost.makeRecord().processes).toEqual([])
+})
+
+describe('a process that takes over the record of the one before it', () => {
+  /** Returns a record of a host whose target has left. */
+  async function makeEarlierRecord (): Promise<HostRecord> {
+    await sendHeartbeat('i-1', { born: 10, seq: 5 })
+    await post('/-/Instances.Deregister/i-1', { born: 10 })
+    return localHost.makeRecord()
+  }
+
+  function startAgain (): void {
+    localHost = new LocalHost({ host: 'h', zone: 'a', region: 'r', inbound: '', peer: '', admin: '', incarnation: 2 })
+    processes = new TargetProcesses(localHost)
+  }
+
+  test('takes no late heartbeat of a target that has left', async () => {
+    const { processes: earlier } = await makeEarlierRecord()
+    startAgain()
+    processes.adopt(earlier, now)
+    await sendHeartbeat('i-1', { born: 10, seq: 4 })
+    expect(listStates()).not.toContain('i-1 ready')
+    await sendHeartbeat('i-1', { born: 20, seq: 1 })
+    expect(listStates()).toEqual(['i-1 ready'])
+  })
+
+  test('marks a target as leaving whose late heartbeat came first', async () => {
+    const { processes: earlier } = await makeEarlierRecord()
+    startAgain()
+    await sendHeartbeat('i-1', { born: 10, seq: 4 })
+    expect(processes.adopt(earlier, now)?.targets).toMatchObject([{ target: 'i-1', state: 'leaving' }])
+    expect(listStates()).toEqual(['i-1 leaving'])
+  })
+
+  test('keeps a target that started later', async () => {
+    const { processes: earlier } = await makeEarlierRecord()
+    startAgain()
+    await sendHeartbeat('i-1', { born: 20, seq: 1 })
+    expect(processes.adopt(earlier, now)).toBeUndefined()
+    expect(listStates()).toEqual(['i-1 ready'])
+  })
+
+  test('hands on what it has taken over', async () => {
+    const { processes: earlier } = await makeEarlierRecord()
+    startAgain()
+    processes.adopt(earlier, now)
+    expect(localHost.makeRecord().processes).toEqual(earlier)
+  })
+
+  test('hands on a bounded number of processes, the last ones', async () => {
+    for (let number = 0; number < 40; number += 1) await post(`/-/Instances.Deregister/i-${number}`, { born: 10 })
+    const { processes: known } = localHost.makeRecord()
+    expect([known.length, known.at(-1)?.target]).toEqual([8, 'i-39'])
+  })
+})
--- a/tests/platform/entries.test.ts
+++ b/tests/platform/entries.test.ts
@@ -52,7 +52,7 @@
   client = new StoreClient(`http://127.0.0.1:${(server.address() as AddressInfo).port}`)
   const clock = new SystemClock()
   state = makeState({ host: OWN_HOST, inbound: '127.0.0.1:1', peer: '127.0.0.1:2', admin: '127.0.0.1:3' }, clock)
-  state.supersedingRecords.stream.observe(record => { supersedeRecord(state.localHost, record) }).catch(error => { throw error })
+  state.ownRecords.stream.observe(record => { supersedeRecord(state.localHost, record) }).catch(error => { throw error })
   state.localHost.makeRecord()
   stop = new AbortController()
 })
