Make the crash marks of a host's targets part of its record

Cause: a mark was a message that was sent once, when it was made. A node that was not there then never learned of it, so after a restart of each node in turn no node knew the marks.

Ruled out: marks that were cleared (no request with that content completes in the case), and marks that expired (they last ten minutes, the case one).

Change: the marks of its targets are in the record of a host, which spreads, is compared, is stored and is taken over by the next process as before. The messages for marks are removed; a node that clears a mark still tells its owner.

--- a/src/membership/localhost.ts
+++ b/src/membership/localhost.ts
@@ -1,7 +1,7 @@
 /**
  * The local host of a node and its record. Only this class increments the incarnation and sequence.
  */
-import type { Announcement, HostRecord, RecordStamp, TargetProcess } from './schema.js'
+import type { Announcement, HostRecord, RecordMark, RecordStamp, TargetProcess } from './schema.js'
 
 export type HostIdentity = Pick<HostRecord, 'host' | 'zone' | 'region' | 'inbound' | 'peer' | 'admin' | 'incarnation'>
 
@@ -10,6 +10,7 @@
 export class LocalHost {
   private readonly registeredTargets = new Map<string, RegisteredTarget>()
   private processes: readonly TargetProcess[] = []
+  private marks: readonly RecordMark[] = []
   private incarnation: number
   /** All incarnations of the records of this process. */
   private readonly incarnations = new Set<number>()
@@ -69,6 +70,13 @@
     this.processes = processes
   }
 
+  /** Commands only: see commands/mark.ts. Returns true if the marks changed. The next record has them. */
+  replaceMarks (marks: readonly RecordMark[]): boolean {
+    const hasChanged = JSON.stringify(this.marks) !== JSON.stringify(marks)
+    this.marks = marks
+    return hasChanged
+  }
+
   /** Commands only: see commands/leave.ts. Returns false if the host was already leaving. */
   markLeaving (): boolean {
     if (this.leaving) return false
@@ -93,7 +101,8 @@
       sequence: this.sequence,
       state: this.leaving ? 'leaving' : 'serving',
       targets: [...this.registeredTargets.values()].map(registration => registration.announcement),
-      processes: [...this.processes]
+      processes: [...this.processes],
+      marks: [...this.marks]
     }
     return this.lastRecord
   }
--- a/src/membership/schema.ts
+++ b/src/membership/schema.ts
@@ -35,6 +35,9 @@
 
 /** More than a host has within the time for which a heartbeat may be late. */
 export const MAX_KNOWN_PROCESSES = 8
+/** A mark that is left out costs one more crash at most. */
+export const MAX_RECORD_MARKS = 64
+const MAX_FINGERPRINT_CHARACTERS = 256
 
 /** One process of a target, by which its heartbeats are told from those of another process with the same target id. */
 export const targetProcessSchema = z.object({
@@ -49,6 +52,10 @@
 })
 export type TargetProcess = z.infer<typeof targetProcessSchema>
 
+/** A request that was in flight on a target of the host when the target crashed. */
+export const recordMarkSchema = z.object({ fingerprint: z.string().max(MAX_FINGERPRINT_CHARACTERS), target: nameSchema })
+export type RecordMark = z.infer<typeof recordMarkSchema>
+
 export const hostRecordSchema = z.object({
   host: placeNameSchema,
   zone: placeNameSchema,
@@ -63,6 +70,7 @@
   targets: z.array(announcementSchema),
   /** What the next process of the host must know, since the processes of the targets may outlast that of the node. */
   processes: z.array(targetProcessSchema).max(MAX_KNOWN_PROCESSES).default([]),
+  marks: z.array(recordMarkSchema).max(MAX_RECORD_MARKS).default([]),
   /** Set by a node that could not reach the host for REMOVE_UNREACHABLE_AFTER_MS. Any later record of the owner clears it. */
   gone: z.literal(true).optional()
 })
--- a/src/node/commands/localhost.ts
+++ b/src/node/commands/localhost.ts
@@ -7,15 +7,18 @@
  * them, and changes wait.
  */
 import type { Clock } from '../../core/index.js'
-import { compareRecords, compareRecordStamps, markHostLeaving, registerTarget, supersedeRecord, TargetProcesses } from '../../membership/index.js'
+import { compareRecords, compareRecordStamps, markHostLeaving, registerTarget, replaceRecordMarks, supersedeRecord, TargetProcesses } from '../../membership/index.js'
 import type { Announcement, Heartbeat, HeartbeatResult, HostRecord } from '../../membership/index.js'
 import type { CrashTracker, LocalTargets } from '../../request/index.js'
+import { addCrashMarks } from '../../suspect/index.js'
 import type { RecordCopies } from '../copies.js'
+import { listOwnMarks } from '../queries/marks.js'
 import type { NodeState } from '../state.js'
+import type { NotificationReach } from '../queries/notified.js'
 import type { HostDirectory } from '../tasks/directory.js'
 import type { PeerSynchronizer } from '../tasks/peers.js'
 import type { NodeTelemetry } from '../telemetry.js'
-import { storeLocalRecord } from './records.js'
+import { listCrashMarks, storeLocalRecord } from './records.js'
 
 export interface LocalHostContext {
   state: NodeState
@@ -32,6 +35,8 @@
 const SUPERSEDE_INTERVAL_MS = 500
 /** Changes that wait for the recovery. A target repeats its heartbeats, so the last ones suffice. */
 const MAX_WAITING_CHANGES = 16
+/** Source of the marks of an earlier record, of which the other nodes have a copy. */
+const EARLIER_RECORD = 'earlier record'
 
 export class LocalHostRegistration {
   private readonly targetProcesses: TargetProcesses
@@ -92,6 +97,7 @@
   endRecovery (): void {
     const { state, telemetry } = this.context
     telemetry.recordRecovery(this.adopted)
+    state.localHost.replaceMarks(listOwnMarks(state))
     const superseding = this.adopted === undefined ? undefined : supersedeRecord(state.localHost, this.adopted)
     this.announceRecord(superseding ?? state.localHost.makeRecord())
     const changes = this.waitingChanges
@@ -99,6 +105,14 @@
     for (const apply of changes) apply()
   }
 
+  /** Announces a new record if the crash marks of the targets of this host have changed. */
+  announceMarks (): void {
+    const { state } = this.context
+    if (!state.isRecovered) return
+    const record = replaceRecordMarks(state.localHost, listOwnMarks(state))
+    if (record !== undefined) this.announceRecord(record, 'many')
+  }
+
   /** Handles targets whose heartbeats stopped. */
   expireTargets (expired: readonly Announcement[], heartbeatTimeoutMs: number): void {
     const { state, telemetry, localTargets, crashWatch } = this.context
@@ -132,8 +146,9 @@
   }
 
   private adopt (seen: HostRecord): void {
-    const { clock, localTargets } = this.context
+    const { state, clock, localTargets } = this.context
     this.adopted = seen
+    addCrashMarks(state.suspects, listCrashMarks(seen).map(mark => ({ ...mark, ageMs: 0 })), EARLIER_RECORD)
     const record = this.targetProcesses.adopt(seen.processes, clock.monotonic())
     if (record === undefined) return
     this.announceRecord(record)
@@ -152,11 +167,11 @@
     this.announceRecord(record)
   }
 
-  private announceRecord (record: HostRecord): void {
+  private announceRecord (record: HostRecord, reach: NotificationReach = record.state === 'leaving' ? 'many' : 'some'): void {
     const { state, clock, directory, peers, copies } = this.context
     storeLocalRecord(state, record, clock)
     directory.notifyChanged()
-    void peers.notifyPeers({ records: [record] }, record.state === 'leaving' ? 'many' : 'some', () => { copies.recordShared(record) })
+    void peers.notifyPeers({ records: [record] }, reach, () => { copies.recordShared(record) })
   }
 
   /** Changes that come before the end of the recovery wait for it, in their order. */
--- a/src/node/shutdown.ts
+++ b/src/node/shutdown.ts
@@ -64,7 +64,9 @@
     this.stopsAt = clock.monotonic()
     stopTasks()
     telemetry.log.log('change', 'node_stopped', { whole: completed, inFlight: countInFlight() })
-    if (state.localHost.listHeartbeats().length === 0) await Promise.race([directory.remove(state.identity.host), clock.sleep(REMOVE_WAIT_MS)])
+    // The object of a host whose targets crashed keeps the marks of the requests until the other nodes remove it.
+    const isNeeded = state.localHost.listHeartbeats().length > 0 || (state.localHost.newestRecord?.marks ?? []).length > 0
+    if (!isNeeded) await Promise.race([directory.remove(state.identity.host), clock.sleep(REMOVE_WAIT_MS)])
     return completed ? 'whole' : 'cut'
   }
 }
--- a/src/node/start.ts
+++ b/src/node/start.ts
@@ -137,7 +137,8 @@
       getHeartbeatTimeoutMs: () => this.timeouts.heartbeatTimeoutMs,
       onUpdate: update => { this.handleUpdate(update) },
       onSourceState: isResponding => { this.handleSourceState(isResponding) },
-      onExpired: expired => { this.handleExpired(expired) }
+      onExpired: expired => { this.handleExpired(expired) },
+      announceMarks: () => { this.registration.announceMarks() }
     }, signal)
     for (const task of tasks) void runSupervised(task, clock, (origin, error) => { telemetry.recordUnexpectedError(origin, error) }, signal)
     await this.callerPort.listen(settings.caller)
--- a/src/node/tasks/list.ts
+++ b/src/node/tasks/list.ts
@@ -7,7 +7,7 @@
 import type { RepeatCounts, RepeatMeter } from '../../request/index.js'
 import type { NodeState } from '../state.js'
 import { followConfiguration } from './configuration.js'
-import { sendCrashMarks } from './crashmarks.js'
+import { expireCrashMarks, sendCrashMarks } from './crashmarks.js'
 import type { HostDirectory } from './directory.js'
 import { expireTargetsPeriodically } from './expire.js'
 import type { PeerSynchronizer } from './peers.js'
@@ -28,10 +28,11 @@
   onUpdate: (update: ConfigurationUpdate) => void
   onSourceState: (isResponding: boolean) => void
   onExpired: (expired: readonly Announcement[]) => void
+  announceMarks: () => void
 }
 
 export function listTasks (context: TaskContext, signal: AbortSignal): SupervisedTask[] {
-  const { source, clock, random, state, peers, directory, log, getHeartbeatTimeoutMs, onUpdate, onSourceState, onExpired } = context
+  const { source, clock, random, state, peers, directory, log, getHeartbeatTimeoutMs, onUpdate, onSourceState, onExpired, announceMarks } = context
   const configuration = {
     source, clock, random, log, onUpdate, onSourceState, isReader: () => peers.isReader, getKnownPosition: () => state.configuration?.position
   }
@@ -42,7 +43,8 @@
     { name: 'directory', run: async () => { await directory.run(signal) } },
     { name: 'expiry', run: async () => { await expireTargetsPeriodically(expiry, signal) } },
     { name: 'exchange', run: async () => { await peers.exchangePeriodically(signal) } },
-    { name: 'crash marks', run: async () => { await sendCrashMarks({ state, peers, clock }, signal) } },
+    { name: 'crash marks', run: async () => { await sendCrashMarks({ state, peers, clock, announceMarks }, signal) } },
+    { name: 'crash mark expiry', run: async () => { await expireCrashMarks({ clock, announceMarks }, signal) } },
     { name: 'repeats', run: async () => { await reportRepeats(repeats, signal) } },
     { name: 'removal', run: async () => { await peers.removeUnreachable(host => { void directory.remove(host) }, signal) } }
   ]
--- a/src/node/tasks/peers.ts
+++ b/src/node/tasks/peers.ts
@@ -8,7 +8,7 @@
 import { evictTombstones, makeTombstone, REMOVE_UNREACHABLE_AFTER_MS } from '../../membership/index.js'
 import type { HostRecord } from '../../membership/index.js'
 import type { ExchangeRequest, ExchangeResponse, PeerTransport } from '../../peer/index.js'
-import { addCrashMarks, clearCrashMarks } from '../../suspect/index.js'
+import { clearCrashMarks } from '../../suspect/index.js'
 import { storeRecords } from '../commands/records.js'
 import { VersionLag } from '../lag.js'
 import { collectZoneDigests, findDifferingBuckets, listBucketRecords, listNewer, listZoneHosts, makeExchangeResponse } from '../queries/difference.js'
@@ -42,9 +42,9 @@
 const VERSION_WAIT_MS = 300
 
 /** `version` 0 asks for the whole configuration. */
-type ExchangePayload = Pick<ExchangeRequest, 'records' | 'marks' | 'cleared' | 'complete' | 'configurationChange'> & Partial<Pick<ExchangeRequest, 'version'>>
+type ExchangePayload = Pick<ExchangeRequest, 'records' | 'cleared' | 'complete' | 'configurationChange'> & Partial<Pick<ExchangeRequest, 'version'>>
 
-export const EMPTY_PAYLOAD: ExchangePayload = { records: [], marks: [], cleared: [] }
+export const EMPTY_PAYLOAD: ExchangePayload = { records: [], cleared: [] }
 
 export class PeerSynchronizer {
   /** The monotonic time since which a host has not responded to this node. */
@@ -101,7 +101,6 @@
     this.unreachableSince.delete(request.host)
     const response = makeExchangeResponse(state, request)
     storeRecords(state, { records: request.records, from: request.host }, clock)
-    addCrashMarks(state.suspects, request.marks, request.host)
     clearCrashMarks(state.suspects, request.cleared, request.host)
     const peer = state.members.get(request.host)
     if (peer === undefined) return response
--- a/src/node/telemetry.ts
+++ b/src/node/telemetry.ts
@@ -103,9 +103,9 @@
 
   /** `earlier` is the newest record of an earlier process of this host. */
   recordRecovery (earlier: HostRecord | undefined): void {
-    const { incarnation, sequence, processes } = earlier ?? {}
+    const { incarnation, sequence, processes, marks } = earlier ?? {}
     const left = processes?.filter(({ hasLeft }) => hasLeft).map(({ target }) => target).join(', ')
-    this.log.log('change', 'node_recovered', { incarnation, sequence, left, peers: this.state.listPeers().length })
+    this.log.log('change', 'node_recovered', { incarnation, sequence, left, marks: marks?.length, peers: this.state.listPeers().length })
   }
 
   /** `record` is absent if this node has not recovered in time. */
--- a/src/peer/codec.ts
+++ b/src/peer/codec.ts
@@ -37,7 +37,7 @@
 const SAMPLES: unknown[] = [
   { version: 1, configuration: { version: 1, entries: [], replacesAll: true } },
   { service: '', version: 1, acceptedAt: 0, hash: '', document: { service: '', routes: {}, limits: {}, retries: {}, zones: 'same-first', needs: [] } },
-  { host: '', version: 1, zones: {}, records: [], marks: [], cleared: [], stamp: { wall: 1.7e12, counter: 0 } },
+  { host: '', version: 1, zones: {}, records: [], cleared: [], stamp: { wall: 1.7e12, counter: 0 } },
   { version: 1, records: [], differing: [], buckets: {}, stamp: { wall: 1.7e12, counter: 0 } }
 ]
 
--- a/src/peer/messages.ts
+++ b/src/peer/messages.ts
@@ -5,7 +5,6 @@
 import * as z from 'zod'
 import { configurationChangeSchema, configurationSchema, refusedVersionSchema } from '../configuration/index.js'
 import { hostRecordSchema } from '../membership/index.js'
-import { crashMarkSchema } from '../suspect/index.js'
 import { eventFilterSchema, hybridTimeSchema, timelineEventSchema } from '../timeline/index.js'
 
 /**
@@ -30,7 +29,7 @@
   records: recordsSchema,
   /** Buckets, by zone, for which `records` has every record of the requesting node. */
   complete: z.record(z.string(), z.array(z.number().int())).optional(),
-  marks: z.array(crashMarkSchema),
+  /** Fingerprints of requests that completed at the requesting node. */
   cleared: z.array(z.string()),
   stamp: hybridTimeSchema
 })
--- a/src/suspect/schema.ts
+++ b/src/suspect/schema.ts
@@ -1,20 +1,14 @@
 /**
- * Crash marks of requests that were in flight on a target when it crashed. A mark has an age in
- * milliseconds, not a time, since the clocks of different hosts are never compared.
+ * Crash marks of requests that were in flight on a target when it crashed. The host record of the target names them, so they reach the
+ * other nodes, and the next process of the host, as the rest of the record does.
  */
-import * as z from 'zod'
 
 export const CRASH_MARK_RETENTION_MS = 600_000
 /** A request with crash marks on this many different targets is blocked. */
 export const BLOCKING_CRASH_MARKS = 2
 export const MAX_SUSPECT_REQUESTS = 4_096
 
-const MAX_ID_CHARACTERS = 256
+/** `target` is the id of the target that crashed. */
+export interface CrashMarkId { fingerprint: string, target: string }
 
-export const crashMarkSchema = z.object({
-  fingerprint: z.string().max(MAX_ID_CHARACTERS),
-  /** Id of the target that crashed. */
-  target: z.string().max(MAX_ID_CHARACTERS),
-  ageMs: z.number().nonnegative()
-})
-export type CrashMark = z.infer<typeof crashMarkSchema>
+export interface CrashMark extends CrashMarkId { ageMs: number }
--- a/src/suspect/table.ts
+++ b/src/suspect/table.ts
@@ -25,6 +25,7 @@
     return [...this.marks.get(fingerprint) ?? []].filter(([, at]) => at >= oldest).map(([target]) => target)
   }
 
+  /** Returns all marks, ordered by the time at which their request was last marked. */
   listMarks (): CrashMark[] {
     const now = this.clock.monotonic()
     const all = [...this.marks].flatMap(([fingerprint, targets]) => [...targets].map(([target, at]) => ({ fingerprint, target, ageMs: now - at })))
@@ -44,6 +45,13 @@
     return true
   }
 
+  /** Commands only: see commands/mark.ts. */
+  removeMark (fingerprint: string, target: string): void {
+    const targets = this.marks.get(fingerprint)
+    targets?.delete(target)
+    if (targets?.size === 0) this.marks.delete(fingerprint)
+  }
+
   /** Commands only: see commands/mark.ts. Returns the ids of the targets on which the request had marks. */
   removeMarks (fingerprint: string): string[] {
     const targets = [...this.marks.get(fingerprint)?.keys() ?? []]
--- a/standins/bench/capacity.ts
+++ b/standins/bench/capacity.ts
@@ -61,7 +61,7 @@
     applyConfiguration(state, { version: 2 + index, entries: changedEntries.slice(index, index + 1), replacesAll: false })
   })
   const recordChangeMs = measureMeanMs(CHANGE_COUNT, index => { storeRecords(state, { records: changedRecords.slice(index, index + 1) }, clock) })
-  const request = { host: 'bench', version: 0, wantsConfiguration: true, zones: {}, records: [], complete: {}, marks: [], cleared: [], stamp: { wall: 0, counter: 0 } }
+  const request = { host: 'bench', version: 0, wantsConfiguration: true, zones: {}, records: [], complete: {}, cleared: [], stamp: { wall: 0, counter: 0 } }
   applyConfiguration(state, { version: CHANGE_COUNT + 2, entries, replacesAll: false })
   const startedAt = performance.now()
   const configurationBytes = codec.encode(makeExchangeResponse(state, request)).length
--- a/standins/bench/members.ts
+++ b/standins/bench/members.ts
@@ -54,7 +54,7 @@
 async function measureExchange (initiatorState: NodeState, responderState: NodeState): Promise<number> {
   const transport = new CountingTransport(makeSynchronizer(responderState, new UnusedTransport()))
   const responderRecord = responderState.localHost.makeRecord()
-  await makeSynchronizer(initiatorState, transport).exchange(responderRecord, { records: [], marks: [], cleared: [] })
+  await makeSynchronizer(initiatorState, transport).exchange(responderRecord, { records: [], cleared: [] })
   return transport.bytes
 }
 
--- a/standins/bench/record.ts
+++ b/standins/bench/record.ts
@@ -19,6 +19,7 @@
     sequence,
     state: 'serving',
     targets: [announcement],
-    processes: []
+    processes: [],
+    marks: []
   }
 }
--- a/tests/firstversion.test.ts
+++ b/tests/firstversion.test.ts
@@ -107,7 +107,7 @@
   const { state, peers } = makeNode('b')
   const record = nodes.get('a')?.state.localHost.makeRecord()
   if (record === undefined) throw new Error('the peer has no record')
-  await peers.exchange(record, { records: [], marks: [], cleared: [] })
+  await peers.exchange(record, { records: [], cleared: [] })
   await settleTasks()
   expect([state.isReady, state.version]).toEqual([true, NEW])
 })
@@ -124,7 +124,7 @@
 
 test('a call to a peer whose record has no valid address is a failed call', async () => {
   const client = new PeerClient(new MsgpackCodec(), new Dialer())
-  const called = client.exchange('', { host: 'a', version: 0, wantsConfiguration: false, zones: {}, records: [], marks: [], cleared: [], stamp: { wall: 0, counter: 0 } })
+  const called = client.exchange('', { host: 'a', version: 0, wantsConfiguration: false, zones: {}, records: [], cleared: [], stamp: { wall: 0, counter: 0 } })
   await expect(called).resolves.toMatchObject({ err: true })
   client.close()
 })
@@ -140,7 +140,7 @@
 test('a version that no peer reports any more does not leave a node outdated for ever', () => {
   const { state, peers } = startNode('a', OLD)
   const records = [startNode('b', NEW).state.localHost.makeRecord()]
-  peers.respond({ host: 'b', version: NEW, wantsConfiguration: false, zones: {}, records, marks: [], cleared: [], stamp: { wall: 0, counter: 0 } })
+  peers.respond({ host: 'b', version: NEW, wantsConfiguration: false, zones: {}, records, cleared: [], stamp: { wall: 0, counter: 0 } })
   expect(state.isOutdated).toBe(true)
   clock.advance(LONG_MS)
   expect(state.isOutdated).toBe(false)
--- a/tests/fleet.test.ts
+++ b/tests/fleet.test.ts
@@ -8,7 +8,7 @@
 
 function makeReport (host: string, version: number, overrides: Partial<NonNullable<NodeReport['response']>> = {}): NodeReport {
   const place = { zone: 'central-a', region: 'central' }
-  const record = { host, ...place, inbound: '', peer: '', admin: '', incarnation: 1, sequence: 1, state: 'serving' as const, targets: [], processes: [] }
+  const record = { host, ...place, inbound: '', peer: '', admin: '', incarnation: 1, sequence: 1, state: 'serving' as const, targets: [], processes: [], marks: [] }
   const response = {
     node: host, ...place, ready: true, source: true, version: 9, versions: { desk: version }, refused: [], records: [], ...overrides
   }
--- a/tests/peers.test.ts
+++ b/tests/peers.test.ts
@@ -85,11 +85,11 @@
   storeRecords(first.state, { records: [odd, makeRecord('good')] }, new SystemClock())
   applyConfiguration(first.state, makeConfiguration(9))
   const [toFirst, toSecond] = [first, second].map(({ state }) => state.localHost.newestRecord) as [HostRecord, HostRecord]
-  await first.peers.exchange(toSecond, { records: [odd, makeRecord('good')], marks: [], cleared: [] })
+  await first.peers.exchange(toSecond, { records: [odd, makeRecord('good')], cleared: [] })
   expect([second.state.members.get('good')?.host, second.state.members.get('odd')]).toEqual(['good', undefined])
   storeRecords(first.state, { records: [makeRecord('late')] }, new SystemClock())
   second.state.hasSource = false
-  await second.peers.exchange(toFirst, { records: [], marks: [], cleared: [] })
+  await second.peers.exchange(toFirst, { records: [], cleared: [] })
   expect([second.state.members.get('late')?.host, second.state.members.get('odd'), second.state.version]).toEqual(['late', undefined, 9])
 })
 
@@ -105,9 +105,9 @@
   const removed: string[] = []
   const ended = new AbortController()
   void peers.removeUnreachable(host => { removed.push(host) }, ended.signal)
-  await peers.exchange(record, { records: [], marks: [], cleared: [] })
+  await peers.exchange(record, { records: [], cleared: [] })
   for (let passed = 0; passed < REMOVE_UNREACHABLE_AFTER_MS / 2; passed += 10_000) await advance(clock)
-  await peers.exchange(record, { records: [], marks: [], cleared: [] })
+  await peers.exchange(record, { records: [], cleared: [] })
   for (let passed = 0; passed <= REMOVE_UNREACHABLE_AFTER_MS / 2; passed += 10_000) await advance(clock)
   ended.abort()
   return { state, peers, removed }
--- a/tests/platform/entries.test.ts
+++ b/tests/platform/entries.test.ts
@@ -85,7 +85,7 @@
 function decodeAtPeer (): ExchangeRequest {
   const zones = collectZoneDigests(state)
   const records = [...state.members.list(), ...state.localHost.newestRecord === undefined ? [] : [state.localHost.newestRecord]]
-  const message = { host: OWN_HOST, version: 0, wantsConfiguration: true, zones, records, marks: [], cleared: [], stamp: { wall: 1, counter: 0 } }
+  const message = { host: OWN_HOST, version: 0, wantsConfiguration: true, zones, records, cleared: [], stamp: { wall: 1, counter: 0 } }
   return new MsgpackCodec().decode(new MsgpackCodec().encode(message), exchangeRequestSchema)
 }
 
--- a/tests/proofs/malformed-input.test.ts
+++ b/tests/proofs/malformed-input.test.ts
@@ -180,7 +180,7 @@
   return hasName ? { ...record, host } : record
 }
 
-const EXCHANGE = { host: 'h2', version: 0, wantsConfiguration: true, zones: {}, records: [RECORD], marks: [], cleared: [], stamp: { wall: 1, counter: 0 } }
+const EXCHANGE = { host: 'h2', version: 0, wantsConfiguration: true, zones: {}, records: [RECORD], cleared: [], stamp: { wall: 1, counter: 0 } }
 
 test('messages of peers with random values', async () => {
   const client = new Client(addresses.peer, credentials.createInsecure())
--- a/tests/proofs/never-older.test.ts
+++ b/tests/proofs/never-older.test.ts
@@ -123,7 +123,7 @@
     const { node, peers, newestOfPeers } = system
     const peer = peers[this.peer]
     if (peer === undefined) return
-    const request = { host: 'h1', version: node.version, wantsConfiguration: true, zones: {}, records: [], marks: [], cleared: [], stamp: { wall: 0, counter: 0 } }
+    const request = { host: 'h1', version: node.version, wantsConfiguration: true, zones: {}, records: [], cleared: [], stamp: { wall: 0, counter: 0 } }
     const response = makeExchangeResponse(peer, request)
     const configuration = response.configuration ?? restoreConfiguration(node, response)
     expect(configuration !== undefined).toBe((newestOfPeers[this.peer] ?? -1) > oracle.newest)
