Read responses of the store up to a limit

Report of other operators: bytes without end made a machine run out of memory.

Cause: StoreClient read each response to its end, for up to 15 s in a watch.

--- a/src/request/tasks/attempt.ts
+++ b/src/request/tasks/attempt.ts
@@ -1,8 +1,7 @@
 /**
  * Sends one attempt of a call to a target on this host, or to the node on the host of the target.
  */
-import { json } from 'node:stream/consumers'
-import { Err, Ok, failureSchema, makeFailure } from '../../core/index.js'
+import { Err, Ok, failureSchema, makeFailure, readWholeText } from '../../core/index.js'
 import type { Clock, Failure, Result } from '../../core/index.js'
 import type { Target } from '../../membership/index.js'
 import type { DeliveryOutcome } from '../response.js'
@@ -21,6 +20,7 @@
 import type { InboundContext } from './inbound.js'
 
 const FIRST_SERVER_ERROR_STATUS = 500
+const MAX_FAILURE_BYTES = 64 * 1024
 
 /** A call after route resolution: the state that all its attempts share. */
 export interface ActiveCall {
@@ -109,7 +109,7 @@
  */
 async function readPeerFailure ({ body }: TargetResponse): Promise<Failure> {
   try {
-    const failure = failureSchema.parse(Buffer.isBuffer(body) ? JSON.parse(body.toString()) : await json(body))
+    const failure = failureSchema.parse(JSON.parse(Buffer.isBuffer(body) ? body.toString() : await readWholeText(body, MAX_FAILURE_BYTES) ?? ''))
     if (failure.status >= FIRST_SERVER_ERROR_STATUS) return failure
     return { ...failure, status: failure.verdict === 'not-run' ? 503 : 502, code: 'peer_refused', message: `the target-side node rejected the message: ${failure.code}: ${failure.message}` }
   } catch {
--- a/src/store/exchange.ts
+++ b/src/store/exchange.ts
@@ -1,7 +1,7 @@
 /**
  * One HTTP exchange with the platform, with a time limit.
  */
-import { Err, Ok, describeError } from '../core/index.js'
+import { Err, Ok, describeError, readWholeText } from '../core/index.js'
 import type { Result } from '../core/index.js'
 import type { Pool } from '../core/undici.js'
 import type { StoreFault } from './schema.js'
@@ -10,6 +10,9 @@
 
 export interface StoreResponse { status: number, body: unknown }
 
+/** Lists have no pages, so a response has all objects of a kind. */
+export const MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+
 /** Error codes that show that no connection was made, so the platform did not receive the request. */
 const NOT_SENT_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
 
@@ -23,7 +26,9 @@
       signal: AbortSignal.timeout(connection.timeoutMs),
       ...(body === undefined ? {} : { body: JSON.stringify(body), headers: { 'content-type': 'application/json' } })
     })
-    return Ok({ status: response.statusCode, body: await response.body.json() })
+    const text = await readWholeText(response.body, MAX_RESPONSE_BYTES)
+    if (text === undefined) return Err({ code: 'unknown', message: `the response of the platform is longer than ${MAX_RESPONSE_BYTES} bytes` })
+    return Ok({ status: response.statusCode, body: JSON.parse(text) })
   } catch (error) {
     return Err(convertErrorToFault(error))
   }
--- a/src/store/queries/http.ts
+++ b/src/store/queries/http.ts
@@ -1,10 +1,9 @@
 /**
  * Reads and watches over the platform's HTTP API. A watch is one streaming response with a JSON event per line.
  */
-import { createInterface } from 'node:readline'
-import { Err, Ok, describeError } from '../../core/index.js'
+import { Err, Ok, describeError, readLines, readWholeText } from '../../core/index.js'
 import type { Result } from '../../core/index.js'
-import { convertErrorToFault, convertResponseToFault, exchange } from '../exchange.js'
+import { convertErrorToFault, convertResponseToFault, exchange, MAX_RESPONSE_BYTES } from '../exchange.js'
 import type { StoreResponse, StoreConnection } from '../exchange.js'
 import { objectListSchema, storedObjectSchema, watchEventSchema } from '../schema.js'
 import type { ObjectKind, ObjectList, StoredObject, StoreFault, WatchEvent } from '../schema.js'
@@ -39,10 +38,11 @@
       })
       clearTimeout(timer)
       if (response.statusCode !== 200) {
-        yield Err(convertResponseToFault({ status: response.statusCode, body: await response.body.json() }))
+        const text = await readWholeText(response.body, MAX_RESPONSE_BYTES)
+        yield Err(convertResponseToFault({ status: response.statusCode, body: JSON.parse(text ?? '{}') }))
         return
       }
-      for await (const line of createInterface({ input: response.body })) {
+      for await (const line of readLines(response.body, MAX_RESPONSE_BYTES)) {
         if (line !== '') yield parseEvent(line)
       }
       if (!signal.aborted) yield Err({ code: 'unreachable', message: 'platform ended the watch' })
