Identify a request by the beginning of its body

Cause: only a body that was held whole had a fingerprint, so the identity of a request depended on how its body was kept.

Change: the first 64 KiB identify a body, however it is sent; they are read before the first attempt.

--- a/src/request/body.ts
+++ b/src/request/body.ts
@@ -5,9 +5,13 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { Readable } from 'node:stream'
+import { MAX_HASHED_BYTES } from '../suspect/index.js'
 
 export const DEFAULT_BUFFER_BYTES = 64 * 1024
 
+/** The bytes that identify the body of a request. */
+const PREFIX_BYTES = MAX_HASHED_BYTES
+
 /** Time for which a sender may continue to send after it received its response, before its connection is closed. */
 const LINGER_MS = 2_000
 
@@ -48,6 +52,12 @@
     return this.ended && this.isFullyBuffered ? Buffer.concat(this.chunks) : undefined
   }
 
+  /** The beginning of the body, once it was read: its first PREFIX_BYTES, or all of a shorter one. */
+  get prefix (): Buffer | undefined {
+    const isRead = this.isFullyBuffered && (this.ended || this.bufferedBytes >= PREFIX_BYTES)
+    return isRead ? Buffer.concat(this.chunks, Math.min(this.bufferedBytes, PREFIX_BYTES)) : undefined
+  }
+
   /** All bytes that were read are still buffered, so another attempt can send the same body. */
   get canResend (): boolean {
     return this.isFullyBuffered && !this.exceedsLimit
@@ -64,12 +74,16 @@
   async bufferShortBody (signal: AbortSignal): Promise<boolean> {
     const length = Number(this.message.headers['content-length'] ?? (this.buffersChunked ? 1 : Infinity))
     if (length === 0 || length > this.bufferBytes) return true
-    return await new Promise(resolve => {
-      const fail = (): void => { resolve(false) }
-      if (signal.aborted) fail()
-      signal.addEventListener('abort', fail, { once: true })
-      this.readUpToBufferLimit().then(() => { resolve(true) }, fail)
-    })
+    return await awaitRead(this.readUpTo(this.bufferBytes + 1), signal)
+  }
+
+  /**
+   * Reads the beginning of the body, except of one that is passed on as it comes since its length is not known.
+   * Resolves with false when the signal aborts first.
+   */
+  async readPrefix (signal: AbortSignal): Promise<boolean> {
+    if (this.message.headers['content-length'] === undefined && !this.buffersChunked) return true
+    return await awaitRead(this.readUpTo(PREFIX_BYTES), signal)
   }
 
   open (): Readable | Buffer {
@@ -94,8 +108,8 @@
     this.readAll().catch(() => { socket.destroy() }).finally(() => { clearTimeout(timer) })
   }
 
-  private async readUpToBufferLimit (): Promise<void> {
-    while (!this.ended && this.bufferedBytes <= this.bufferBytes) await this.readMore()
+  private async readUpTo (bytes: number): Promise<void> {
+    while (!this.ended && this.bufferedBytes < bytes) await this.readMore()
   }
 
   private async readAll (): Promise<void> {
@@ -150,3 +164,13 @@
     if (this.message.headers.expect?.toLowerCase() === '100-continue' && !this.response.headersSent) this.response.writeContinue()
   }
 }
+
+/** Resolves with false when the reading fails or the signal aborts first. */
+async function awaitRead (reading: Promise<void>, signal: AbortSignal): Promise<boolean> {
+  return await new Promise(resolve => {
+    const fail = (): void => { resolve(false) }
+    if (signal.aborted) fail()
+    signal.addEventListener('abort', fail, { once: true })
+    reading.then(() => { resolve(true) }, fail)
+  })
+}
--- a/src/request/tasks/caller.ts
+++ b/src/request/tasks/caller.ts
@@ -103,11 +103,11 @@
   const { isOfRun, repeatShare } = context.inbound.repeats.recordCall(service, call.deadlineMs)
   context.retry.countCall(service, isOfRun)
   const run = async (): Promise<Result<AttemptResponse, Failure>> => {
-    const suspect = new SuspectCall(context.suspects, call, body.buffered)
+    const suspect = new SuspectCall(context.suspects, call, body.prefix)
     const headers = context.inbound.adapter.filterRequestHeaders(message.headers)
     return await new Attempts(context, { call, resolved: resolved.val, headers, body, scope, suspect, repeatShare }).run()
   }
-  if (call.hasBody && !await body.bufferShortBody(scope.signal)) {
+  if (call.hasBody && !(await body.bufferShortBody(scope.signal) && await body.readPrefix(scope.signal))) {
     scope.end()
     return Err(makeFailure('not-run', 504, 'deadline', 'the request body did not arrive before the deadline'))
   }
--- a/src/suspect/queries/fingerprint.ts
+++ b/src/suspect/queries/fingerprint.ts
@@ -1,12 +1,14 @@
 /**
- * Computes a fingerprint that is the same each time a request is sent.
+ * Computes a fingerprint that is the same each time a request is sent. Of a body only the beginning counts, so that the fingerprint does
+ * not depend on whether the body is held whole or passed on as it comes.
  */
 import { createHash } from 'node:crypto'
 
 const FINGERPRINT_BYTES = 12
-const MAX_HASHED_BYTES = 64 * 1024
+/** A body is known by this many of its first bytes. */
+export const MAX_HASHED_BYTES = 64 * 1024
 
-/** `body` is undefined if it is not buffered. Then only a request with a key or without a body has a fingerprint. */
+/** `body` begins with MAX_HASHED_BYTES or all of the body. If it is undefined, only a request with a key or without a body has a fingerprint. */
 export interface FingerprintInput {
   service: string
   method: string
