End the stream of a detached body in an error

Cause: the stream of an attempt whose body was detached returned, so undici sent the last chunk.

Change: it fails, and undici closes the connection.

--- a/src/request/body.ts
+++ b/src/request/body.ts
@@ -92,7 +92,7 @@
     return Readable.from(this.emitChunks(this.generation), { objectMode: false })
   }
 
-  /** Detaches the body from the attempt, so that later chunks go to the next attempt. */
+  /** Detaches the body from the attempt, whose stream fails unless it has ended. Later chunks go to the next attempt. */
   release (): void {
     this.generation += 1
   }
@@ -127,7 +127,8 @@
       } else {
         await this.readMore()
       }
-      if (generation !== this.generation) return
+      // A stream that ends tells the target that the body is complete.
+      if (generation !== this.generation) throw new Error('another attempt or nobody gets the rest of the body')
     }
   }
 
