--- a/src/request/response.ts
+++ b/src/request/response.ts
@@ -87,11 +87,13 @@
 
 function makeResponseHeaders (response: ServerResponse, targetResponse: TargetResponse, filtered: Headers): Headers {
   const { body } = targetResponse
-  const headers = Buffer.isBuffer(body) && hasBody(response, targetResponse) ? { ...filtered, 'content-length': String(body.length) } : filtered
   const { trailer } = targetResponse.headers
   const isChunked = targetResponse.headers['transfer-encoding'] !== undefined && response.req.httpVersion === '1.1' && response.req.method !== 'HEAD'
-  if (trailer !== undefined && isChunked) response.setHeader('trailer', trailer)
-  return headers
+  const hasTrailers = trailer !== undefined && isChunked
+  if (hasTrailers) response.setHeader('trailer', trailer)
+  // Only a chunked body can have trailers.
+  const hasLength = Buffer.isBuffer(body) && hasBody(response, targetResponse) && !hasTrailers
+  return hasLength ? { ...filtered, 'content-length': String(body.length) } : filtered
 }
 
 /** A response to HEAD and some statuses have no body, even with a content-length. */
--- a/tests/proxy.test.ts
+++ b/tests/proxy.test.ts
@@ -115,13 +115,13 @@
     upload.destroy()
   })
 
-  test('trailers of a response are forwarded', async () => {
+  test.each([['streamed', 0], ['held whole', 64 * 1024]])('trailers of a response that is %s are forwarded', async (_name, responseBufferBytes) => {
     const origin = await open((_, response) => {
       response.writeHead(200, { trailer: 'x-sum' })
       response.write('body')
       response.addTrailers({ 'x-sum': '42' })
       response.end()
-    }, { path })
+    }, { path, responseBufferBytes })
     const response = await request(`${origin}/read`, { dispatcher: agent, headers: SERVICE_HEADER })
     expect(await response.body.text()).toBe('body')
     expect(response.trailers).toEqual({ 'x-sum': '42' })
