Count crashes of two processes of a target as two, also if the target keeps its id

Cause: crash marks named the target by its id, so a second crash added no mark.

Change: a mark names the process, by the id and the start of the target.

Before: the new case of tests/proofs/repeated-crashes.test.ts failed. After: it passes. 29 tests of the parts concerned pass.

--- a/src/core/verdict.ts
+++ b/src/core/verdict.ts
@@ -18,7 +18,7 @@
   retryAfterMs: z.number().int().optional(),
   /** The request reached a target, which rejected it or may have run it. */
   reached: z.boolean().optional(),
-  /** The target that crashed. It may be the successor of the one that the request names. */
+  /** The process of a target that crashed. It may be the successor of the one that the request names. */
   target: z.string().optional(),
   /** The downstream hops have made the attempts that the load allows. A retry by an upstream hop would only add load. */
   noRetry: z.boolean().optional()
--- a/src/membership/localhost.ts
+++ b/src/membership/localhost.ts
@@ -44,6 +44,12 @@
     return this.registeredTargets.get(target)?.announcement
   }
 
+  /** Returns the name of the present process of a target, which tells it from another one with the same target id. */
+  formatProcess (target: string): string {
+    const startedAt = this.processes.find(process => process.target === target)?.startedAt ?? 0
+    return startedAt === 0 ? target : `${target}@${startedAt}`
+  }
+
   listAnnouncements (): Announcement[] {
     return [...this.registeredTargets.values()].map(({ announcement }) => announcement)
   }
--- a/src/membership/schema.ts
+++ b/src/membership/schema.ts
@@ -53,7 +53,11 @@
 export type TargetProcess = z.infer<typeof targetProcessSchema>
 
 /** A request that was in flight on a target of the host when the target crashed. */
-export const recordMarkSchema = z.object({ fingerprint: z.string().max(MAX_FINGERPRINT_CHARACTERS), target: nameSchema })
+export const recordMarkSchema = z.object({
+  fingerprint: z.string().max(MAX_FINGERPRINT_CHARACTERS),
+  /** The name of the target's process. */
+  target: z.string().regex(/^[a-z0-9-]{1,63}(@\d{1,15})?$/)
+})
 export type RecordMark = z.infer<typeof recordMarkSchema>
 
 export const hostRecordSchema = z.object({
--- a/src/node/start.ts
+++ b/src/node/start.ts
@@ -72,7 +72,9 @@
     const { log, metrics } = this.telemetry
     this.policies = parts.makePolicies(clock, random, () => this.state.members.size)
     this.localTargets = new LocalTargets(this.state.localHost, () => this.state.snapshotTable.current, clock, this.policies.admission)
-    this.crashWatch = new CrashTracker(host, this.state.suspects, isConnectionRefused)
+    this.crashWatch = new CrashTracker(
+      host, this.state.suspects, isConnectionRefused, target => this.state.localHost.formatProcess(target)
+    )
     this.meter = new ControlMeter(new MsgpackCodec(), settings, ({ kind, link, direction, bytes }) => {
       const labels = { kind, link, direction }
       metrics.count('control_messages_total', labels)
--- a/src/request/tasks/inbound.ts
+++ b/src/request/tasks/inbound.ts
@@ -156,8 +156,9 @@
     inFlight.discard()
     return failure
   }
-  const isCrashed = await inFlight.fail(address)
-  return isCrashed ? { ...failure, code: TARGET_CRASHED, message: `target ${target} crashed with the request in flight`, target } : failure
+  const crashed = await inFlight.fail(address)
+  if (crashed === undefined) return failure
+  return { ...failure, code: TARGET_CRASHED, message: `target ${target} crashed with the request in flight`, target: crashed }
 }
 
 /** Forbids further retries after a retry meets a full queue again, since more retries would keep the queue full. */
--- a/src/suspect/schema.ts
+++ b/src/suspect/schema.ts
@@ -8,7 +8,7 @@
 export const BLOCKING_CRASH_MARKS = 2
 export const MAX_SUSPECT_REQUESTS = 4_096
 
-/** `target` is the id of the target that crashed. */
+/** `target` is `HOST/PROCESS`, with the name of the target's process that crashed. */
 export interface CrashMarkId { fingerprint: string, target: string }
 
 export interface CrashMark extends CrashMarkId { ageMs: number }
--- a/tests/proofs/large-crashing-request.test.ts
+++ b/tests/proofs/repeated-crashes.test.ts
@@ -1,12 +1,13 @@
 /**
- * Guards against a request that crashes each target that runs it and is never blocked, because its body is too long to be held whole: the
- * identity of a request does not depend on how its body is sent or kept. The nodes are processes.
+ * Guards against a request that crashes each target that runs it and is never blocked: because its body is too long to be held whole, since
+ * the identity of a request must not depend on how its body is sent or kept, or because the target starts again with the id that it had.
+ * The nodes are processes.
  */
 import { Readable } from 'node:stream'
 import { setTimeout as delay } from 'node:timers/promises'
 import { afterEach, expect, test } from '@jest/globals'
 import { awaitTrue, CRASHING_PATH, startRestartedHosts } from '../fixtures/restarts.js'
-import type { RestartedHosts } from '../fixtures/restarts.js'
+import type { RestartedHost, RestartedHosts } from '../fixtures/restarts.js'
 
 const HOSTS = 3
 const TIMEOUT_MS = 60_000
@@ -56,3 +57,18 @@
   const [host] = fleet.hosts
   expect((await host?.send(CRASHING_PATH, `other ${BODY}`))?.code).not.toBe('quarantined')
 }, TIMEOUT_MS)
+
+test('a request that crashes one target again and again is blocked after two crashes, also if the target keeps its id', async () => {
+  fleet = await startRestartedHosts(1)
+  const [host] = fleet.hosts as [RestartedHost]
+  const { target } = host
+  for (const born of [2_000, 3_000]) {
+    await host.send(CRASHING_PATH)
+    await delay(MARK_SPREAD_MS)
+    target.start(born, target.id)
+    expect(await target.sendHeartbeat()).toBe(200)
+    await awaitTrue(async () => (await host.send()).status === 200)
+  }
+  expect((await host.send(CRASHING_PATH)).code).toBe('quarantined')
+  expect(fleet.crashes).toBe(2)
+}, TIMEOUT_MS)
