Take over only the marks of the newest earlier record

A starting node that read an older record of its host from the store and a newer one from a peer kept the marks that only the older one had, so a request that had been cleared was suspect again.

--- a/src/node/commands/localhost.ts
+++ b/src/node/commands/localhost.ts
@@ -10,11 +10,11 @@
 import { compareRecords, compareRecordStamps, markHostLeaving, registerTarget, replaceRecordMarks, supersedeRecord, TargetProcesses } from '../../membership/index.js'
 import type { Announcement, Heartbeat, HeartbeatResult, HostRecord } from '../../membership/index.js'
 import type { CrashTracker, LocalTargets } from '../../request/index.js'
-import { addCrashMarks } from '../../suspect/index.js'
+import { replaceCrashMarks } from '../../suspect/index.js'
 import type { RecordCopies } from '../copies.js'
 import { listOwnMarks } from '../queries/marks.js'
-import type { NodeState } from '../state.js'
 import type { NotificationReach } from '../queries/notified.js'
+import type { NodeState } from '../state.js'
 import type { HostDirectory } from '../tasks/directory.js'
 import type { PeerSynchronizer } from '../tasks/peers.js'
 import type { NodeTelemetry } from '../telemetry.js'
@@ -147,8 +147,8 @@
 
   private adopt (seen: HostRecord): void {
     const { state, clock, localTargets } = this.context
+    replaceCrashMarks(state.suspects, listCrashMarks(this.adopted), listCrashMarks(seen), EARLIER_RECORD)
     this.adopted = seen
-    addCrashMarks(state.suspects, listCrashMarks(seen).map(mark => ({ ...mark, ageMs: 0 })), EARLIER_RECORD)
     const record = this.targetProcesses.adopt(seen.processes, clock.monotonic())
     if (record === undefined) return
     this.announceRecord(record)
