--- a/src/request/tasks/caller.ts
+++ b/src/request/tasks/caller.ts
@@ -87,6 +87,12 @@
   return makeFailure('not-run', 503, 'outdated', `${message} in the configuration of this node, and a peer has a newer one`, RETRY_AFTER_MS)
 }
 
+function makeUnreadBodyFailure (context: CallerContext, body: RequestBody, limitBytes: number): Failure {
+  if (!body.isAboveLimit) return makeFailure('not-run', 504, 'deadline', 'the request body did not arrive before the deadline')
+  const failure = makeFailure('not-run', 413, 'body_too_large', `the body exceeds ${limitBytes} bytes`)
+  return context.isOutdated?.() === true ? makeOutdatedFailure(failure) : failure
+}
+
 async function runCall (
   context: CallerContext, call: Call, body: RequestBody, message: IncomingMessage, response: ServerResponse
 ): Promise<Result<AttemptResponse, Failure>> {
@@ -109,7 +115,7 @@
   }
   if (call.hasBody && !(await body.bufferShortBody(scope.signal) && await body.readPrefix(scope.signal))) {
     scope.end()
-    return Err(makeFailure('not-run', 504, 'deadline', 'the request body did not arrive before the deadline'))
+    return Err(makeUnreadBodyFailure(context, body, route.maxBodyBytes))
   }
   return await run()
 }
--- a/tests/proxy.test.ts
+++ b/tests/proxy.test.ts
@@ -127,6 +127,15 @@
     expect(response.trailers).toEqual({ 'x-sum': '42' })
   })
 
+  /** A caller would take 504 for a target that is too slow, and a newer version may have raised the limit. */
+  test.each([['413', false], ['503', true]])('a body in chunks that is read whole and exceeds the limit of its route gets %s', async (status, isOutdated) => {
+    const origin = await open((_, response) => { response.end() }, { path })
+    Object.assign(mesh.context, { requestBufferBytes: 64 * 1024, isOutdated: () => isOutdated })
+    const body = Readable.from(['a'.repeat(600), 'a'.repeat(600)], { objectMode: false })
+    const response = await request(`${origin}/small`, { method: 'POST', dispatcher: agent, headers: SERVICE_HEADER, body })
+    expect([String(response.statusCode), (await response.body.json() as { verdict: string }).verdict]).toEqual([status, 'not-run'])
+  })
+
   test.each([['HEAD', 200], ['GET', 204], ['GET', 304]] as const)('a response to %s with status %i has no body and leaves the connection usable', async (method, status) => {
     const origin = await open((_, response) => {
       response.writeHead(status, status === 204 ? { 'x-kept': 'yes' } : { 'x-kept': 'yes', 'content-length': '5' })
