--- a/src/node/tasks/configuration.ts
+++ b/src/node/tasks/configuration.ts
@@ -35,7 +35,7 @@
 /** A watch that ends without a change before this time was interrupted. */
 const MIN_WATCH_MS = 1_000
 const POLL_INTERVAL_MS = 2_000
-/** With the time for a reader to respond and that of a call, less than half of the time in which a version is to be in force. */
+/** This, the time for a reader to respond and a call take about half of the time in which a version has to be in force. */
 const READER_CHECK_INTERVAL_MS = 800
 /** After these faults a watch may have missed a change, so the source is read again. */
 const READ_AGAIN_CODES: ReadonlySet<StoreFault['code']> = new Set(['too-old', 'restored', 'invalid'])
