Bound the checks that a reader gets from a large zone

Each reader of a zone of 2,636 hosts would get 1,100 exchanges a second from the nodes that ask whether it follows the store. Beyond 99 hosts in a zone, a part of them asks, drawn at random each time.

--- a/src/node/tasks/peers.ts
+++ b/src/node/tasks/peers.ts
@@ -35,6 +35,8 @@
 const ANY_ZONE_SHARE = 0.05
 const REGION_SHARE = 0.2
 const STORE_LOST_ANY_ZONE_SHARE = 0.5
+/** Of the nodes that a reader tells of versions, about this many ask it in each interval. In a zone of up to 99 hosts, all do. */
+const CHECKS_PER_READER = 32
 /** Several times what a node of the same zone takes to respond. */
 const READER_TIMEOUT_MS = 300
 const REMOVAL_CHECK_INTERVAL_MS = 10_000
@@ -178,10 +180,12 @@
    * the question its silence would look like a store without changes.
    */
   async checkReader (): Promise<boolean> {
-    const { state: { identity, members }, clock } = this.context
+    const { state: { identity, members }, clock, random } = this.context
     const { readers, listFollowers } = this.deriveRoles()
-    const reader = members.get(readers.find(candidate => listFollowers(candidate).includes(identity.host)) ?? '')
+    const host = readers.find(candidate => listFollowers(candidate).includes(identity.host)) ?? ''
+    const reader = members.get(host)
     if (reader === undefined) return false
+    if (random.next() * listFollowers(host).length >= CHECKS_PER_READER) return true
     let isFollowing = false
     const exchanged = this.exchange(reader, EMPTY_PAYLOAD, ({ followsSource }) => { isFollowing = followsSource })
     await Promise.race([exchanged, clock.sleep(READER_TIMEOUT_MS)])
--- a/tests/readers.test.ts
+++ b/tests/readers.test.ts
@@ -3,14 +3,21 @@
  * reach the nodes of a zone in time because the few nodes that follow the store for it have failed.
  */
 import { afterEach, describe, expect, test } from '@jest/globals'
+import { SeededRandom } from '../src/core/index.js'
 import { applyConfiguration } from '../src/node/commands/apply.js'
+import { storeLocalRecord } from '../src/node/commands/records.js'
 import { deriveZoneRoles } from '../src/node/queries/readers.js'
+import { PeerSynchronizer } from '../src/node/tasks/peers.js'
 import { VersionAnnouncer } from '../src/node/tasks/versions.js'
+import type { PeerTransport } from '../src/peer/index.js'
 import { makeClock } from './fixtures/clock.js'
 import { makeEntry } from './fixtures/entry.js'
 import { makeFleet } from './fixtures/fleet.js'
 import type { FleetNode } from './fixtures/fleet.js'
+import { makeNullLog } from './fixtures/log.js'
+import { makeRecord } from './fixtures/records.js'
 import { makeState } from './fixtures/state.js'
+import { makeInProcessTransport } from './fixtures/transport.js'
 
 const NODES = 60
 const ZONES = 6
@@ -127,3 +134,30 @@
 test('the readers of a small zone, who all follow the store, tell each other nothing', () => {
   expect(listReceivers(3, true)).toEqual([])
 })
+
+/** Returns how many of 100 checks of a node that is no reader reach its reader. */
+async function countChecks (zoneSize: number): Promise<number> {
+  const clock = makeClock()
+  const records = Array.from({ length: zoneSize }, (_, index) => makeRecord(`host-${index}`, { targets: [] }))
+  const { readers: [reader = ''], listFollowers } = deriveZoneRoles(records)
+  let asked = 0
+  const makePeers = (host: string, transport: PeerTransport): PeerSynchronizer => {
+    const state = makeState({ host }, clock)
+    for (const record of records) storeLocalRecord(state, record, clock)
+    return new PeerSynchronizer({ state, transport, clock, random: new SeededRandom(SEED), log: makeNullLog(), onConfiguration: () => {} })
+  }
+  const readerPeers = makePeers(reader, makeInProcessTransport(reader, () => undefined))
+  const follower = listFollowers(reader)[0] ?? ''
+  const peers = makePeers(follower, makeInProcessTransport(follower, () => {
+    asked += 1
+    return readerPeers
+  }))
+  for (let check = 0; check < 100; check += 1) await peers.checkReader()
+  return asked
+}
+
+/** Each reader of a zone of thousands would otherwise be asked a thousand times a second. */
+test('the number of checks that a reader gets does not grow with its zone', async () => {
+  expect(await countChecks(60)).toBe(100)
+  expect(await countChecks(900)).toBeLessThan(25)
+})
