--- a/src/configuration/index.ts
+++ b/src/configuration/index.ts
@@ -3,7 +3,7 @@
  */
 export { ConfigurationHistory } from './history.js'
 export { callerLimitsSchema, configurationChangeSchema, configurationSchema, refusedVersionSchema } from './schema.js'
-export type { CallerLimits, Configuration, ConfigurationChange, RefusedVersion } from './schema.js'
+export type { CallerLimits, Configuration, ConfigurationChange, RefusedVersion, UnreadablePart } from './schema.js'
 export { ConfigurationSource } from './source.js'
 export type { ConfigurationUpdate, WatchResult } from './source.js'
 export { DocumentSource } from './documents.js'
--- a/src/configuration/queries/change.ts
+++ b/src/configuration/queries/change.ts
@@ -10,7 +10,11 @@
 /** Compares routes by identity: routes that two versions do not share count as changed. */
 export function deriveChange (base: Configuration, next: Configuration): ConfigurationChange {
   const baseEntries = makeEntryMap(base)
-  const change: ConfigurationChange = { base: base.version, next: { ...next, entries: [] }, unchanged: {}, partial: {} }
+  const hasSameAccounts = base.accounts === next.accounts
+  const { accounts, ...rest } = next
+  const change: ConfigurationChange = {
+    base: base.version, next: { ...hasSameAccounts ? rest : next, entries: [] }, unchanged: {}, partial: {}, hasSameAccounts
+  }
   for (const entry of next.entries) {
     const baseEntry = baseEntries.get(entry.service)
     const baseRoutes = baseEntry?.document?.routes
@@ -29,7 +33,7 @@
 }
 
 /** Returns undefined if `base` is not the configuration from which the change was derived. */
-export function applyChange (base: Configuration, { next, unchanged, partial }: ConfigurationChange): Configuration | undefined {
+export function applyChange (base: Configuration, { next, unchanged, partial, hasSameAccounts }: ConfigurationChange): Configuration | undefined {
   const baseEntries = makeEntryMap(base)
   const entries: Entry[] = []
   for (const [service, version] of Object.entries(unchanged)) {
@@ -43,7 +47,7 @@
     if (part !== undefined && baseEntry?.version !== part.version) return undefined
     entries.push(part === undefined ? entry : mergeRoutes(entry, baseEntry?.document?.routes ?? {}, part.removedRoutes))
   }
-  return { ...next, entries }
+  return { ...next, entries, ...hasSameAccounts === true && base.accounts !== undefined ? { accounts: base.accounts } : {} }
 }
 
 function mergeRoutes (entry: Entry, baseRoutes: Routes, removedRoutes: readonly string[]): Entry {
--- a/src/configuration/schema.ts
+++ b/src/configuration/schema.ts
@@ -3,6 +3,7 @@
  * version is applied atomically. Versions increase in steps of any size.
  */
 import * as z from 'zod'
+import { accountSchema } from '../account/index.js'
 import { entrySchema } from '../snapshot/index.js'
 import { storePositionSchema } from '../store/index.js'
 
@@ -20,6 +21,10 @@
 export const refusedVersionSchema = z.object({ service: z.string(), version: z.number().int(), reason: z.string() })
 export type RefusedVersion = z.infer<typeof refusedVersionSchema>
 
+/** `name` is empty if it could not be read either. */
+export const unreadablePartSchema = z.object({ kind: z.enum(['route', 'service', 'account']), name: z.string(), reason: z.string() })
+export type UnreadablePart = z.infer<typeof unreadablePartSchema>
+
 export const configurationSchema = z.object({
   version: z.number().int().positive(),
   entries: z.array(entrySchema),
@@ -28,6 +33,10 @@
   /** A watch of the store from this position returns all later versions. */
   position: storePositionSchema.optional(),
   callerLimits: callerLimitsSchema.optional(),
+  /** Absent if callers need no keys. */
+  accounts: z.array(accountSchema).optional(),
+  /** Parts of the version that could not be read. */
+  unreadable: z.array(unreadablePartSchema).optional(),
   refused: z.array(refusedVersionSchema).optional()
 })
 export type Configuration = z.infer<typeof configurationSchema>
@@ -39,6 +48,8 @@
   next: configurationSchema,
   /** The entries that both versions share: their versions by service. */
   unchanged: z.record(z.string(), z.number().int()),
+  /** True if both versions have the same accounts, which `next` then lacks. */
+  hasSameAccounts: z.boolean().optional(),
   /** The version of the service in `base`, and the names of the routes that were removed since. */
   partial: z.record(z.string(), z.object({ version: z.number().int(), removedRoutes: z.array(z.string()) }))
 })
--- a/src/document/schema.ts
+++ b/src/document/schema.ts
@@ -64,6 +64,10 @@
   /** The number of targets that one call may be sent to. Absent: `attempts` of the document's `retries`. */
   attempts: z.number().int().min(1).max(MAX_ATTEMPTS).optional(),
   maxBodyBytes: z.number().int().min(0).max(MAX_BODY_BYTES).default(1024 * 1024),
+  /** Requests are served without a key of a client account. */
+  public: z.literal(true).optional(),
+  /** Requests are rejected as not run, for example since the terms of the route could not be read. */
+  unavailable: z.literal(true).optional(),
   /** Destinations by name. Empty means the document's own service. */
   to: z.record(nameSchema, destinationSchema).default({})
 })
--- a/src/node/commands/apply.ts
+++ b/src/node/commands/apply.ts
@@ -1,6 +1,7 @@
 /**
  * Puts a version of the configuration in force as a whole, in one assignment. An older version changes nothing.
  */
+import { AccountTable } from '../../account/index.js'
 import { listEntriesWithDeletions } from '../../configuration/index.js'
 import type { Configuration } from '../../configuration/index.js'
 import { promoteConsistent, stageEntry } from '../../snapshot/index.js'
@@ -14,6 +15,8 @@
 export function applyConfiguration (state: NodeState, configuration: Configuration): ApplyResult | undefined {
   if (configuration.version <= state.version) return undefined
   const staged = listEntriesWithDeletions(configuration, state.snapshotTable.staged.keys()).filter(entry => stageEntry(state.snapshotTable, entry))
+  const { accounts } = configuration
+  if (accounts !== state.configuration?.accounts) state.accounts = new AccountTable(accounts !== undefined, accounts)
   state.configuration = configuration
   state.history.add(configuration)
   return { staged, ...promoteConsistent(state.snapshotTable, state.members.targets) }
--- a/src/node/start.ts
+++ b/src/node/start.ts
@@ -251,6 +251,7 @@
       picker,
       retry,
       getSnapshot: () => state.snapshotTable.current,
+      getAccounts: () => state.accounts,
       isReady: () => state.isReady,
       isOutdated: () => state.isOutdated,
       getMaxHeadBytes: () => state.configuration?.callerLimits?.headerBytes,
--- a/src/node/state.ts
+++ b/src/node/state.ts
@@ -2,6 +2,7 @@
  * The state of a node: versions, host records, crash marks, and the local host. Tasks share it, and the
  * functions in commands/ change it.
  */
+import { AccountTable } from '../account/index.js'
 import { ConfigurationHistory } from '../configuration/index.js'
 import type { Configuration, RefusedVersion } from '../configuration/index.js'
 import { Emitter } from '../core/index.js'
@@ -33,6 +34,7 @@
   /** Emits once, when callers may be served for the first time. */
   readonly readiness = new Emitter<'ready'>()
   configuration: Configuration | undefined
+  accounts = new AccountTable(false)
   readonly history = new ConfigurationHistory()
   /** True once the hosts have been read from the store or from a peer. */
   knowsHosts = false
--- a/src/node/telemetry.ts
+++ b/src/node/telemetry.ts
@@ -14,6 +14,9 @@
 import type { ApplyResult } from './commands/apply.js'
 import type { NodeState } from './state.js'
 
+/** Unreadable parts of one version that are logged. */
+const MAX_LOGGED_PARTS = 20
+
 export class NodeTelemetry {
   readonly log: StructuredLog
   readonly metrics = new Metrics()
@@ -70,8 +73,14 @@
     else this.recorder.record('source-lost', 'the store does not respond')
   }
 
-  recordConfiguration ({ version, entries, position }: Configuration, { staged, applied, pending }: ApplyResult, from: string): void {
-    this.log.log('change', 'configuration_applied', { version, from, services: entries.length, changed: applied.length, held: pending.length, ...position })
+  recordConfiguration (configuration: Configuration, { staged, applied, pending }: ApplyResult, from: string): void {
+    const { version, entries, position, accounts, unreadable = [] } = configuration
+    const counts = { services: entries.length, changed: applied.length, held: pending.length, accounts: accounts?.length }
+    this.log.log('change', 'configuration_applied', { version, from, ...counts, ...position })
+    for (const { kind, name, reason } of unreadable.slice(0, MAX_LOGGED_PARTS)) {
+      this.log.log('change', 'configuration_part_unreadable', { version, kind, name, reason })
+    }
+    this.metrics.count('configuration_parts_unreadable_total', {}, unreadable.length)
     for (const entry of staged) this.recorder.record('document-staged', `from ${from}`, getEventDetail(entry))
     for (const entry of applied) {
       this.recorder.record('document-applied', 'in force', getEventDetail(entry))
--- a/src/request/front.ts
+++ b/src/request/front.ts
@@ -18,8 +18,11 @@
 
 export abstract class ProtocolAdapter {
   abstract readCall (message: IncomingMessage): Result<Call, Failure>
-  /** Returns the headers of the request of the caller that are forwarded to the target-side node. */
-  abstract filterRequestHeaders (headers: IncomingHttpHeaders): Headers
+  /**
+   * Returns the headers of the request of the caller that are forwarded to the target-side node. Credentials are not among them if
+   * accounts are in force, since the target must not see them.
+   */
+  abstract filterRequestHeaders (headers: IncomingHttpHeaders, hasAccounts: boolean): Headers
   abstract makeTargetHeaders (call: TargetCall): Headers
   /** Returns a failure when the response of a target reports that the request was not run, or belongs to another request; undefined otherwise. */
   abstract checkResponse (sent: Headers, head: ResponseHead): Failure | undefined
--- a/src/request/queries/route.ts
+++ b/src/request/queries/route.ts
@@ -12,6 +12,9 @@
 
 export interface ResolvedRoute { document: Document, version: number, name: string, route: Route, service: string, targets: readonly Target[] }
 
+/** The route becomes available with a later version of the configuration. */
+const UNAVAILABLE_RETRY_AFTER_MS = 1_000
+
 export function resolveRoute (snapshot: Snapshot, call: Call, random: Random): Result<ResolvedRoute, Failure> {
   const hostRoute = call.host === undefined ? undefined : findHostRoute(snapshot.entries, call.host, call)
   if (call.host !== undefined && hostRoute === undefined) return Err(makeFailure('not-run', 404, 'no_route', `no route matches ${call.host}${call.path}`))
@@ -24,6 +27,7 @@
   const found = hostRoute === undefined ? findRoute(document, call) : [hostRoute.name, hostRoute.route] as const
   if (found === undefined) return Err(makeFailure('not-run', 404, 'no_route', `${call.service} has no route for ${call.method} ${call.path}`))
   const [name, route] = found
+  if (route.unavailable === true) return Err(makeFailure('not-run', 503, 'route_unavailable', `route ${name} is unavailable`, UNAVAILABLE_RETRY_AFTER_MS))
   if ((call.bodyBytes ?? 0) > route.maxBodyBytes) {
     return Err(makeFailure('not-run', 413, 'body_too_large', `the body exceeds ${route.maxBodyBytes} bytes`))
   }
--- a/src/request/repeats.ts
+++ b/src/request/repeats.ts
@@ -38,13 +38,21 @@
 /** A target counts its time from the arrival of the request, which is later than its sending. */
 const MAX_ARRIVAL_DELAY_MS = 30
 
+/** A call may arrive this long after its run has ended for this node, at the deadline or with the connection of the caller. */
+const ENDED_RUN_MS = 1_000
+/** A target outlives its node. The runs that it had then have ended after this time, which is longer than the deadlines of most routes. */
+const EARLIER_RUNS_MS = 30_000
+
 export class RepeatMeter {
   private readonly counts = new Map<string, RepeatCounts>()
   private readonly runs = new Set<Run>()
   private readonly rates: CallRates
+  private readonly startedAt: number
+  private lastEndedAt = -Infinity
 
   constructor (private readonly clock: Clock) {
     this.rates = new CallRates(clock)
+    this.startedAt = clock.monotonic()
   }
 
   /** `leftMs` is the time until the call expires; without a deadline any run in flight may have made it. */
@@ -56,6 +64,12 @@
     return origin
   }
 
+  /** Returns true if a call may be one of a run, including runs that have ended lately and those that began before this node did. */
+  matchesRun (leftMs = 0): boolean {
+    const now = this.clock.monotonic()
+    return this.listRuns(leftMs).length > 0 || now - this.lastEndedAt <= ENDED_RUN_MS || now - this.startedAt <= EARLIER_RUNS_MS
+  }
+
   /** Records the decision that followed an attempt which reached a target. */
   recordDecision (service: string, decision: RetryDecision): void {
     if (typeof decision === 'number') this.getCounts(service).repeats += 1
@@ -75,7 +89,9 @@
     const run: Run = { kind, repeatShare, endsAt: this.clock.monotonic() + leftMs }
     this.runs.add(run)
     this.rates.recordRun(kind)
-    return () => { this.runs.delete(run) }
+    return () => {
+      if (this.runs.delete(run)) this.lastEndedAt = this.clock.monotonic()
+    }
   }
 
   /** Called once a request has reached a target of this host. */
@@ -93,13 +109,18 @@
   }
 
   private deriveOrigin (service: string, leftMs: number): CallOrigin {
-    const expiresAt = this.clock.monotonic() + leftMs - MAX_ARRIVAL_DELAY_MS
-    const runs = [...this.runs].filter(({ endsAt }) => endsAt >= expiresAt)
+    const runs = this.listRuns(leftMs)
     if (runs.length === 0) return { isOfRun: false, repeatShare: 0 }
     const shares = this.rates.recordCall(service, runs.map(({ kind }) => kind))
     return { isOfRun: true, repeatShare: runs.reduce((sum, { repeatShare }, index) => sum + repeatShare * (shares[index] ?? 0), 0) }
   }
 
+  /** Returns the runs in flight that last as long as a call. */
+  private listRuns (leftMs: number): Run[] {
+    const expiresAt = this.clock.monotonic() + leftMs - MAX_ARRIVAL_DELAY_MS
+    return [...this.runs].filter(({ endsAt }) => endsAt >= expiresAt)
+  }
+
   private getCounts (service: string): RepeatCounts {
     return getOrMake(this.counts, service, () => ({ calls: 0, callsOfRepeats: 0, repeats: 0, denied: 0, arrivals: 0, repeatedArrivals: 0 }))
   }
--- a/src/request/schema.ts
+++ b/src/request/schema.ts
@@ -2,6 +2,7 @@
  * A call as routing and retry decisions use it: typed values, without sockets or body bytes.
  */
 import * as z from 'zod'
+import { credentialSchema } from '../account/index.js'
 
 export const HEADERS = {
   service: 'x-comfreyspoke-service',
@@ -19,6 +20,8 @@
   repeatPercent: 'x-comfreyspoke-repeat-percent',
   noRetry: 'x-comfreyspoke-no-retry',
   load: 'x-comfreyspoke-load',
+  /** The name of the client account, percent-encoded. */
+  account: 'x-comfreyspoke-account',
   objective: 'x-comfreyspoke-objective-ms',
   key: 'idempotency-key',
   fingerprint: 'x-comfreyspoke-fingerprint',
@@ -49,6 +52,8 @@
   key: z.string().optional(),
   /** Set by a caller that itself serves a retry, so that this call is not retried again. */
   noRetry: z.boolean(),
+  /** Absent if the protocol has no credentials. */
+  credential: credentialSchema.optional(),
   bodyBytes: z.number().int().optional(),
   hasBody: z.boolean()
 })
--- a/src/request/tasks/attempt.ts
+++ b/src/request/tasks/attempt.ts
@@ -1,8 +1,10 @@
 /**
  * Sends one attempt of a call to a target on this host, or to the node on the host of the target.
  */
+import type { Account } from '../../account/index.js'
 import { Err, Ok, failureSchema, makeFailure, readWholeText } from '../../core/index.js'
 import type { Clock, Failure, Result } from '../../core/index.js'
+import type { RouteClass } from '../../document/index.js'
 import type { Target } from '../../membership/index.js'
 import type { DeliveryOutcome } from '../response.js'
 import type { RequestBody } from '../body.js'
@@ -32,6 +34,7 @@
   suspect: SuspectCall
   /** The probability that a repeated run on this host made the call. */
   repeatShare: number
+  account: Account | undefined
 }
 
 export interface Attempt { activeCall: ActiveCall, target: Target, number: number, origin: RunOrigin }
@@ -74,7 +77,7 @@
   const result = await runLocal(context.inbound, {
     service: target.service,
     target: name,
-    routeClass: activeCall.resolved.route.class,
+    routeClass: getClass(activeCall),
     attempt: number,
     origin,
     objectiveMs: measureRemainingObjective(activeCall),
@@ -118,7 +121,7 @@
 }
 
 function makeOutgoingRequest ({ activeCall, target, number, origin }: Attempt): Pick<OutgoingRequest, 'method' | 'path' | 'headers'> {
-  const { call, resolved, headers, scope, suspect } = activeCall
+  const { call, resolved, headers, scope, suspect, account } = activeCall
   const outgoingHeaders: Headers = {
     ...headers,
     ...suspect.makeHeaders(target.host),
@@ -128,9 +131,10 @@
     [HEADERS.attempt]: String(number),
     [HEADERS.repeatPercent]: String(Math.round(origin.repeatShare * 100)),
     [HEADERS.deadline]: String(scope.forwardedDeadlineMs),
-    [HEADERS.routeClass]: resolved.route.class,
+    [HEADERS.routeClass]: getClass(activeCall),
     [HEADERS.target]: getTargetName(target),
-    ...call.caller === undefined ? {} : { [HEADERS.caller]: call.caller }
+    ...call.caller === undefined ? {} : { [HEADERS.caller]: call.caller },
+    ...account === undefined ? {} : { [HEADERS.account]: encodeURIComponent(account.name) }
   }
   if (origin.isRepeat) outgoingHeaders[HEADERS.repeat] = '1'
   const objectiveMs = measureRemainingObjective(activeCall)
@@ -140,6 +144,10 @@
   return { method: call.method, path: call.path, headers: outgoingHeaders }
 }
 
+function getClass ({ account, resolved: { route } }: ActiveCall): RouteClass {
+  return account?.class ?? route.class
+}
+
 /** Returns the time left of the latency objective of the route. */
 function measureRemainingObjective ({ resolved: { route }, scope }: ActiveCall): number | undefined {
   return route.objectiveMs === undefined ? undefined : Math.max(0, route.objectiveMs - scope.elapsedMs)
--- a/src/request/tasks/caller.ts
+++ b/src/request/tasks/caller.ts
@@ -3,6 +3,8 @@
  * a target responds or the failure is final.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import { AccountTable, authorizeRequest } from '../../account/index.js'
+import type { Credential } from '../../account/index.js'
 import { Err, makeFailure } from '../../core/index.js'
 import type { Failure, Random, Result } from '../../core/index.js'
 import type { Metrics } from '../../metrics/index.js'
@@ -25,6 +27,8 @@
   metrics: Metrics
   suspects: SuspectTable
   getSnapshot: () => Snapshot
+  /** The accounts of the version in force. Absent: callers need no keys. */
+  getAccounts?: () => AccountTable
   isReady: () => boolean
   /** True if a peer has a newer configuration than this node. */
   isOutdated?: () => boolean
@@ -46,6 +50,9 @@
 /** Applies while no configuration sets a limit. */
 const DEFAULT_HEAD_BYTES = 16 * 1024
 
+const NO_ACCOUNTS = new AccountTable(false)
+const NO_CREDENTIAL: Credential = { kind: 'none' }
+
 export async function serveCaller (context: CallerContext, message: IncomingMessage, response: ServerResponse): Promise<void> {
   const body = new RequestBody(message, response)
   const call = readCall(context, message)
@@ -106,12 +113,21 @@
   if (deadlineMs > (context.getTimeToShutdownMs?.() ?? Infinity)) return Err(makeFailure('not-run', 503, 'stopping', 'this node stops before the deadline of the request', RETRY_AFTER_MS))
   const scope = new RequestScope(context.clock, deadlineMs, response)
   await scope.awaitPendingClose()
-  const { isOfRun, repeatShare } = context.inbound.repeats.recordCall(service, call.deadlineMs)
+  const accounts = context.getAccounts?.() ?? NO_ACCOUNTS
+  const { credential = NO_CREDENTIAL } = call
+  const { repeats } = context.inbound
+  const authorized = authorizeRequest(accounts, { credential, route, isOfRun: repeats.matchesRun(call.deadlineMs) })
+  if (authorized.err) {
+    scope.end()
+    return Err(context.isOutdated?.() === true ? makeOutdatedFailure(authorized.val) : authorized.val)
+  }
+  // Targets have no keys, so no run on this host has made a request with one.
+  const { isOfRun, repeatShare } = repeats.recordCall(service, authorized.val === undefined ? call.deadlineMs : Infinity)
   context.retry.countCall(service, isOfRun)
   const run = async (): Promise<Result<AttemptResponse, Failure>> => {
     const suspect = new SuspectCall(context.suspects, call, body.prefix)
-    const headers = context.inbound.adapter.filterRequestHeaders(message.headers)
-    return await new Attempts(context, { call, resolved: resolved.val, headers, body, scope, suspect, repeatShare }).run()
+    const headers = context.inbound.adapter.filterRequestHeaders(message.headers, accounts.isInForce)
+    return await new Attempts(context, { call, resolved: resolved.val, headers, body, scope, suspect, repeatShare, account: authorized.val }).run()
   }
   if (call.hasBody && !(await body.bufferShortBody(scope.signal) && await body.readPrefix(scope.signal))) {
     scope.end()
