Add quotas of accounts across all nodes: buckets with an owner in each zone, and loans over the peer port

Nothing limited how many requests of an account reach targets. Each zone has one owner of an account's bucket, by rendezvous hash; nodes get credits from it with the message lend, and owners get credits from each other. The request path takes one credit before the first attempt and returns it if no target was reached. Without the quota settings nothing is assembled and the method is not served.

--- a/src/node/handlers.ts
+++ b/src/node/handlers.ts
@@ -2,6 +2,7 @@
  * The handlers of the peer port: exchanges with peers, and queries and commands of operators.
  */
 import type { DrainRequest, DrainResponse, PeerHandlers } from '../peer/index.js'
+import type { QuotaService } from '../quota/index.js'
 import { matchesSecret } from '../request/index.js'
 import { filterEvents } from '../timeline/index.js'
 import { makeStatus } from './queries/status.js'
@@ -13,21 +14,24 @@
   state: NodeState
   telemetry: NodeTelemetry
   peers: PeerSynchronizer
+  quota: QuotaService | undefined
   /** The secret that operators' commands must carry, if there is one. */
   operatorToken: string | undefined
   startLeaving: () => void
 }
 
 export function makePeerHandlers (context: HandlerContext): PeerHandlers {
-  const { state, telemetry, peers } = context
+  const { state, telemetry, peers, quota } = context
   return {
     exchange: request => {
       telemetry.recordExchange(request.host)
+      quota?.recordContact(request.host)
       return peers.respond(request)
     },
     status: () => makeStatus(state),
     timeline: ({ filter }) => ({ events: filterEvents(telemetry.eventRing.list(), filter) }),
-    drain: request => acceptDrain(context, request)
+    drain: request => acceptDrain(context, request),
+    ...quota === undefined ? {} : { lend: async request => await quota.lend(request) }
   }
 }
 
--- a/src/node/parts.ts
+++ b/src/node/parts.ts
@@ -5,6 +5,7 @@
 import type { SystemClock, SystemRandom } from '../core/index.js'
 import type { Dialer, PeerCredentials } from '../peer/index.js'
 import type { AdmissionPolicy, Picker, ProtocolAdapter, RetryPolicy } from '../request/index.js'
+import type { QuotaSettings } from '../quota/index.js'
 import type { ObjectStore } from '../store/index.js'
 import type { NodeSettings, NodeTimeouts } from './settings.js'
 
@@ -32,6 +33,8 @@
   adapter: ProtocolAdapter
   /** `countNodes` returns the number of nodes in the fleet that this node knows of. */
   makePolicies: (clock: SystemClock, random: SystemRandom, countNodes: () => number) => RequestPolicies
+  /** Absent if the deployment has no quotas. */
+  quota?: QuotaSettings
   access?: AccessOptions
 }
 
--- a/src/node/start.ts
+++ b/src/node/start.ts
@@ -3,6 +3,7 @@
  * adapter and the policies are passed in, so that the node does not depend on a platform.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Account } from '../account/index.js'
 import type { Configuration, ConfigurationUpdate } from '../configuration/index.js'
 import { makeFailure, SystemClock, SystemRandom } from '../core/index.js'
 import type { Announcement, Heartbeat } from '../membership/index.js'
@@ -12,6 +13,8 @@
   writeFailure
 } from '../request/index.js'
 import type { CallerContext, HttpClient } from '../request/index.js'
+import { QuotaService } from '../quota/index.js'
+import type { QuotaSettings } from '../quota/index.js'
 import { CountingObjectStore } from '../store/index.js'
 import { applyConfiguration } from './commands/apply.js'
 import { LocalHostRegistration } from './commands/localhost.js'
@@ -26,6 +29,7 @@
 import { serveAdmin } from './tasks/admin.js'
 import { HostDirectory } from './tasks/directory.js'
 import { listTasks } from './tasks/list.js'
+import { followHosts, reportQuota } from './tasks/quota.js'
 import { observeHosts } from './tasks/observe.js'
 import { PeerSynchronizer } from './tasks/peers.js'
 import { runSupervised } from './tasks/supervised.js'
@@ -39,6 +43,7 @@
 const INBOUND_HEADER_TIMEOUT_MS = 10_000
 /** Where a configuration came from that no peer sent. */
 const STORE = 'store'
+const NO_ACCOUNTS: readonly Account[] = []
 
 export class Node {
   readonly telemetry: NodeTelemetry
@@ -54,6 +59,7 @@
   private readonly peers: PeerSynchronizer
   private readonly directory: HostDirectory
   private readonly registration: LocalHostRegistration
+  private readonly quota: QuotaService | undefined
   private readonly targetHttpClient: UndiciHttpClient
   private readonly peerHttpClient: HttpClient
   private readonly callerPort: HttpPort
@@ -86,13 +92,17 @@
     this.peers = new PeerSynchronizer({ state: this.state, transport: this.client, clock, random, log, onConfiguration })
     const store = new CountingObjectStore(parts.store, (call, kind) => { this.telemetry.recordStoreCall(call, kind) })
     const copies = new RecordCopies(clock)
+    this.quota = parts.quota === undefined ? undefined : this.makeQuota(parts.quota)
     this.directory = new HostDirectory({
       state: this.state,
       store,
       clock,
       random,
       log,
-      onListed: () => { void this.peers.compareState() },
+      onListed: () => {
+        this.quota?.recordContact()
+        void this.peers.compareState()
+      },
       onWritten: record => { copies.recordStored(record) }
     })
     const { state, telemetry, localTargets, crashWatch, directory, peers } = this
@@ -142,12 +152,23 @@
       onExpired: expired => { this.handleExpired(expired) },
       announceMarks: () => { this.registration.announceMarks() }
     }, signal)
+    if (this.quota !== undefined) {
+      const { quota } = this
+      followHosts(state, quota, signal)
+      tasks.push({ name: 'quota', run: async () => { await quota.run(signal) } })
+      tasks.push({ name: 'quota report', run: async () => { await reportQuota({ quota, telemetry, clock }, signal) } })
+    }
     for (const task of tasks) void runSupervised(task, clock, (origin, error) => { telemetry.recordUnexpectedError(origin, error) }, signal)
     await this.callerPort.listen(settings.caller)
     await this.inboundPort.listen(settings.inbound)
     this.inboundPort.setTimeouts(INBOUND_HEADER_TIMEOUT_MS, INBOUND_IDLE_TIMEOUT_MS)
     const handlers = makePeerHandlers({
-      state, telemetry, peers, operatorToken: access?.operatorToken, startLeaving: () => { this.registration.startLeaving(this.countInFlight()) }
+      state,
+      telemetry,
+      peers,
+      quota: this.quota,
+      operatorToken: access?.operatorToken,
+      startLeaving: () => { this.registration.startLeaving(this.countInFlight()) }
     })
     await startPeerServer(settings.peer, this.meter.codec, handlers, access?.credentials?.server, [this.meter.serverInterceptor])
     const admin = { state, metrics: telemetry.metrics, countInFlight: () => this.countInFlight() }
@@ -225,6 +246,19 @@
     else writeFailure(response, makeFailure('not-run', 403, 'bad_token', 'wrong or missing peer token'), '')
   }
 
+  private makeQuota (settings: QuotaSettings): QuotaService {
+    const { clock, random, state, client, telemetry } = this
+    return new QuotaService({
+      location: state.identity,
+      settings,
+      clock,
+      random,
+      send: async (address, request) => await client.lend(address, request),
+      getAccounts: () => state.configuration?.accounts ?? NO_ACCOUNTS,
+      onResult: (result, account, count) => { telemetry.quota.record(result, account, count) }
+    })
+  }
+
   private makeCallerContext (): CallerContext {
     const { settings, adapter } = this.parts
     const { clock, random, state, telemetry, policies } = this
@@ -252,6 +286,7 @@
       retry,
       getSnapshot: () => state.snapshotTable.current,
       getAccounts: () => state.accounts,
+      ...this.quota === undefined ? {} : { quota: this.quota.policy },
       isReady: () => state.isReady,
       isOutdated: () => state.isOutdated,
       getMaxHeadBytes: () => state.configuration?.callerLimits?.headerBytes,
--- a/src/node/telemetry.ts
+++ b/src/node/telemetry.ts
@@ -12,6 +12,7 @@
 import { EventRecorder, EventRing } from '../timeline/index.js'
 import type { EventDetail } from '../timeline/index.js'
 import type { ApplyResult } from './commands/apply.js'
+import { QuotaTelemetry } from './quotatelemetry.js'
 import type { NodeState } from './state.js'
 
 /** Unreadable parts of one version that are logged. */
@@ -22,6 +23,7 @@
   readonly metrics = new Metrics()
   readonly eventRing = new EventRing()
   readonly recorder: EventRecorder
+  readonly quota: QuotaTelemetry
   private hasAppliedConfiguration = false
   private hasCalledStore = false
   private hasExchanged = false
@@ -29,6 +31,7 @@
   constructor (private readonly state: NodeState, private readonly clock: Clock) {
     const { host, zone } = state.identity
     this.log = new JsonStructuredLog(host, clock)
+    this.quota = new QuotaTelemetry(this.log, this.metrics)
     this.recorder = new EventRecorder(this.eventRing, state.time, host, zone)
   }
 
--- a/src/peer/client.ts
+++ b/src/peer/client.ts
@@ -5,21 +5,25 @@
 import type { ChannelCredentials, Interceptor, MethodDefinition } from '@grpc/grpc-js'
 import { Err, Ok, describeError, makeFault } from '../core/index.js'
 import type { Fault, Result } from '../core/index.js'
+import type { LendRequest, LendResponse } from '../quota/index.js'
 import type { EventFilter } from '../timeline/index.js'
 import { PeerTransport } from './transport.js'
 import type { Codec } from './codec.js'
 import type { Dialer } from './dialer.js'
 import type { DrainResponse, DrainRequest, ExchangeResponse, ExchangeRequest, StatusResponse, TimelineResponse } from './messages.js'
 import { CHANNEL_OPTIONS } from './server.js'
-import { defineOperatorCommands, defineOperatorQueries, definePeerMethods } from './services.js'
-import type { OperatorCommandMethods, OperatorQueryMethods, PeerMethods } from './services.js'
+import { defineOperatorCommands, defineOperatorQueries, definePeerMethods, defineQuotaMethods } from './services.js'
+import type { OperatorCommandMethods, OperatorQueryMethods, PeerMethods, QuotaMethods } from './services.js'
 
 const EXCHANGE_TIMEOUT_MS = 1_000
 const OPERATOR_TIMEOUT_MS = 1_500
+/** A request does not wait for credits any longer, but a later response still shows that the connection works. */
+const LEND_TIMEOUT_MS = 1_000
 
 export class PeerClient extends PeerTransport {
   private readonly clients = new Map<string, Client>()
   private readonly peer: PeerMethods
+  private readonly quota: QuotaMethods
   private readonly queries: OperatorQueryMethods
   private readonly commands: OperatorCommandMethods
 
@@ -31,6 +35,7 @@
   ) {
     super()
     this.peer = definePeerMethods(codec)
+    this.quota = defineQuotaMethods(codec)
     this.queries = defineOperatorQueries(codec)
     this.commands = defineOperatorCommands(codec)
   }
@@ -39,6 +44,10 @@
     return await this.call(address, this.peer.exchange, request, EXCHANGE_TIMEOUT_MS)
   }
 
+  async lend (address: string, request: LendRequest): Promise<Result<LendResponse, Fault>> {
+    return await this.call(address, this.quota.lend, request, LEND_TIMEOUT_MS)
+  }
+
   async queryStatus (address: string): Promise<Result<StatusResponse, Fault>> {
     return await this.call(address, this.queries.status, {}, OPERATOR_TIMEOUT_MS)
   }
--- a/src/peer/server.ts
+++ b/src/peer/server.ts
@@ -4,17 +4,20 @@
 import { Server, ServerCredentials, status } from '@grpc/grpc-js'
 import type { sendUnaryData, ServerCredentials as Credentials, ServerInterceptor, ServerUnaryCall } from '@grpc/grpc-js'
 import { describeError } from '../core/index.js'
+import type { LendRequest, LendResponse } from '../quota/index.js'
 import type { Codec } from './codec.js'
 import type {
   DrainResponse, DrainRequest, ExchangeResponse, ExchangeRequest, StatusResponse, StatusRequest, TimelineResponse, TimelineRequest
 } from './messages.js'
-import { defineOperatorCommands, defineOperatorQueries, definePeerMethods } from './services.js'
+import { defineOperatorCommands, defineOperatorQueries, definePeerMethods, defineQuotaMethods } from './services.js'
 
 export interface PeerHandlers {
   exchange: (request: ExchangeRequest) => ExchangeResponse
   status: (request: StatusRequest) => StatusResponse
   timeline: (request: TimelineRequest) => TimelineResponse
   drain: (request: DrainRequest) => DrainResponse
+  /** Absent if the deployment has no quotas. */
+  lend?: (request: LendRequest) => Promise<LendResponse>
 }
 
 const MAX_MESSAGE_BYTES = 64 * 1024 * 1024
@@ -34,6 +37,14 @@
   }
 }
 
+function handleUnaryLater<Q, A> (handle: (request: Q) => Promise<A>) {
+  return (call: ServerUnaryCall<Q, A>, callback: sendUnaryData<A>): void => {
+    handle(call.request).then(response => { callback(null, response) }, error => {
+      callback({ code: status.INTERNAL, message: describeError(error) })
+    })
+  }
+}
+
 export async function startPeerServer (
   address: string,
   codec: Codec,
@@ -43,6 +54,7 @@
 ): Promise<Server> {
   const server = new Server({ ...CHANNEL_OPTIONS, interceptors })
   server.addService({ ...definePeerMethods(codec) }, { exchange: handleUnary(handlers.exchange) })
+  if (handlers.lend !== undefined) server.addService({ ...defineQuotaMethods(codec) }, { lend: handleUnaryLater(handlers.lend) })
   server.addService({ ...defineOperatorQueries(codec) }, {
     status: handleUnary(handlers.status), timeline: handleUnary(handlers.timeline)
   })
--- a/src/peer/services.ts
+++ b/src/peer/services.ts
@@ -4,6 +4,8 @@
  */
 import type { MethodDefinition } from '@grpc/grpc-js'
 import type * as z from 'zod'
+import { lendRequestSchema, lendResponseSchema } from '../quota/index.js'
+import type { LendRequest, LendResponse } from '../quota/index.js'
 import type { Codec } from './codec.js'
 import {
   drainResponseSchema, drainRequestSchema, exchangeResponseSchema, exchangeRequestSchema, statusResponseSchema, statusRequestSchema,
@@ -27,6 +29,9 @@
 
 export interface PeerMethods { exchange: MethodDefinition<ExchangeRequest, ExchangeResponse> }
 
+/** Served only where the deployment has quotas. */
+export interface QuotaMethods { lend: MethodDefinition<LendRequest, LendResponse> }
+
 export interface OperatorQueryMethods {
   status: MethodDefinition<StatusRequest, StatusResponse>
   timeline: MethodDefinition<TimelineRequest, TimelineResponse>
@@ -38,6 +43,10 @@
   return { exchange: defineMethod(codec, '/comfreyspoke.Peer/Exchange', exchangeRequestSchema, exchangeResponseSchema) }
 }
 
+export function defineQuotaMethods (codec: Codec): QuotaMethods {
+  return { lend: defineMethod(codec, '/comfreyspoke.Quota/Lend', lendRequestSchema, lendResponseSchema) }
+}
+
 export function defineOperatorQueries (codec: Codec): OperatorQueryMethods {
   return {
     status: defineMethod(codec, '/comfreyspoke.OperatorQueries/Status', statusRequestSchema, statusResponseSchema),
--- a/src/request/tasks/attempts.ts
+++ b/src/request/tasks/attempts.ts
@@ -40,6 +40,7 @@
   private reachedCount = 0
   private worstFailure: Failure | undefined
   private needsFreeSlot = false
+  private hasReached = false
   /** The retry budget has allowed an attempt that has not reached a target yet. */
   private hasAllowedRetry = false
   /** A server error response of a target. The caller gets it when no other attempt yields a better response. */
@@ -55,6 +56,11 @@
     }
   }
 
+  /** True if an attempt reached a target, or may have. */
+  get hasReachedTarget (): boolean {
+    return this.hasReached
+  }
+
   private async attemptInTurn (): Promise<Result<AttemptResponse, Failure>> {
     const { scope, suspect, body } = this.activeCall
     while (!scope.signal.aborted) {
@@ -65,7 +71,10 @@
       this.attemptNumber += 1
       const result = await attemptTarget(this.context, { activeCall: this.activeCall, target, number: this.attemptNumber, origin: this.origin })
       const failure = this.recordResult(target, result)
-      if (hasReachedTarget(result)) this.finishRetry(true)
+      if (hasReachedTarget(result)) {
+        this.hasReached = true
+        this.finishRetry(true)
+      }
       if (failure === undefined) return result.map(response => this.makeResponse(response))
       body.release()
       const decision = this.decide(failure)
--- a/src/request/tasks/caller.ts
+++ b/src/request/tasks/caller.ts
@@ -8,6 +8,7 @@
 import { Err, makeFailure } from '../../core/index.js'
 import type { Failure, Random, Result } from '../../core/index.js'
 import type { Metrics } from '../../metrics/index.js'
+import type { QuotaPolicy } from '../../quota/index.js'
 import type { Snapshot } from '../../snapshot/index.js'
 import { checkHeadSize } from '../headers.js'
 import { writeResponse, writeFormattedFailure } from '../response.js'
@@ -29,6 +30,8 @@
   getSnapshot: () => Snapshot
   /** The accounts of the version in force. Absent: callers need no keys. */
   getAccounts?: () => AccountTable
+  /** Absent: no account has a limit. */
+  quota?: QuotaPolicy
   isReady: () => boolean
   /** True if a peer has a newer configuration than this node. */
   isOutdated?: () => boolean
@@ -127,7 +130,17 @@
   const run = async (): Promise<Result<AttemptResponse, Failure>> => {
     const suspect = new SuspectCall(context.suspects, call, body.prefix)
     const headers = context.inbound.adapter.filterRequestHeaders(message.headers, accounts.isInForce)
-    return await new Attempts(context, { call, resolved: resolved.val, headers, body, scope, suspect, repeatShare, account: authorized.val }).run()
+    const account = authorized.val
+    const attempts = new Attempts(context, { call, resolved: resolved.val, headers, body, scope, suspect, repeatShare, account })
+    if (context.quota === undefined || account === undefined) return await attempts.run()
+    const credit = await context.quota.acquire(account)
+    if (credit.err) {
+      scope.end()
+      return Err(credit.val)
+    }
+    const result = await attempts.run()
+    if (!attempts.hasReachedTarget) credit.val.returnUnused()
+    return result
   }
   if (call.hasBody && !(await body.bufferShortBody(scope.signal) && await body.readPrefix(scope.signal))) {
     scope.end()
