Roll out a new version of a service: decisions, reports, store and use in requests

Change: targets have versions where the platform sets the bounds of rollouts; src/rollout decides which targets a call may go to, judges the new version by a sequential test, and names the phases; nodes report to a coordinator over the peer port; the slots of the other version are closed and the status is written by a conditional write. Without the bounds no task runs and no message changes.

--- a/src/membership/queries/targets.ts
+++ b/src/membership/queries/targets.ts
@@ -15,6 +15,11 @@
     slots: announcement.slots,
     connections: announcement.connections,
     labels: announcement.labels,
-    state: record.state === 'leaving' ? 'leaving' : announcement.state
+    state: record.state === 'leaving' ? 'leaving' : announcement.state,
+    ...announcement.version === undefined ? {} : { version: announcement.version, startedAt: findStart(record, announcement.target) }
   }))
 }
+
+function findStart ({ processes }: HostRecord, target: string): number | undefined {
+  return processes.find(process => process.target === target)?.startedAt
+}
--- a/src/membership/schema.ts
+++ b/src/membership/schema.ts
@@ -21,6 +21,8 @@
 export const targetStateSchema = z.enum(['starting', 'ready', 'leaving'])
 export type TargetState = z.infer<typeof targetStateSchema>
 
+const MAX_VERSION_CHARACTERS = 128
+
 /** What a target posts to the node of its host. The target repeats it each second as a heartbeat. */
 export const announcementSchema = z.strictObject({
   service: nameSchema,
@@ -29,7 +31,9 @@
   slots: z.number().int().min(1).max(10_000).default(6),
   connections: z.number().int().min(1).max(100_000).default(130),
   labels: z.record(nameSchema, z.string().max(63)).default({}),
-  state: targetStateSchema.default('ready')
+  state: targetStateSchema.default('ready'),
+  /** The version of the program, absent where there are no rollouts. */
+  version: z.string().min(1).max(MAX_VERSION_CHARACTERS).optional()
 })
 export type Announcement = z.infer<typeof announcementSchema>
 
@@ -96,4 +100,7 @@
   readonly connections: number
   readonly labels: Readonly<Record<string, string>>
   readonly state: TargetState
+  readonly version?: string | undefined
+  /** Start time of the target's process in Unix milliseconds, absent if it is not known. */
+  readonly startedAt?: number | undefined
 }
--- a/src/node/handlers.ts
+++ b/src/node/handlers.ts
@@ -5,6 +5,7 @@
 import { matchesSecret } from '../request/index.js'
 import { filterEvents } from '../timeline/index.js'
 import { makeStatus } from './queries/status.js'
+import type { NodeRollouts } from './rollouts.js'
 import type { NodeState } from './state.js'
 import type { PeerSynchronizer } from './tasks/peers.js'
 import type { NodeTelemetry } from './telemetry.js'
@@ -13,18 +14,21 @@
   state: NodeState
   telemetry: NodeTelemetry
   peers: PeerSynchronizer
+  /** Absent where there are no rollouts. */
+  rollouts: NodeRollouts | undefined
   /** The secret that operators' commands must carry, if there is one. */
   operatorToken: string | undefined
   startLeaving: () => void
 }
 
 export function makePeerHandlers (context: HandlerContext): PeerHandlers {
-  const { state, telemetry, peers } = context
+  const { state, telemetry, peers, rollouts } = context
   return {
     exchange: request => {
       telemetry.recordExchange(request.host)
       return peers.respond(request)
     },
+    report: report => rollouts?.receiveReport(report) ?? {},
     status: () => makeStatus(state),
     timeline: ({ filter }) => ({ events: filterEvents(telemetry.eventRing.list(), filter) }),
     drain: request => acceptDrain(context, request)
--- a/src/node/parts.ts
+++ b/src/node/parts.ts
@@ -5,6 +5,7 @@
 import type { SystemClock, SystemRandom } from '../core/index.js'
 import type { Dialer, PeerCredentials } from '../peer/index.js'
 import type { AdmissionPolicy, Picker, ProtocolAdapter, RetryPolicy } from '../request/index.js'
+import type { RolloutBounds, RolloutStore } from '../rollout/index.js'
 import type { ObjectStore } from '../store/index.js'
 import type { NodeSettings, NodeTimeouts } from './settings.js'
 
@@ -24,6 +25,8 @@
 /** How this node and the rest of the fleet reach each other and prove their identity. */
 export interface AccessOptions { credentials?: PeerCredentials, dialer?: Dialer, peerToken?: string | undefined, operatorToken?: string | undefined }
 
+export interface RolloutParts { bounds: RolloutBounds, store: RolloutStore }
+
 export interface NodeParts {
   settings: NodeSettings
   timeouts: NodeTimeouts
@@ -32,6 +35,8 @@
   adapter: ProtocolAdapter
   /** `countNodes` returns the number of nodes in the fleet that this node knows of. */
   makePolicies: (clock: SystemClock, random: SystemRandom, countNodes: () => number) => RequestPolicies
+  /** Absent where there are no rollouts: then nothing is read or sent for them. */
+  rollouts?: RolloutParts
   access?: AccessOptions
 }
 
--- a/src/node/start.ts
+++ b/src/node/start.ts
@@ -20,6 +20,7 @@
 import { startServer } from './http.js'
 import { HttpPort } from './port.js'
 import type { NodeParts, RequestPolicies, StopResult } from './parts.js'
+import { NodeRollouts } from './rollouts.js'
 import type { NodeTimeouts } from './settings.js'
 import { NodeShutdown } from './shutdown.js'
 import { NodeState } from './state.js'
@@ -46,6 +47,7 @@
   private readonly random = new SystemRandom()
   private readonly state: NodeState
   private readonly policies: RequestPolicies
+  private readonly rollouts: NodeRollouts | undefined
   private readonly localTargets: LocalTargets
   private readonly crashWatch: CrashTracker
   private readonly repeats = new RepeatMeter(this.clock)
@@ -71,7 +73,11 @@
     this.telemetry = new NodeTelemetry(this.state, clock)
     const { log, metrics } = this.telemetry
     this.policies = parts.makePolicies(clock, random, () => this.state.members.size)
-    this.localTargets = new LocalTargets(this.state.localHost, () => this.state.snapshotTable.current, clock, this.policies.admission)
+    const rolloutContext = { state: this.state, clock, random, telemetry: this.telemetry }
+    this.rollouts = parts.rollouts === undefined ? undefined : new NodeRollouts({ ...parts.rollouts, ...rolloutContext })
+    this.localTargets = new LocalTargets(
+      this.state.localHost, () => this.state.snapshotTable.current, clock, this.policies.admission, this.rollouts?.guard
+    )
     this.crashWatch = new CrashTracker(
       host, this.state.suspects, isConnectionRefused, target => this.state.localHost.formatProcess(target)
     )
@@ -83,7 +89,9 @@
     const dialer = access.dialer ?? new Dialer()
     this.client = new PeerClient(this.meter.codec, dialer, access.credentials?.client, [this.meter.clientInterceptor])
     const onConfiguration = (configuration: Configuration, from: string): void => { this.applyConfiguration(configuration, from) }
-    this.peers = new PeerSynchronizer({ state: this.state, transport: this.client, clock, random, log, onConfiguration })
+    this.peers = new PeerSynchronizer({
+      state: this.state, transport: this.client, clock, random, log, rollouts: this.rollouts?.guard, onConfiguration
+    })
     const store = new CountingObjectStore(parts.store, (call, kind) => { this.telemetry.recordStoreCall(call, kind) })
     const copies = new RecordCopies(clock)
     this.directory = new HostDirectory({
@@ -142,12 +150,19 @@
       onExpired: expired => { this.handleExpired(expired) },
       announceMarks: () => { this.registration.announceMarks() }
     }, signal)
-    for (const task of tasks) void runSupervised(task, clock, (origin, error) => { telemetry.recordUnexpectedError(origin, error) }, signal)
+    const rolloutTasks = this.rollouts?.listTasks({ peers, transport: this.client, localTargets: this.localTargets }, signal) ?? []
+    const reportError = (origin: string, error: unknown): void => { telemetry.recordUnexpectedError(origin, error) }
+    for (const task of [...tasks, ...rolloutTasks]) void runSupervised(task, clock, reportError, signal)
     await this.callerPort.listen(settings.caller)
     await this.inboundPort.listen(settings.inbound)
     this.inboundPort.setTimeouts(INBOUND_HEADER_TIMEOUT_MS, INBOUND_IDLE_TIMEOUT_MS)
     const handlers = makePeerHandlers({
-      state, telemetry, peers, operatorToken: access?.operatorToken, startLeaving: () => { this.registration.startLeaving(this.countInFlight()) }
+      state,
+      telemetry,
+      peers,
+      rollouts: this.rollouts,
+      operatorToken: access?.operatorToken,
+      startLeaving: () => { this.registration.startLeaving(this.countInFlight()) }
     })
     await startPeerServer(settings.peer, this.meter.codec, handlers, access?.credentials?.server, [this.meter.serverInterceptor])
     const admin = { state, metrics: telemetry.metrics, countInFlight: () => this.countInFlight() }
@@ -229,6 +244,7 @@
     const { settings, adapter } = this.parts
     const { clock, random, state, telemetry, policies } = this
     const { suspects } = state
+    const rollouts = this.rollouts === undefined ? {} : { rollouts: this.rollouts.guard }
     const { picker, retry, requestBufferBytes, responseBufferBytes } = policies
     return {
       host: settings.host,
@@ -244,6 +260,7 @@
         repeats: this.repeats,
         retry,
         adapter,
+        ...rollouts,
         responseBufferBytes
       },
       suspects,
@@ -251,6 +268,7 @@
       picker,
       retry,
       getSnapshot: () => state.snapshotTable.current,
+      ...rollouts,
       getAccounts: () => state.accounts,
       isReady: () => state.isReady,
       isOutdated: () => state.isOutdated,
--- a/src/node/tasks/peers.ts
+++ b/src/node/tasks/peers.ts
@@ -7,6 +7,7 @@
 import type { Clock, Random, StructuredLog } from '../../core/index.js'
 import { evictTombstones, makeTombstone, REMOVE_UNREACHABLE_AFTER_MS } from '../../membership/index.js'
 import type { HostRecord } from '../../membership/index.js'
+import type { RolloutGuard } from '../../rollout/index.js'
 import type { ExchangeRequest, ExchangeResponse, PeerTransport } from '../../peer/index.js'
 import { clearCrashMarks } from '../../suspect/index.js'
 import { storeRecords } from '../commands/records.js'
@@ -25,6 +26,8 @@
   clock: Clock
   random: Random
   log: StructuredLog
+  /** Absent where there are no rollouts. */
+  rollouts?: RolloutGuard | undefined
   onConfiguration: (configuration: Configuration, from: string) => void
 }
 
@@ -105,7 +108,7 @@
     const { state, clock } = this.context
     state.time.advance(request.stamp)
     this.unreachableSince.delete(request.host)
-    const response = makeExchangeResponse(state, request)
+    const response = { ...makeExchangeResponse(state, request), ...this.context.rollouts?.exchange(request) }
     storeRecords(state, { records: request.records, from: request.host }, clock)
     clearCrashMarks(state.suspects, request.cleared, request.host)
     const peer = state.members.get(request.host)
@@ -156,6 +159,7 @@
       wantsConfiguration: this.wantsConfiguration,
       zones: collectZoneDigests(state),
       stamp: state.time.advance(),
+      ...this.context.rollouts?.makeExchangePart(),
       ...payload
     }
     const result = await transport.exchange(peer.peer, request)
@@ -165,7 +169,8 @@
     }
     this.unreachableSince.delete(peer.host)
     onReceived?.(result.val)
-    const { records, stamp, version } = result.val
+    const { records, stamp, version, rollouts } = result.val
+    if (rollouts !== undefined) this.context.rollouts?.apply(rollouts)
     state.time.advance(stamp)
     this.receiveConfiguration(peer, result.val)
     this.checkVersion(peer, version)
@@ -207,6 +212,13 @@
     if (peer !== undefined) await this.exchange(peer, { ...EMPTY_PAYLOAD, configurationChange })
   }
 
+  /** The hosts that respond to this node, itself included. */
+  listReachableHosts (): string[] {
+    const { members, identity } = this.context.state
+    const others = [...members.list()].filter(({ host, state }) => state === 'serving' && host !== identity.host && !this.unreachableSince.has(host))
+    return [identity.host, ...others.map(({ host }) => host)]
+  }
+
   private deriveRoles (): ZoneRoles {
     const { members, identity } = this.context.state
     const others = [...members.list()].filter(({ host, zone }) => zone === identity.zone && host !== identity.host)
--- a/src/node/telemetry.ts
+++ b/src/node/telemetry.ts
@@ -8,6 +8,7 @@
 import type { Announcement, HeartbeatResult, HostRecord } from '../membership/index.js'
 import { Metrics } from '../metrics/index.js'
 import type { Call, FailedAttempt, RepeatCounts } from '../request/index.js'
+import type { Rollout } from '../rollout/index.js'
 import type { Entry } from '../snapshot/index.js'
 import { EventRecorder, EventRing } from '../timeline/index.js'
 import type { EventDetail } from '../timeline/index.js'
@@ -165,6 +166,23 @@
     }
   }
 
+  recordRolloutPhase ({ service, targetVersion }: Rollout, phase: string): void {
+    this.log.log('change', 'rollout_phase', { service, version: targetVersion, phase })
+  }
+
+  /** Logged by the coordinator when it has written the state of the rollout. */
+  recordRolloutDecision ({ service, targetVersion }: Rollout, state: string, reason: string): void {
+    this.log.log('change', 'rollout_decided', { service, version: targetVersion, state, reason })
+  }
+
+  recordRolloutFault ({ service, targetVersion }: Rollout, reason: string): void {
+    this.log.log('failure', 'rollout_store_failed', { service, version: targetVersion, reason })
+  }
+
+  recordRolloutRequest (service: string, version: string, result: string): void {
+    this.metrics.count('rollout_requests_total', { service, version, result })
+  }
+
   /** The request was rejected by its head alone, before its route was looked up. */
   recordRejectedHead ({ code, status, message }: Failure): void {
     this.metrics.count('rejected_heads_total', { code })
--- a/src/peer/client.ts
+++ b/src/peer/client.ts
@@ -6,6 +6,7 @@
 import { Err, Ok, describeError, makeFault } from '../core/index.js'
 import type { Fault, Result } from '../core/index.js'
 import type { EventFilter } from '../timeline/index.js'
+import type { RolloutReport, RolloutResponse } from '../rollout/index.js'
 import { PeerTransport } from './transport.js'
 import type { Codec } from './codec.js'
 import type { Dialer } from './dialer.js'
@@ -15,6 +16,8 @@
 import type { OperatorCommandMethods, OperatorQueryMethods, PeerMethods } from './services.js'
 
 const EXCHANGE_TIMEOUT_MS = 1_000
+/** A node sends nothing to the new version after 2 s without a response, and asks up to three coordinators. */
+const REPORT_TIMEOUT_MS = 500
 const OPERATOR_TIMEOUT_MS = 1_500
 
 export class PeerClient extends PeerTransport {
@@ -39,6 +42,10 @@
     return await this.call(address, this.peer.exchange, request, EXCHANGE_TIMEOUT_MS)
   }
 
+  override async report (address: string, report: RolloutReport): Promise<Result<RolloutResponse, Fault>> {
+    return await this.call(address, this.peer.report, report, REPORT_TIMEOUT_MS)
+  }
+
   async queryStatus (address: string): Promise<Result<StatusResponse, Fault>> {
     return await this.call(address, this.queries.status, {}, OPERATOR_TIMEOUT_MS)
   }
--- a/src/peer/messages.ts
+++ b/src/peer/messages.ts
@@ -5,6 +5,8 @@
 import * as z from 'zod'
 import { configurationChangeSchema, configurationSchema, refusedVersionSchema } from '../configuration/index.js'
 import { hostRecordSchema } from '../membership/index.js'
+import { rolloutSetSchema } from '../rollout/index.js'
+import { storePositionSchema } from '../store/index.js'
 import { eventFilterSchema, hybridTimeSchema, timelineEventSchema } from '../timeline/index.js'
 
 /**
@@ -31,6 +33,10 @@
   complete: z.record(z.string(), z.array(z.number().int())).optional(),
   /** Fingerprints of requests that completed at the requesting node. */
   cleared: z.array(z.string()),
+  /** The position of the rollouts that the requesting node knows. */
+  rolloutPosition: storePositionSchema.optional(),
+  /** Present while a rollout is running or has changed lately. */
+  rollouts: rolloutSetSchema.optional(),
   stamp: hybridTimeSchema
 })
 export type ExchangeRequest = z.infer<typeof exchangeRequestSchema>
@@ -49,6 +55,8 @@
   differing: z.array(z.string()),
   /** Bucket digests of the larger zones whose digests differ. */
   buckets: z.record(z.string(), digestSchema),
+  /** Rollouts at a later position than that of the requesting node. */
+  rollouts: rolloutSetSchema.optional(),
   stamp: hybridTimeSchema
 })
 export type ExchangeResponse = z.infer<typeof exchangeResponseSchema>
--- a/src/peer/server.ts
+++ b/src/peer/server.ts
@@ -4,6 +4,7 @@
 import { Server, ServerCredentials, status } from '@grpc/grpc-js'
 import type { sendUnaryData, ServerCredentials as Credentials, ServerInterceptor, ServerUnaryCall } from '@grpc/grpc-js'
 import { describeError } from '../core/index.js'
+import type { RolloutReport, RolloutResponse } from '../rollout/index.js'
 import type { Codec } from './codec.js'
 import type {
   DrainResponse, DrainRequest, ExchangeResponse, ExchangeRequest, StatusResponse, StatusRequest, TimelineResponse, TimelineRequest
@@ -12,6 +13,8 @@
 
 export interface PeerHandlers {
   exchange: (request: ExchangeRequest) => ExchangeResponse
+  /** Absent where there are no rollouts. */
+  report?: (report: RolloutReport) => RolloutResponse
   status: (request: StatusRequest) => StatusResponse
   timeline: (request: TimelineRequest) => TimelineResponse
   drain: (request: DrainRequest) => DrainResponse
@@ -42,7 +45,9 @@
   interceptors: ServerInterceptor[] = []
 ): Promise<Server> {
   const server = new Server({ ...CHANNEL_OPTIONS, interceptors })
-  server.addService({ ...definePeerMethods(codec) }, { exchange: handleUnary(handlers.exchange) })
+  server.addService({ ...definePeerMethods(codec) }, {
+    exchange: handleUnary(handlers.exchange), report: handleUnary<RolloutReport, RolloutResponse>(report => handlers.report?.(report) ?? {})
+  })
   server.addService({ ...defineOperatorQueries(codec) }, {
     status: handleUnary(handlers.status), timeline: handleUnary(handlers.timeline)
   })
--- a/src/peer/services.ts
+++ b/src/peer/services.ts
@@ -4,6 +4,8 @@
  */
 import type { MethodDefinition } from '@grpc/grpc-js'
 import type * as z from 'zod'
+import { rolloutReportSchema, rolloutResponseSchema } from '../rollout/index.js'
+import type { RolloutReport, RolloutResponse } from '../rollout/index.js'
 import type { Codec } from './codec.js'
 import {
   drainResponseSchema, drainRequestSchema, exchangeResponseSchema, exchangeRequestSchema, statusResponseSchema, statusRequestSchema,
@@ -25,7 +27,10 @@
   }
 }
 
-export interface PeerMethods { exchange: MethodDefinition<ExchangeRequest, ExchangeResponse> }
+export interface PeerMethods {
+  exchange: MethodDefinition<ExchangeRequest, ExchangeResponse>
+  report: MethodDefinition<RolloutReport, RolloutResponse>
+}
 
 export interface OperatorQueryMethods {
   status: MethodDefinition<StatusRequest, StatusResponse>
@@ -35,7 +40,10 @@
 export interface OperatorCommandMethods { drain: MethodDefinition<DrainRequest, DrainResponse> }
 
 export function definePeerMethods (codec: Codec): PeerMethods {
-  return { exchange: defineMethod(codec, '/comfreyspoke.Peer/Exchange', exchangeRequestSchema, exchangeResponseSchema) }
+  return {
+    exchange: defineMethod(codec, '/comfreyspoke.Peer/Exchange', exchangeRequestSchema, exchangeResponseSchema),
+    report: defineMethod(codec, '/comfreyspoke.Peer/Report', rolloutReportSchema, rolloutResponseSchema)
+  }
 }
 
 export function defineOperatorQueries (codec: Codec): OperatorQueryMethods {
--- a/src/request/commands/admit.ts
+++ b/src/request/commands/admit.ts
@@ -5,6 +5,8 @@
 import type { Clock, Failure, Result } from '../../core/index.js'
 import type { RouteClass } from '../../document/index.js'
 import type { Announcement, LocalHost } from '../../membership/index.js'
+import { OpenGate, VERSION_CLOSED } from '../../rollout/index.js'
+import type { VersionGate } from '../../rollout/index.js'
 import type { Snapshot } from '../../snapshot/index.js'
 import type { AdmissionPolicy } from '../admission.js'
 import { SlotLimiter } from '../slots.js'
@@ -25,7 +27,8 @@
     private readonly localHost: LocalHost,
     private readonly getSnapshot: () => Snapshot,
     private readonly clock: Clock,
-    private readonly admission?: AdmissionPolicy
+    private readonly admission?: AdmissionPolicy,
+    private readonly versions: VersionGate = new OpenGate()
   ) {}
 
   /**
@@ -36,7 +39,8 @@
   resolveTarget (target: string, service: string): string {
     if (this.localHost.findAnnouncement(target) !== undefined) return target
     const [successor, ...others] = this.localHost.listAnnouncements().filter(announcement => announcement.service === service)
-    return successor === undefined || others.length > 0 || Object.keys(successor.labels).length > 0 ? target : successor.target
+    if (successor === undefined || others.length > 0 || Object.keys(successor.labels).length > 0) return target
+    return this.versions.isSuccessor(successor) ? successor.target : target
   }
 
   async admit ({ target, routeClass, leftMs, objectiveMs, signal }: AdmitRequest): Promise<Result<AdmittedRequest, Failure>> {
@@ -45,13 +49,15 @@
       this.applyLimits()
       return Err(makeFailure('not-run', 503, 'no_target', `this host has no registered target ${target}`, RETRY_AFTER_MS))
     }
-    if (this.isLeaving(target)) return Err(makeLeavingFailure(target))
+    const unavailable = this.checkAvailable(target)
+    if (unavailable !== undefined) return Err(unavailable)
     const permit = await this.getLimiter(announcement).acquire(routeClass, leftMs, signal, objectiveMs)
     if (permit.err) return permit
     const current = this.localHost.findAnnouncement(target)
-    if (current !== undefined && !this.isLeaving(target)) return Ok({ announcement: current, permit: permit.val })
+    const closed = this.checkAvailable(target)
+    if (current !== undefined && closed === undefined) return Ok({ announcement: current, permit: permit.val })
     permit.val.release()
-    return Err(makeLeavingFailure(target))
+    return Err(closed ?? makeLeavingFailure(target))
   }
 
   measureLoad (target: string): TargetLoad {
@@ -69,7 +75,7 @@
   applyLimits (): void {
     for (const [target, limiter] of this.limiters) {
       const announcement = this.localHost.findAnnouncement(target)
-      if (announcement !== undefined && !this.isLeaving(target)) {
+      if (announcement !== undefined && this.checkAvailable(target) === undefined) {
         limiter.resize(this.getLimits(announcement))
         continue
       }
@@ -78,6 +84,12 @@
     }
   }
 
+  private checkAvailable (target: string): Failure | undefined {
+    if (this.isLeaving(target)) return makeLeavingFailure(target)
+    const announcement = this.localHost.findAnnouncement(target)
+    return announcement !== undefined && this.versions.isClosed(announcement) ? makeVersionClosedFailure(announcement) : undefined
+  }
+
   private isLeaving (target: string): boolean {
     return this.localHost.isLeaving || this.localHost.findAnnouncement(target)?.state === 'leaving'
   }
@@ -107,3 +119,7 @@
 function makeLeavingFailure (target: string): Failure {
   return makeFailure('not-run', 503, 'leaving', `target ${target} is leaving and accepts no new requests`, RETRY_AFTER_MS)
 }
+
+function makeVersionClosedFailure ({ target, version }: Announcement): Failure {
+  return makeFailure('not-run', 503, VERSION_CLOSED, `target ${target} has version ${version ?? ''}, which gets no new requests`, RETRY_AFTER_MS)
+}
--- a/src/request/headers.ts
+++ b/src/request/headers.ts
@@ -53,6 +53,7 @@
   const passed = removeHopByHopHeaders(headers)
   Reflect.deleteProperty(passed, HEADERS.verdict)
   Reflect.deleteProperty(passed, HEADERS.load)
+  Reflect.deleteProperty(passed, HEADERS.runTime)
   passed[HEADERS.request] = request
   return passed
 }
--- a/src/request/queries/outcome.ts
+++ b/src/request/queries/outcome.ts
@@ -4,6 +4,7 @@
  * do not show it.
  */
 import type { Failure } from '../../core/index.js'
+import { VERSION_CLOSED } from '../../rollout/index.js'
 import type { Route } from '../../document/index.js'
 import type { DeliveryOutcome } from '../response.js'
 import type { AttemptOutcome } from '../picker.js'
@@ -21,7 +22,7 @@
 /** Rejections which mean that the target is busy or leaving, not that it is failing. */
 const BUSY_OR_LEAVING_CODES = new Set([
   'queue_full', 'shed', 'no_time', 'deadline_in_queue', 'target_refused', 'leaving', 'no_target', 'suspect_waits', 'quarantined',
-  'retry_budget'
+  'retry_budget', VERSION_CLOSED
 ])
 const FIRST_SERVER_ERROR_STATUS = 500
 
--- a/src/request/schema.ts
+++ b/src/request/schema.ts
@@ -23,6 +23,8 @@
   /** The name of the client account, percent-encoded. */
   account: 'x-comfreyspoke-account',
   objective: 'x-comfreyspoke-objective-ms',
+  /** Time that the target took for the request, while a version of its service is rolled out. */
+  runTime: 'x-comfreyspoke-run-ms',
   key: 'idempotency-key',
   fingerprint: 'x-comfreyspoke-fingerprint',
   suspect: 'x-comfreyspoke-suspect'
--- a/src/request/tasks/attempt.ts
+++ b/src/request/tasks/attempt.ts
@@ -5,14 +5,16 @@
 import { Err, Ok, failureSchema, makeFailure, readWholeText } from '../../core/index.js'
 import type { Clock, Failure, Result } from '../../core/index.js'
 import type { RouteClass } from '../../document/index.js'
+import type { RolloutCall } from '../../rollout/index.js'
 import type { Target } from '../../membership/index.js'
 import type { DeliveryOutcome } from '../response.js'
 import type { RequestBody } from '../body.js'
 import type { SuspectCall } from '../commands/suspect.js'
 import type { TargetResponse, HttpClient, OutgoingRequest } from '../httpclient.js'
 import { parseLoad } from '../load.js'
+import { parseInteger } from '../headers.js'
 import type { Headers } from '../headers.js'
-import type { Picker } from '../picker.js'
+import type { AttemptOutcome, Picker } from '../picker.js'
 import { deriveFailureOutcome, deriveResponseOutcome } from '../queries/outcome.js'
 import type { ResolvedRoute } from '../queries/route.js'
 import { HEADERS } from '../schema.js'
@@ -35,6 +37,8 @@
   /** The probability that a repeated run on this host made the call. */
   repeatShare: number
   account: Account | undefined
+  /** Absent if the call may go to all targets of its service. */
+  rollout: RolloutCall | undefined
 }
 
 export interface Attempt { activeCall: ActiveCall, target: Target, number: number, origin: RunOrigin }
@@ -45,7 +49,7 @@
 export interface AttemptContext { host: string, clock: Clock, picker: Picker, inbound: InboundContext, peerClient: HttpClient }
 
 /** `release` frees the slot if the target is on this host. */
-interface ReceivedResponse { targetResponse: TargetResponse, release: () => void }
+interface ReceivedResponse { targetResponse: TargetResponse, release: () => void, runMs?: number | undefined }
 
 export async function attemptTarget (context: AttemptContext, attempt: Attempt): Promise<Result<AttemptResponse, Failure>> {
   const { picker, clock } = context
@@ -59,17 +63,27 @@
   if (received.err) {
     const failure = activeCall.body.isAboveLimit ? makeBodyLimitFailure(received.val) : received.val
     const { scope: { isCallerDisconnected }, call: { deadlineMs: callDeadlineMs }, resolved: { route } } = activeCall
-    picker.endAttempt(target, latencyMs, deriveFailureOutcome({ failure, isCallerDisconnected, callDeadlineMs, route, elapsedMs }), failure.code)
+    const outcome = deriveFailureOutcome({ failure, isCallerDisconnected, callDeadlineMs, route, elapsedMs })
+    picker.endAttempt(target, latencyMs, outcome, failure.code)
+    recordForRollout(attempt, outcome, failure.verdict !== 'not-run' || failure.reached === true, latencyMs)
     return Err(failure)
   }
-  const { targetResponse, release } = received.val
+  const { targetResponse, release, runMs } = received.val
   const finish = (delivery: DeliveryOutcome): void => {
     release()
-    picker.endAttempt(target, latencyMs, deriveResponseOutcome(targetResponse.statusCode, delivery))
+    const outcome = deriveResponseOutcome(targetResponse.statusCode, delivery)
+    picker.endAttempt(target, latencyMs, outcome)
+    recordForRollout(attempt, outcome, true, latencyMs === undefined ? undefined : runMs ?? latencyMs)
   }
   return Ok({ targetResponse, finish })
 }
 
+function recordForRollout (
+  { activeCall: { rollout, resolved }, target }: Attempt, result: AttemptOutcome, isReached: boolean, elapsedMs: number | undefined
+): void {
+  rollout?.record({ target, route: resolved.name, result, isReached, elapsedMs })
+}
+
 async function attemptLocal (context: AttemptContext, attempt: Attempt): Promise<Result<ReceivedResponse, Failure>> {
   const { activeCall, target, number, origin } = attempt
   const { local } = context.inbound
@@ -86,7 +100,7 @@
     body: activeCall.call.hasBody ? activeCall.body : undefined
   })
   context.picker.recordLoad(target, local.measureLoad(name))
-  return result.map(({ targetResponse, permit }) => ({ targetResponse, release: permit.release }))
+  return result.map(({ targetResponse, permit, runMs }) => ({ targetResponse, release: permit.release, runMs }))
 }
 
 async function attemptRemote (context: AttemptContext, attempt: Attempt): Promise<Result<ReceivedResponse, Failure>> {
@@ -103,7 +117,8 @@
   const load = parseLoad(received.val.headers[HEADERS.load])
   if (load !== undefined) context.picker.recordLoad(target, load)
   if (received.val.headers[HEADERS.verdict] !== undefined) return Err(await readPeerFailure(received.val))
-  return received.map(targetResponse => ({ targetResponse, release: () => {} }))
+  const runMs = parseInteger(received.val.headers[HEADERS.runTime], 0)
+  return received.map(targetResponse => ({ targetResponse, release: () => {}, runMs: typeof runMs === 'number' ? runMs : undefined }))
 }
 
 /**
--- a/src/request/tasks/attempts.ts
+++ b/src/request/tasks/attempts.ts
@@ -40,6 +40,8 @@
   private reachedCount = 0
   private worstFailure: Failure | undefined
   private needsFreeSlot = false
+  /** The code of the failure of the previous attempt. */
+  private lastCode: string | undefined
   /** The retry budget has allowed an attempt that has not reached a target yet. */
   private hasAllowedRetry = false
   /** A server error response of a target. The caller gets it when no other attempt yields a better response. */
@@ -82,13 +84,14 @@
   }
 
   private pickTarget (): Target | undefined {
-    const { resolved, call } = this.activeCall
-    const { targets, document: { zones } } = resolved
+    const { resolved, call, rollout } = this.activeCall
+    const { document: { zones } } = resolved
     const { local } = this.context.inbound
     const measureLocalLoad = (candidate: Target): TargetLoad => local.measureLoad(getTargetName(candidate))
-    const target = this.context.picker.pick({
+    const pick = (targets: readonly Target[]): Target | undefined => this.context.picker.pick({
       targets, tried: this.attemptedTargets, needsFreeSlot: this.needsFreeSlot, zones, bytes: call.bodyBytes ?? 0, measureLocalLoad
     })
+    const target = rollout === undefined ? pick(resolved.targets) : rollout.pick(pick, this.lastCode)
     if (target !== undefined) this.attemptedTargets.add(target.id)
     return target
   }
@@ -98,6 +101,7 @@
     const failure = result.ok ? findServerError(result.val.targetResponse) : result.val
     if (failure === undefined) return undefined
     if (failure.reached === true) this.reachedCount += 1
+    this.lastCode = failure.code
     this.needsFreeSlot = CAPACITY_CODES.has(failure.code)
     if (result.ok) {
       this.fallbackResponse?.finish('whole')
--- a/src/request/tasks/caller.ts
+++ b/src/request/tasks/caller.ts
@@ -8,6 +8,7 @@
 import { Err, makeFailure } from '../../core/index.js'
 import type { Failure, Random, Result } from '../../core/index.js'
 import type { Metrics } from '../../metrics/index.js'
+import type { RolloutGuard } from '../../rollout/index.js'
 import type { Snapshot } from '../../snapshot/index.js'
 import { checkHeadSize } from '../headers.js'
 import { writeResponse, writeFormattedFailure } from '../response.js'
@@ -27,6 +28,8 @@
   metrics: Metrics
   suspects: SuspectTable
   getSnapshot: () => Snapshot
+  /** Absent where there are no rollouts. */
+  rollouts?: RolloutGuard
   /** The accounts of the version in force. Absent: callers need no keys. */
   getAccounts?: () => AccountTable
   isReady: () => boolean
@@ -124,10 +127,12 @@
   // Targets have no keys, so no run on this host has made a request with one.
   const { isOfRun, repeatShare } = repeats.recordCall(service, authorized.val === undefined ? call.deadlineMs : Infinity)
   context.retry.countCall(service, isOfRun)
+  const rollout = context.rollouts?.beginCall(service, resolved.val.targets)
   const run = async (): Promise<Result<AttemptResponse, Failure>> => {
     const suspect = new SuspectCall(context.suspects, call, body.prefix)
     const headers = context.inbound.adapter.filterRequestHeaders(message.headers, accounts.isInForce)
-    return await new Attempts(context, { call, resolved: resolved.val, headers, body, scope, suspect, repeatShare, account: authorized.val }).run()
+    const account = authorized.val
+    return await new Attempts(context, { call, resolved: resolved.val, headers, body, scope, suspect, repeatShare, account, rollout }).run()
   }
   if (call.hasBody && !(await body.bufferShortBody(scope.signal) && await body.readPrefix(scope.signal))) {
     scope.end()
--- a/src/request/tasks/inbound.ts
+++ b/src/request/tasks/inbound.ts
@@ -8,6 +8,7 @@
 import type { RouteClass } from '../../document/index.js'
 import { writeResponse, writeFailure } from '../response.js'
 import type { ProtocolAdapter } from '../front.js'
+import type { RolloutGuard } from '../../rollout/index.js'
 import { formatLoad } from '../load.js'
 import { RequestBody } from '../body.js'
 import type { SuspectTable } from '../../suspect/index.js'
@@ -48,11 +49,14 @@
   repeats: RepeatMeter
   retry: RetryPolicy
   adapter: ProtocolAdapter
+  /** Absent where there are no rollouts. */
+  rollouts?: RolloutGuard
   /** Responses up to this size are buffered and forwarded only when they are complete. */
   responseBufferBytes: number
 }
 
-export interface LocalResponse { targetResponse: TargetResponse, permit: Permit }
+/** `runMs` is the time from the slot to the response. */
+export interface LocalResponse { targetResponse: TargetResponse, permit: Permit, runMs: number }
 
 const RETRY_AFTER_MS = 200
 const SHED_CODES = new Set(['queue_full', 'shed'])
@@ -101,6 +105,7 @@
   const leftMs = scope.forwardedDeadlineMs
   const headers = adapter.makeTargetHeaders({ headers: outgoing.headers, target, leftMs })
   const runPermit = makeRunPermit(permit, repeats.beginRun(getRunKind(localRequest), origin, leftMs))
+  const startedAt = context.clock.monotonic()
   const received = await client.send({
     ...outgoing,
     headers,
@@ -113,7 +118,8 @@
   if (received.ok || received.val.verdict !== 'not-run' || received.val.reached === true) repeats.recordArrival(service, origin)
   if (received.ok) {
     watchResponse(received.val, inFlight, runPermit, address)
-    return received.map(targetResponse => ({ targetResponse, permit: runPermit }))
+    const runMs = context.clock.monotonic() - startedAt
+    return received.map(targetResponse => ({ targetResponse, permit: runPermit, runMs }))
   }
   runPermit.release()
   return Err(await checkCrash(received.val, inFlight, target, address))
@@ -185,6 +191,7 @@
       service, target, routeClass, attempt, origin, objectiveMs, scope, outgoing, body: inbound.hasBody ? body : undefined
     })
     response.setHeader(HEADERS.load, formatLoad(context.local.measureLoad(target)))
+    if (result.ok && context.rollouts?.hasRollout(service) === true) response.setHeader(HEADERS.runTime, String(Math.round(result.val.runMs)))
     if (result.err) {
       writeFailure(response, result.val, request)
       return
--- /dev/null
+++ b/src/rollout/service.ts
@@ -0,0 +1,117 @@
+/**
+ * The rollout of one service on one node.
+ */
+import type { Clock } from '../core/index.js'
+import type { Target } from '../membership/index.js'
+import { ResponseCounts } from './counts.js'
+import { selectEstablished, splitByVersion } from './queries/versions.js'
+import type { VersionTargets } from './queries/versions.js'
+import type { Rollout, RolloutBounds, RolloutPhase, RolloutReport } from './schema.js'
+import { ExposureLimit } from './share.js'
+
+/** Without a response of the coordinator for this time, a node sends nothing to the new version. */
+const SILENCE_MS = 2_000
+
+export type LocalTargetsReport = RolloutReport['local']
+
+const PHASE_RANKS: Readonly<Record<RolloutPhase, number>> = { held: 0, canary: 0, switching: 1, back: 2 }
+
+export class ServiceRollout {
+  readonly counts = new ResponseCounts()
+  readonly exposure: ExposureLimit
+  private known: Rollout
+  private readonly createdAt: number
+  /** True while a report is under way. */
+  isReporting = false
+  private phase: RolloutPhase = 'held'
+  private answeredAt = -Infinity
+  private splits = new WeakMap<readonly Target[], VersionTargets>()
+  /** Versions that were served beside the new one. After the end they are not those of a later replacement. */
+  private readonly earlierVersions = new Set<string | undefined>()
+
+  constructor (rollout: Rollout, private readonly clock: Clock, { exposeShare }: RolloutBounds) {
+    this.known = rollout
+    this.createdAt = clock.monotonic() - rollout.ageMs
+    this.exposure = new ExposureLimit(exposeShare)
+  }
+
+  get rollout (): Rollout {
+    return this.known
+  }
+
+  /** The rollout with its present age. */
+  get current (): Rollout {
+    return { ...this.known, ageMs: Math.max(0, this.clock.monotonic() - this.createdAt) }
+  }
+
+  /** True if the coordinator has responded within SILENCE_MS. */
+  get isAnswered (): boolean {
+    return this.clock.monotonic() - this.answeredAt < SILENCE_MS
+  }
+
+  /** The phase that is in force here. A decision stays in force without the coordinator, a share for the new version does not. */
+  get phaseInForce (): RolloutPhase {
+    if (this.known.state === 'completed') return 'switching'
+    if (this.known.state === 'rolled_back') return 'back'
+    return this.phase === 'canary' && !this.isAnswered ? 'held' : this.phase
+  }
+
+  update (rollout: Rollout): void {
+    this.known = rollout
+    this.splits = new WeakMap()
+  }
+
+  /** Returns true if the phase changed. A decision is not undone by a coordinator that does not know of it, a switch only by a rollback. */
+  receivePhase (phase: RolloutPhase, askedAt: number): boolean {
+    this.answeredAt = Math.max(this.answeredAt, askedAt)
+    if (phase === this.phase || PHASE_RANKS[phase] < PHASE_RANKS[this.phase]) return false
+    this.phase = phase
+    return true
+  }
+
+  isNext (version: string | undefined): boolean {
+    return version === this.known.targetVersion
+  }
+
+  /** `targets` are all targets of the service. */
+  isClosed (version: string | undefined, targets: readonly Target[]): boolean {
+    const phase = this.phaseInForce
+    if (this.isNext(version)) return phase === 'back'
+    if (this.known.state === 'running') this.earlierVersions.add(version)
+    return phase === 'switching' && this.isBarred(version, targets)
+  }
+
+  /** True if calls may go to targets of the version without a share. */
+  isServed (version: string | undefined, targets: readonly Target[]): boolean {
+    const { earlier, next } = this.split(targets)
+    const list = this.phaseInForce === 'switching' && next.length > 0 ? next : earlier
+    return list.some(target => target.version === version)
+  }
+
+  /** The targets of each version. Another version that no rollout allows gets nothing. */
+  split (targets: readonly Target[]): VersionTargets {
+    const existing = this.splits.get(targets)
+    if (existing !== undefined) return existing
+    const split = this.makeSplit(targets)
+    this.splits.set(targets, split)
+    return split
+  }
+
+  makeReport (host: string, incarnation: number, local: LocalTargetsReport): RolloutReport {
+    const { service, id } = this.known
+    return { host, incarnation, service, id, phase: this.phaseInForce, routes: this.counts.list(), local }
+  }
+
+  private makeSplit (targets: readonly Target[]): VersionTargets {
+    const { earlier, next, canary } = splitByVersion(targets, this.known, this.exposure.share)
+    if (this.known.state === 'running') for (const { version } of earlier) this.earlierVersions.add(version)
+    const allowed = this.known.state === 'completed' ? earlier.filter(({ version }) => !this.isBarred(version, next)) : earlier
+    return { earlier: selectEstablished(allowed), next, canary }
+  }
+
+  /** After the end, another version serves only if it has replaced all targets of the new one. */
+  private isBarred (version: string | undefined, targets: readonly Target[]): boolean {
+    if (this.known.state !== 'completed' || this.earlierVersions.has(version)) return true
+    return targets.some(target => this.isNext(target.version) && target.state !== 'leaving')
+  }
+}
