--- a/src/node/start.ts
+++ b/src/node/start.ts
@@ -23,6 +23,7 @@
 import { startServer } from './http.js'
 import { HttpPort } from './port.js'
 import type { NodeParts, RequestPolicies, StopResult } from './parts.js'
+import { NodeRollouts } from './rollouts.js'
 import type { NodeTimeouts } from './settings.js'
 import { NodeShutdown } from './shutdown.js'
 import { NodeState } from './state.js'
@@ -51,6 +52,7 @@
   private readonly random = new SystemRandom()
   private readonly state: NodeState
   private readonly policies: RequestPolicies
+  private readonly rollouts: NodeRollouts | undefined
   private readonly localTargets: LocalTargets
   private readonly crashWatch: CrashTracker
   private readonly repeats = new RepeatMeter(this.clock)
@@ -77,7 +79,11 @@
     this.telemetry = new NodeTelemetry(this.state, clock)
     const { log, metrics } = this.telemetry
     this.policies = parts.makePolicies(clock, random, () => this.state.members.size)
-    this.localTargets = new LocalTargets(this.state.localHost, () => this.state.snapshotTable.current, clock, this.policies.admission)
+    const rolloutContext = { state: this.state, clock, random, telemetry: this.telemetry }
+    this.rollouts = parts.rollouts === undefined ? undefined : new NodeRollouts({ ...parts.rollouts, ...rolloutContext })
+    this.localTargets = new LocalTargets(
+      this.state.localHost, () => this.state.snapshotTable.current, clock, this.policies.admission, this.rollouts?.guard
+    )
     this.crashWatch = new CrashTracker(
       host, this.state.suspects, isConnectionRefused, target => this.state.localHost.formatProcess(target)
     )
@@ -89,7 +95,9 @@
     const dialer = access.dialer ?? new Dialer()
     this.client = new PeerClient(this.meter.codec, dialer, access.credentials?.client, [this.meter.clientInterceptor])
     const onConfiguration = (configuration: Configuration, from: string): void => { this.applyConfiguration(configuration, from) }
-    this.peers = new PeerSynchronizer({ state: this.state, transport: this.client, clock, random, log, onConfiguration })
+    this.peers = new PeerSynchronizer({
+      state: this.state, transport: this.client, clock, random, log, rollouts: this.rollouts?.guard, onConfiguration
+    })
     const store = new CountingObjectStore(parts.store, (call, kind) => { this.telemetry.recordStoreCall(call, kind) })
     const copies = new RecordCopies(clock)
     this.quota = parts.quota === undefined ? undefined : this.makeQuota(parts.quota)
@@ -158,7 +166,9 @@
       tasks.push({ name: 'quota', run: async () => { await quota.run(signal) } })
       tasks.push({ name: 'quota report', run: async () => { await reportQuota({ quota, telemetry, clock }, signal) } })
     }
-    for (const task of tasks) void runSupervised(task, clock, (origin, error) => { telemetry.recordUnexpectedError(origin, error) }, signal)
+    const rolloutTasks = this.rollouts?.listTasks({ peers, transport: this.client, localTargets: this.localTargets }, signal) ?? []
+    const reportError = (origin: string, error: unknown): void => { telemetry.recordUnexpectedError(origin, error) }
+    for (const task of [...tasks, ...rolloutTasks]) void runSupervised(task, clock, reportError, signal)
     await this.callerPort.listen(settings.caller)
     await this.inboundPort.listen(settings.inbound)
     this.inboundPort.setTimeouts(INBOUND_HEADER_TIMEOUT_MS, INBOUND_IDLE_TIMEOUT_MS)
@@ -167,6 +177,7 @@
       telemetry,
       peers,
       quota: this.quota,
+      rollouts: this.rollouts,
       operatorToken: access?.operatorToken,
       startLeaving: () => { this.registration.startLeaving(this.countInFlight()) }
     })
@@ -263,6 +274,7 @@
     const { settings, adapter } = this.parts
     const { clock, random, state, telemetry, policies } = this
     const { suspects } = state
+    const rollouts = this.rollouts === undefined ? {} : { rollouts: this.rollouts.guard }
     const { picker, retry, requestBufferBytes, responseBufferBytes } = policies
     return {
       host: settings.host,
@@ -278,6 +290,7 @@
         repeats: this.repeats,
         retry,
         adapter,
+        ...rollouts,
         responseBufferBytes
       },
       suspects,
@@ -285,6 +298,7 @@
       picker,
       retry,
       getSnapshot: () => state.snapshotTable.current,
+      ...rollouts,
       getAccounts: () => state.accounts,
       ...this.quota === undefined ? {} : { quota: this.quota.policy },
       isReady: () => state.isReady,
--- a/src/peer/server.ts
+++ b/src/peer/server.ts
@@ -5,6 +5,7 @@
 import type { sendUnaryData, ServerCredentials as Credentials, ServerInterceptor, ServerUnaryCall } from '@grpc/grpc-js'
 import { describeError } from '../core/index.js'
 import type { LendRequest, LendResponse } from '../quota/index.js'
+import type { RolloutReport, RolloutResponse } from '../rollout/index.js'
 import type { Codec } from './codec.js'
 import type {
   DrainResponse, DrainRequest, ExchangeResponse, ExchangeRequest, StatusResponse, StatusRequest, TimelineResponse, TimelineRequest
@@ -13,6 +14,8 @@
 
 export interface PeerHandlers {
   exchange: (request: ExchangeRequest) => ExchangeResponse
+  /** Absent where there are no rollouts. */
+  report?: (report: RolloutReport) => RolloutResponse
   status: (request: StatusRequest) => StatusResponse
   timeline: (request: TimelineRequest) => TimelineResponse
   drain: (request: DrainRequest) => DrainResponse
@@ -53,8 +56,10 @@
   interceptors: ServerInterceptor[] = []
 ): Promise<Server> {
   const server = new Server({ ...CHANNEL_OPTIONS, interceptors })
-  server.addService({ ...definePeerMethods(codec) }, { exchange: handleUnary(handlers.exchange) })
   if (handlers.lend !== undefined) server.addService({ ...defineQuotaMethods(codec) }, { lend: handleUnaryLater(handlers.lend) })
+  server.addService({ ...definePeerMethods(codec) }, {
+    exchange: handleUnary(handlers.exchange), report: handleUnary<RolloutReport, RolloutResponse>(report => handlers.report?.(report) ?? {})
+  })
   server.addService({ ...defineOperatorQueries(codec) }, {
     status: handleUnary(handlers.status), timeline: handleUnary(handlers.timeline)
   })
--- a/src/peer/services.ts
+++ b/src/peer/services.ts
@@ -6,6 +6,8 @@
 import type * as z from 'zod'
 import { lendRequestSchema, lendResponseSchema } from '../quota/index.js'
 import type { LendRequest, LendResponse } from '../quota/index.js'
+import { rolloutReportSchema, rolloutResponseSchema } from '../rollout/index.js'
+import type { RolloutReport, RolloutResponse } from '../rollout/index.js'
 import type { Codec } from './codec.js'
 import {
   drainResponseSchema, drainRequestSchema, exchangeResponseSchema, exchangeRequestSchema, statusResponseSchema, statusRequestSchema,
@@ -27,7 +29,10 @@
   }
 }
 
-export interface PeerMethods { exchange: MethodDefinition<ExchangeRequest, ExchangeResponse> }
+export interface PeerMethods {
+  exchange: MethodDefinition<ExchangeRequest, ExchangeResponse>
+  report: MethodDefinition<RolloutReport, RolloutResponse>
+}
 
 /** Served only where the deployment has quotas. */
 export interface QuotaMethods { lend: MethodDefinition<LendRequest, LendResponse> }
@@ -40,7 +45,10 @@
 export interface OperatorCommandMethods { drain: MethodDefinition<DrainRequest, DrainResponse> }
 
 export function definePeerMethods (codec: Codec): PeerMethods {
-  return { exchange: defineMethod(codec, '/comfreyspoke.Peer/Exchange', exchangeRequestSchema, exchangeResponseSchema) }
+  return {
+    exchange: defineMethod(codec, '/comfreyspoke.Peer/Exchange', exchangeRequestSchema, exchangeResponseSchema),
+    report: defineMethod(codec, '/comfreyspoke.Peer/Report', rolloutReportSchema, rolloutResponseSchema)
+  }
 }
 
 export function defineQuotaMethods (codec: Codec): QuotaMethods {
