Report a response without a length that ends before its request was written as cut

Cause: undici takes the end of the connection for the end of a response without a length. The connector only told a reset from an end, by a write after it. While an upload is still being written, that write waited behind the rest of the upload and succeeded, so a caller got the part that the target had sent as a complete 200. The write also added two bytes in the middle of the upload.

Change: the socket notes whether undici has passed on the last byte of the request. An end of a close-delimited response before that, or while bytes of the request wait for the operating system, destroys the socket with an error and writes nothing: 502 (answer_cut, may have run), or a second attempt of an idempotent request whose body is still held. The rule holds for all statuses. If more of the response than the response buffer (64 KiB) was forwarded, the connection to the caller is reset, as for each truncated response. Not told apart: a target that ends only its sending side, while the node does not read since its caller is slow, and whose end is read after the upload.

--- a/src/request/connections.ts
+++ b/src/request/connections.ts
@@ -3,7 +3,7 @@
  */
 import { Client } from '../core/undici.js'
 import type { Clock } from '../core/index.js'
-import { makeConnector } from './connector.js'
+import { makeConnectionState, makeConnector } from './connector.js'
 import type { ConnectionState } from './connector.js'
 
 export interface Connection { readonly client: Client, readonly state: ConnectionState, usedAt: number }
@@ -72,7 +72,7 @@
 
   private openConnection (): Connection {
     if (this.idle.length + this.inUse.size >= this.maxConnections) this.closeOldest()
-    const state: ConnectionState = { isReset: false, isCloseDelimited: false }
+    const state = makeConnectionState()
     const client = new Client(this.origin, {
       pipelining: 1,
       connect: makeConnector(state, CONNECT_TIMEOUT_MS),
--- a/src/request/connector.ts
+++ b/src/request/connector.ts
@@ -1,7 +1,8 @@
 /**
- * Connections for undici that distinguish a reset from an end. Libuv reports the end of the stream when a reset arrives
+ * Connections for undici that distinguish a reset, and an end before the request was written, from the end of a response. Libuv reports the end of the stream when a reset arrives
  * together with the last data, and undici treats a close-delimited response as complete at the end of its connection.
- * A write fails on a connection that was reset, but not on a connection that was closed.
+ * A write fails on a connection that was reset, but not on a connection that was closed. A target that ends its side while the request
+ * is still being written may have stopped in the middle of its response, so nothing shows that a close-delimited one is complete.
  */
 import { Socket } from 'node:net'
 import type { buildConnector } from 'undici'
@@ -10,8 +11,15 @@
 const EMPTY_LINE = '\r\n'
 const RESET_CODE = 'ECONNRESET'
 
-/** `isReset`: the connection failed. `isCloseDelimited`: the response that is being received ends with its connection. */
-export interface ConnectionState { isReset: boolean, isCloseDelimited: boolean }
+/**
+ * `isReset`: the connection failed. `isCloseDelimited`: the response that is being received ends with its connection.
+ * `isRequestEnded`: undici has passed the last byte of the request to the socket.
+ */
+export interface ConnectionState { isReset: boolean, isCloseDelimited: boolean, isRequestEnded: boolean }
+
+export function makeConnectionState (): ConnectionState {
+  return { isReset: false, isCloseDelimited: false, isRequestEnded: false }
+}
 
 class ResetDetectingSocket extends Socket {
   constructor (private readonly state: ConnectionState) {
@@ -20,10 +28,15 @@
 
   /**
    * Delays the end of a close-delimited response until a write shows that the connection was not reset; a failed write ends
-   * the socket with an error.
+   * the socket with an error, and so does an end before the operating system has taken the whole request.
    */
   override push (chunk: unknown, encoding?: BufferEncoding): boolean {
     if (chunk !== null || !this.state.isCloseDelimited) return super.push(chunk, encoding)
+    if (!this.state.isRequestEnded || this.writableLength > 0) {
+      this.state.isReset = true
+      this.destroy(makeEarlyEndError())
+      return false
+    }
     this.write(EMPTY_LINE, error => {
       if (error === undefined || error === null) super.push(null)
     })
@@ -66,6 +79,10 @@
   return Object.assign(new Error(error.message, { cause: error }), { code: 'UND_ERR_SOCKET', errno: error.errno })
 }
 
+function makeEarlyEndError (): Error {
+  return Object.assign(new Error('the connection ended before the request was written'), { code: 'UND_ERR_SOCKET' })
+}
+
 function makeTimeoutError (host: string, port: string): Error {
   return Object.assign(new Error(`no connection to ${host}:${port} in time`), { code: 'UND_ERR_CONNECT_TIMEOUT' })
 }
--- a/src/request/handler.ts
+++ b/src/request/handler.ts
@@ -56,10 +56,17 @@
         return
       }
       signal.addEventListener('abort', this.abort, { once: true })
+      this.watchRequest(request.body)
       client.dispatch(request, this)
     })
   }
 
+  /** Undici writes a body that is no stream in the call in which it starts the request, and the last bytes of a stream at its end. */
+  private watchRequest (body: Dispatcher.DispatchOptions['body']): void {
+    this.state.isRequestEnded = !(body instanceof Readable)
+    if (body instanceof Readable) body.once('end', () => { this.state.isRequestEnded = true })
+  }
+
   /** Undici may start a request again on a new connection; a second start is aborted before it writes. */
   onRequestStart (controller: Controller): void {
     if (this.isEnded || this.controller !== undefined) controller.abort(new Error('the exchange has ended'))
