--- a/src/node/commands/localhost.ts
+++ b/src/node/commands/localhost.ts
@@ -55,6 +55,11 @@
     return this.leavingSince
   }
 
+  /** True if the other nodes have not learned that the earlier process of this host ended. */
+  get wasServing (): boolean {
+    return this.adopted?.state === 'serving' && this.adopted.gone !== true
+  }
+
   /** Handles an announcement of a target of the local host. */
   registerTarget (announcement: Announcement): void {
     const { state, clock } = this.context
--- a/src/node/start.ts
+++ b/src/node/start.ts
@@ -135,7 +135,10 @@
     observeHosts({ state, log: telemetry.log, recorder: telemetry.recorder }, signal)
     state.readiness.stream.observe(() => { telemetry.recordReady() }).catch(error => { throw error })
     state.ownRecords.stream.observe(record => { this.registration.receiveOwnRecord(record) }).catch(error => { throw error })
-    state.recovery.stream.observe(() => { this.registration.endRecovery() }).catch(error => { throw error })
+    state.recovery.stream.observe(() => {
+      this.registration.endRecovery()
+      this.quota?.beginOwning(this.registration.wasServing)
+    }).catch(error => { throw error })
     const tasks = listTasks({
       source,
       clock,
@@ -254,7 +257,7 @@
       clock,
       random,
       send: async (address, request) => await client.lend(address, request),
-      getAccounts: () => state.configuration?.accounts ?? NO_ACCOUNTS,
+      getAccounts: () => state.configuration === undefined ? undefined : state.configuration.accounts ?? NO_ACCOUNTS,
       onResult: (result, account, count) => { telemetry.quota.record(result, account, count) }
     })
   }
--- a/src/quota/bucket.ts
+++ b/src/quota/bucket.ts
@@ -1,13 +1,11 @@
 /**
- * A token bucket that is empty at first. Only whole credits are taken.
+ * A token bucket. Only whole credits are taken.
  */
 const MS_PER_S = 1_000
 
 export class TokenBucket {
-  private level = 0
-
   /** `filledAt` is the time from which the bucket refills; it may lie in the future. */
-  constructor (private ratePerSecond: number, private capacity: number, private filledAt: number) {}
+  constructor (private ratePerSecond: number, private capacity: number, private filledAt: number, private level = 0) {}
 
   /** Returns the number of credits, with fractions. */
   measure (now: number): number {
--- a/src/quota/commands/acquire.ts
+++ b/src/quota/commands/acquire.ts
@@ -27,7 +27,7 @@
 }
 
 /** A node asks for the credits that it is likely to use in this time besides, which is shorter than the life of a credit. */
-const STOCK_S = 0.15
+const STOCK_S = 0.1
 const MIN_SKIP_MS = 1_000
 /** An owner that stays silent is asked less often. */
 const MAX_SKIP_MS = 8_000
--- a/src/quota/commands/lend.ts
+++ b/src/quota/commands/lend.ts
@@ -6,7 +6,7 @@
 import { DemandMeter } from '../demand.js'
 import type { OwnerDirectory } from '../directory.js'
 import { computeCapacity, computeCreditLifetimeMs } from '../limits.js'
-import type { Limit, QuotaBounds } from '../limits.js'
+import type { LimitInForce, QuotaBounds } from '../limits.js'
 import type { Loan, LoanRequest } from '../schema.js'
 import { CreditStock } from '../stock.js'
 import type { LoanBatcher } from '../tasks/batch.js'
@@ -18,8 +18,8 @@
   directory: OwnerDirectory
   batcher: LoanBatcher
   clock: Clock
-  /** Returns the limits in force, by account. Accounts without a limit are absent. */
-  getLimits: () => ReadonlyMap<string, Limit>
+  /** Returns the limits in force, by account, or undefined if no version is in force. Accounts without a limit are absent. */
+  getLimits: () => ReadonlyMap<string, LimitInForce> | undefined
   /** True if this node has been cut off for so long that another host may own its buckets. */
   isIsolated: () => boolean
 }
@@ -28,31 +28,41 @@
 export const TAKEOVER_MS = 2_000
 /** A request waits for credits from other zones at most this long. It is two round trips between regions. */
 const BORROW_WAIT_MS = 100
+/** An owner that borrows ahead does so at most this often. */
 const MIN_BORROW_INTERVAL_MS = 100
+/** After the other zones gave less than was wanted, they are asked again after this time, which is about a round trip between regions. */
+const MIN_BACKOFF_MS = 50
 /** While the other zones have no credit either, they are asked less often. */
-const MAX_BORROW_INTERVAL_MS = 400
+const MAX_BACKOFF_MS = 400
 /** An owner borrows ahead when it has less than what is asked of it in this time. */
 const LOW_STOCK_S = 0.1
 /** It then borrows what is asked of it in this time, which is shorter than the life of a credit. */
-const BORROWED_STOCK_S = 0.2
+const BORROWED_STOCK_S = 0.15
 const MIN_RETRY_AFTER_MS = 50
 const MAX_RETRY_AFTER_MS = 1_000
 const MS_PER_S = 1_000
 
 interface Holding {
-  limit: Limit
+  limit: LimitInForce
   bucket: TokenBucket
   borrowed: CreditStock
   demand: DemandMeter
   borrowing: Promise<unknown> | undefined
-  nextBorrowAt: number
-  borrowIntervalMs: number
+  /** Credits that nodes are waiting for. */
+  waitingCredits: number
+  lastBorrowAt: number
+  /** Time from the last attempt to borrow for which the other owners are not asked again, 0 if they gave all that was wanted. */
+  backoffMs: number
 }
 
 export class BucketOwner {
   private readonly holdings = new Map<string, Holding>()
   private readonly lifetimeMs: number
   private zoneCount = 0
+  private limits: ReadonlyMap<string, LimitInForce> | undefined
+  /** Time at which this process could first be an owner. */
+  private beganAt: number | undefined
+  private hasResumed = false
 
   constructor (private readonly context: OwnerContext) {
     this.lifetimeMs = computeCreditLifetimeMs(context.bounds)
@@ -71,31 +81,44 @@
     return isOwner ? this.lendToOwner(holding, credits) : await this.lendToNode(account, holding, credits)
   }
 
+  /** Called if the other hosts did not learn that the earlier process of this host ended, so that none has taken over its buckets. */
+  resume (): void {
+    this.hasResumed = true
+    this.update()
+  }
+
   /** Begins and ends the ownership of buckets by the limits and hosts that are known now. Called often, since a bucket refills from its begin. */
   update (): void {
     const { directory, bounds, clock, getLimits } = this.context
     const limits = getLimits()
+    if (limits === undefined) return
     const now = clock.monotonic()
     for (const account of this.holdings.keys()) if (!limits.has(account) || !directory.isOwner(account)) this.holdings.delete(account)
-    const { zoneCount } = directory
+    const { zoneCount, hasLocalHost } = directory
+    const isBeginning = this.beganAt === undefined || this.limits === undefined
+    if (hasLocalHost) this.beganAt ??= now
+    const beganAt = this.beganAt ?? now
     for (const [account, limit] of limits) {
       const holding = this.holdings.get(account)
       const rate = limit.ratePerSecond / zoneCount
       const capacity = computeCapacity(bounds, limit, zoneCount)
       if (holding === undefined && directory.isOwner(account)) {
-        this.holdings.set(account, makeHolding(limit, new TokenBucket(rate, capacity, now + TAKEOVER_MS)))
+        const isNew = this.limits?.has(account) === false
+        const startsAt = isBeginning || isNew ? Math.max(now, beganAt + (this.hasResumed ? 0 : TAKEOVER_MS)) : now + TAKEOVER_MS
+        this.holdings.set(account, makeHolding(limit, new TokenBucket(rate, capacity, startsAt, isNew && limit.startsFull ? capacity : 0)))
       }
       if (holding === undefined || (holding.limit === limit && zoneCount === this.zoneCount)) continue
       holding.limit = limit
       holding.bucket.setLimit(rate, capacity, now)
     }
     this.zoneCount = zoneCount
+    if (hasLocalHost) this.limits = limits
   }
 
   /** An account whose limit was removed in the version of this node gets what the other node asks for. */
   private respondWithoutBucket (account: string, credits: number): Loan {
     const { getLimits, directory } = this.context
-    if (directory.isOwner(account) && !getLimits().has(account)) return { credits, validMs: this.lifetimeMs }
+    if (directory.isOwner(account) && getLimits()?.has(account) === false) return { credits, validMs: this.lifetimeMs }
     return { credits: 0, notOwner: true }
   }
 
@@ -111,21 +134,34 @@
     const { clock } = this.context
     holding.demand.record(credits, clock.monotonic())
     let loan = this.release(holding, credits)
-    if (loan.credits === 0) {
-      const borrowing = this.borrow(account, holding, 1)
-      if (borrowing !== undefined) {
-        const ended = new AbortController()
-        await Promise.race([borrowing, clock.sleep(BORROW_WAIT_MS, ended.signal)])
-        ended.abort()
-        loan = this.release(holding, credits)
-      }
-    }
+    if (loan.credits === 0) loan = await this.awaitBorrowed(account, holding, credits)
     const now = clock.monotonic()
     const low = holding.demand.measurePerSecond(now) * LOW_STOCK_S
-    if (low >= 1 && this.measureAvailable(holding, now) < low) void this.borrow(account, holding, 0)
+    const mayBorrow = now - holding.lastBorrowAt >= MIN_BORROW_INTERVAL_MS
+    if (mayBorrow && low >= 1 && this.measureAvailable(holding, now) < low) void this.borrow(account, holding)
     return loan.credits > 0 ? loan : { credits: 0, retryAfterMs: this.computeRetryAfter(holding) }
   }
 
+  /** Waits for credits of other zones, as long as those have some. */
+  private async awaitBorrowed (account: string, holding: Holding, credits: number): Promise<Loan> {
+    const { clock } = this.context
+    const endsAt = clock.monotonic() + BORROW_WAIT_MS
+    let loan: Loan = { credits: 0 }
+    holding.waitingCredits += credits
+    for (let leftMs = BORROW_WAIT_MS; loan.credits === 0 && leftMs > 0; leftMs = endsAt - clock.monotonic()) {
+      const borrowing = this.borrow(account, holding)
+      if (borrowing === undefined && holding.backoffMs > MIN_BACKOFF_MS) break
+      const ended = new AbortController()
+      const backoffLeftMs = Math.max(1, holding.lastBorrowAt + holding.backoffMs - clock.monotonic())
+      if (borrowing === undefined) await clock.sleep(Math.min(leftMs, backoffLeftMs))
+      else await Promise.race([borrowing, clock.sleep(leftMs, ended.signal)])
+      ended.abort()
+      loan = this.release(holding, credits)
+    }
+    holding.waitingCredits -= credits
+    return loan
+  }
+
   private release (holding: Holding, credits: number): Loan {
     const now = this.context.clock.monotonic()
     const borrowed = holding.borrowed.consume(credits, now)
@@ -138,16 +174,19 @@
   }
 
   /** Returns undefined if the other owners were asked too recently. */
-  private borrow (account: string, holding: Holding, least: number): Promise<unknown> | undefined {
+  private borrow (account: string, holding: Holding): Promise<unknown> | undefined {
     const now = this.context.clock.monotonic()
     if (holding.borrowing !== undefined) return holding.borrowing
-    if (now < holding.nextBorrowAt) return undefined
-    const wanted = Math.max(least, Math.ceil(holding.demand.measurePerSecond(now) * BORROWED_STOCK_S - this.measureAvailable(holding, now)))
+    if (now - holding.lastBorrowAt < holding.backoffMs) return undefined
+    const likely = Math.floor(holding.demand.measurePerSecond(now) * BORROWED_STOCK_S)
+    const wanted = Math.max(holding.waitingCredits, likely) - this.measureAvailable(holding, now)
     if (wanted < 1) return undefined
     const { directory, host, batcher, clock } = this.context
+    holding.lastBorrowAt = now
     holding.borrowing = borrowCredits({ account, stock: holding.borrowed, directory, host, batcher, clock }, wanted).then(received => {
-      holding.borrowIntervalMs = received > 0 ? MIN_BORROW_INTERVAL_MS : Math.min(MAX_BORROW_INTERVAL_MS, holding.borrowIntervalMs * 2)
-      holding.nextBorrowAt = now + holding.borrowIntervalMs
+      if (received >= wanted) holding.backoffMs = 0
+      else if (received > 0) holding.backoffMs = MIN_BACKOFF_MS
+      else holding.backoffMs = Math.min(MAX_BACKOFF_MS, Math.max(2 * MIN_BACKOFF_MS, holding.backoffMs * 2))
       holding.borrowing = undefined
     })
     return holding.borrowing
@@ -159,7 +198,8 @@
   }
 }
 
-function makeHolding (limit: Limit, bucket: TokenBucket): Holding {
-  const borrowIntervalMs = MIN_BORROW_INTERVAL_MS
-  return { limit, bucket, borrowed: new CreditStock(), demand: new DemandMeter(), borrowing: undefined, nextBorrowAt: 0, borrowIntervalMs }
+function makeHolding (limit: LimitInForce, bucket: TokenBucket): Holding {
+  const borrowed = new CreditStock()
+  const demand = new DemandMeter()
+  return { limit, bucket, borrowed, demand, borrowing: undefined, waitingCredits: 0, lastBorrowAt: -Infinity, backoffMs: 0 }
 }
--- a/src/quota/directory.ts
+++ b/src/quota/directory.ts
@@ -39,6 +39,11 @@
     this.owners.clear()
   }
 
+  /** True once this node has announced itself, after it has learned of the other hosts. */
+  get hasLocalHost (): boolean {
+    return this.hostsByZone.get(this.location.zone)?.has(this.location.host) === true
+  }
+
   listZoneHosts (): string[] {
     return [...this.hostsByZone.get(this.location.zone)?.keys() ?? []]
   }
--- a/src/quota/limits.ts
+++ b/src/quota/limits.ts
@@ -12,12 +12,22 @@
 /** The limit of one account, over all zones. */
 export interface Limit { ratePerSecond: number, burst: number }
 
-/** The rest of the slack is for requests that reach a target later than others after their credit was taken. */
+/** The limit of an account in the version in force. */
+export interface LimitInForce extends Limit {
+  /** True if the version before had the account without a limit, so that no window that began before is bounded. */
+  startsFull: boolean
+}
+
+/*
+ * The overage allows requests that fill (window x overage) at the full rate. One part is for the life of credits, one for the capacity,
+ * and the rest, with that of the slack, for the different times from taking a credit to reaching a target.
+ */
+const LIFETIME_SHARE_OF_OVERAGE = 0.4
+const CAPACITY_SHARE_OF_OVERAGE = 0.2
 const CAPACITY_SHARE_OF_SLACK = 0.8
-/** The rest of the overage is for the time from taking a credit to reaching a target. */
-const LIFETIME_SHARE_OF_OVERAGE = 0.5
-/** A longer life would not avoid refusals: credits cross regions twice in 80 ms. */
-const MAX_CREDIT_LIFETIME_MS = 250
+/** Longer than a credit needs from an owner in another region over the one in the zone to a node. */
+const MAX_CREDIT_LIFETIME_MS = 200
+const MS_PER_S = 1_000
 
 /** Returns the time for which a credit may be used after it was deducted from a bucket, wherever it is held. */
 export function computeCreditLifetimeMs ({ windowMs, overage }: QuotaBounds): number {
@@ -25,11 +35,12 @@
 }
 
 /** Returns the capacity of the bucket of one zone. */
-export function computeCapacity ({ slack }: QuotaBounds, { burst }: Limit, zoneCount: number): number {
-  return (burst + slack * CAPACITY_SHARE_OF_SLACK) / zoneCount
+export function computeCapacity ({ windowMs, overage, slack }: QuotaBounds, { ratePerSecond, burst }: Limit, zoneCount: number): number {
+  const ofRate = ratePerSecond * windowMs * overage * CAPACITY_SHARE_OF_OVERAGE / MS_PER_S
+  return (burst + ofRate + slack * CAPACITY_SHARE_OF_SLACK) / zoneCount
 }
 
 /** Returns the most requests that may reach targets in one window. */
 export function computeBound ({ windowMs, overage, slack }: QuotaBounds, { ratePerSecond, burst }: Limit): number {
-  return (ratePerSecond * windowMs / 1_000 + burst) * (1 + overage) + slack
+  return (ratePerSecond * windowMs / MS_PER_S + burst) * (1 + overage) + slack
 }
--- a/src/quota/service.ts
+++ b/src/quota/service.ts
@@ -10,7 +10,7 @@
 import { ContactTracker } from './contacts.js'
 import { OwnerDirectory } from './directory.js'
 import type { Location } from './directory.js'
-import type { Limit, QuotaBounds } from './limits.js'
+import type { LimitInForce, QuotaBounds } from './limits.js'
 import type { QuotaPolicy } from './policy.js'
 import type { LendRequest, LendResponse } from './schema.js'
 import { LoanBatcher } from './tasks/batch.js'
@@ -27,8 +27,8 @@
   clock: Clock
   random: Random
   send: SendLend
-  /** The accounts of the version in force; the same array for the same version. */
-  getAccounts: () => readonly Account[]
+  /** The accounts of the version in force; the same array for the same version, undefined without a version. */
+  getAccounts: () => readonly Account[] | undefined
   onResult: (result: QuotaResult, account: string, count: number) => void
 }
 
@@ -45,7 +45,7 @@
   private readonly distributed: DistributedQuotaPolicy
   private readonly directory: OwnerDirectory
   private readonly contacts: ContactTracker
-  private limits = new Map<string, Limit>()
+  private limits: ReadonlyMap<string, LimitInForce> | undefined
   private accounts: readonly Account[] | undefined
 
   constructor (private readonly context: QuotaContext) {
@@ -78,6 +78,11 @@
     for (const record of records) this.directory.update(record)
   }
 
+  /** Called when the earlier records of this host are known. `wasServing`: by these, its earlier process ended without notice. */
+  beginOwning (wasServing: boolean): void {
+    if (wasServing) this.owner.resume()
+  }
+
   /** Called when the store, or the named peer, has sent or answered a message. */
   recordContact (peer?: string): void {
     this.contacts.record(peer)
@@ -91,6 +96,11 @@
     }
   }
 
+  /** True if this node owns the bucket of its zone by the hosts that it knows. */
+  isOwner (account: string): boolean {
+    return this.directory.isOwner(account)
+  }
+
   get ownedCount (): number {
     return this.owner.accountCount
   }
@@ -100,16 +110,19 @@
   }
 
   /** The same limit object for an account as long as its limit does not change. */
-  private getLimits (): ReadonlyMap<string, Limit> {
+  private getLimits (): ReadonlyMap<string, LimitInForce> | undefined {
     const accounts = this.context.getAccounts()
-    if (accounts === this.accounts) return this.limits
+    if (accounts === undefined || accounts === this.accounts) return this.limits
+    const unlimited = new Set(this.accounts?.filter(({ ratePerSecond }) => ratePerSecond === 0).map(({ name }) => name))
     this.accounts = accounts
     const limited = accounts.filter(({ ratePerSecond }) => ratePerSecond > 0)
-    this.limits = new Map(limited.map(({ name, ratePerSecond, burst }) => {
-      const known = this.limits.get(name)
-      return [name, known?.ratePerSecond === ratePerSecond && known.burst === burst ? known : { ratePerSecond, burst }]
+    const limits = new Map(limited.map(({ name, ratePerSecond, burst }): [string, LimitInForce] => {
+      const known = this.limits?.get(name)
+      const isKnown = known?.ratePerSecond === ratePerSecond && known.burst === burst
+      return [name, isKnown ? known : { ratePerSecond, burst, startsFull: unlimited.has(name) }]
     }))
-    this.distributed.prune(account => this.limits.has(account))
-    return this.limits
+    this.limits = limits
+    this.distributed.prune(account => limits.has(account))
+    return limits
   }
 }
