--- a/src/quota/directory.ts
+++ b/src/quota/directory.ts
@@ -1,8 +1,10 @@
 /**
  * Which host owns the bucket of an account in each zone, by the hosts that this node knows, whether they respond or not.
  */
+import { getOrMake } from '../core/index.js'
 import type { HostRecord } from '../membership/index.js'
-import { selectOwner } from './queries/owner.js'
+import { pickHigher, rankHost, selectOwner } from './queries/owner.js'
+import type { RankedHost } from './queries/owner.js'
 
 export interface Location { host: string, zone: string, region: string }
 
@@ -13,8 +15,9 @@
 export class OwnerDirectory {
   private readonly hostsByZone = new Map<string, Map<string, OwnerHost>>()
   private readonly regions: Map<string, string>
-  /** Cached owners by account, cleared when the hosts change. */
-  private readonly owners = new Map<string, OwnerHost[]>()
+  private zonesByDistance: readonly string[] = []
+  /** The owners that were looked up, by zone and account. With a change of a host, only the accounts that it owns are ranked anew. */
+  private readonly owners = new Map<string, Map<string, RankedHost | undefined>>()
 
   /** `zones` maps each zone to its region. If it is empty, the zones of all hosts that were ever known count. */
   constructor (private readonly location: Location, private readonly zones: ReadonlyMap<string, string>) {
@@ -36,7 +39,11 @@
     else hosts.delete(host)
     this.hostsByZone.set(zone, hosts)
     if (this.zones.size === 0) this.regions.set(zone, region)
-    this.owners.clear()
+    const owners = this.owners.get(zone) ?? new Map<string, RankedHost | undefined>()
+    for (const [account, owner] of owners) {
+      if (isOwner) owners.set(account, pickHigher(owner, rankHost(account, host)))
+      else if (owner?.host === host) owners.set(account, selectOwner(account, hosts.keys()))
+    }
   }
 
   /** True once this node has announced itself, after it has learned of the other hosts. */
@@ -50,20 +57,33 @@
 
   /** Returns the owners of all zones, nearest first. */
   listOwners (account: string): OwnerHost[] {
-    const known = this.owners.get(account)
-    if (known !== undefined) return known
-    const zones = [...this.regions].sort((left, right) => this.measureDistance(left) - this.measureDistance(right))
-    const owners = zones.flatMap(([zone]) => {
-      const hosts = this.hostsByZone.get(zone)
-      return hosts?.get(selectOwner(account, hosts.keys()) ?? '') ?? []
-    })
-    this.owners.set(account, owners)
-    return owners
+    return this.listZones().flatMap(zone => this.findOwner(account, zone) ?? [])
   }
 
   /** True if this node owns the bucket of its zone. */
   isOwner (account: string): boolean {
-    return this.listOwners(account).some(({ host }) => host === this.location.host)
+    return this.findOwner(account, this.location.zone)?.host === this.location.host
+  }
+
+  /** Forgets the owners of accounts that are no longer known. */
+  prune (isKnown: (account: string) => boolean): void {
+    for (const owners of this.owners.values()) for (const account of owners.keys()) if (!isKnown(account)) owners.delete(account)
+  }
+
+  private findOwner (account: string, zone: string): OwnerHost | undefined {
+    const hosts = this.hostsByZone.get(zone)
+    if (hosts === undefined) return undefined
+    const owners = getOrMake(this.owners, zone, () => new Map<string, RankedHost | undefined>())
+    if (!owners.has(account)) owners.set(account, selectOwner(account, hosts.keys()))
+    return hosts.get(owners.get(account)?.host ?? '')
+  }
+
+  private listZones (): readonly string[] {
+    if (this.zonesByDistance.length !== this.regions.size) {
+      const zones = [...this.regions].sort((left, right) => this.measureDistance(left) - this.measureDistance(right))
+      this.zonesByDistance = zones.map(([zone]) => zone)
+    }
+    return this.zonesByDistance
   }
 
   /** The own zone, then zones of the region, each node beginning with the next one by name so that they do not all ask the same. */
--- a/src/quota/queries/owner.ts
+++ b/src/quota/queries/owner.ts
@@ -5,17 +5,24 @@
 const FNV_OFFSET = 0x811c9dc5
 const FNV_PRIME = 0x01000193
 
+export interface RankedHost { host: string, rank: number }
+
 /** Returns the host with the highest hash of (account, host), undefined without hosts. */
-export function selectOwner (account: string, hosts: Iterable<string>): string | undefined {
-  let owner: string | undefined
-  let ownerRank = -1
-  for (const host of hosts) {
-    const rank = computeRank(account, host)
-    if (rank > ownerRank || (rank === ownerRank && owner !== undefined && host > owner)) [owner, ownerRank] = [host, rank]
-  }
+export function selectOwner (account: string, hosts: Iterable<string>): RankedHost | undefined {
+  let owner: RankedHost | undefined
+  for (const host of hosts) owner = pickHigher(owner, rankHost(account, host))
   return owner
 }
 
+export function pickHigher (left: RankedHost | undefined, right: RankedHost): RankedHost {
+  if (left === undefined || right.rank > left.rank) return right
+  return right.rank === left.rank && right.host > left.host ? right : left
+}
+
+export function rankHost (account: string, host: string): RankedHost {
+  return { host, rank: computeRank(account, host) }
+}
+
 /** FNV-1a with the final mixing of MurmurHash3, since the names of hosts differ only in their last characters. */
 function computeRank (account: string, host: string): number {
   const text = `${account}\n${host}`
--- a/src/quota/service.ts
+++ b/src/quota/service.ts
@@ -123,6 +123,7 @@
     }))
     this.limits = limits
     this.distributed.prune(account => limits.has(account))
+    this.directory.prune(account => limits.has(account))
     return limits
   }
 }
