--- a/src/rollout/coordinator.ts
+++ b/src/rollout/coordinator.ts
@@ -97,8 +97,11 @@
 
   /** A decided rollout stays decided without the store. */
   private get visiblePhase (): RolloutPhase {
-    const isConfirmed = this.clock.monotonic() - this.confirmedAt < STORE_VALID_MS
-    return this.phase === 'canary' && !isConfirmed ? 'held' : this.phase
+    return this.phase === 'canary' && !this.isConfirmed ? 'held' : this.phase
+  }
+
+  private get isConfirmed (): boolean {
+    return this.clock.monotonic() - this.confirmedAt < STORE_VALID_MS
   }
 
   private updatePhase (): void {
@@ -113,8 +116,9 @@
     if (judgement === 'bad' && this.lastBadAt - this.firstBadAt >= MIN_BAD_SPAN_MS) this.setPhase('back', reason)
     if (this.phase !== 'canary') return
     const share = (now - this.startedAt) / this.rollout.durationMs
-    if (share >= ACCEPT_SHARE && judgement === 'good') this.setPhase('switching', 'as good as the earlier version')
-    else if (share >= LAST_SHARE && judgement === 'unknown' && responses >= MIN_LAST_RESPONSES) this.setPhase('switching', 'no evidence against it')
+    // Without the store, the rollout may have been replaced or withdrawn.
+    if (share >= ACCEPT_SHARE && judgement === 'good' && this.isConfirmed) this.setPhase('switching', 'as good as the earlier version')
+    else if (share >= LAST_SHARE && judgement === 'unknown' && responses >= MIN_LAST_RESPONSES && this.isConfirmed) this.setPhase('switching', 'no evidence against it')
     else if (share >= 1) this.setPhase('back', 'the time has passed without a decision')
     else if (share >= LAST_SHARE && judgement === 'suspected') this.setPhase('back', reason)
   }
--- a/src/rollout/evidence.ts
+++ b/src/rollout/evidence.ts
@@ -26,15 +26,15 @@
 const SUSPICION = 20
 /** Fewer bad responses may be those of one crash of a target, which ends all that it runs. */
 const MIN_BAD = 12
-/** A response is slow if it takes this many times the median of the earlier version. Targets differ by a factor of three in all. */
-const SLOW_FACTOR = 2.5
+/** A response is slow if it takes this many times the median of the earlier version. A target may be half as fast as the median one. */
+const SLOW_FACTOR = 2
 /** Responses of the earlier version that show its median. */
 const MIN_EARLIER = 30
 /** Responses of the new version from which it may be called good. */
 const MIN_GOOD = 60
 const MIN_FAILURE_BASE = 0.01
-/** New targets may be on the slowest hosts, so a fifth of their responses may be slow. */
-const MIN_SLOW_BASE = 0.2
+/** The new targets that get work may be on the slowest hosts, so a quarter of their responses may be slow. */
+const MIN_SLOW_BASE = 0.25
 const SLOW_BASE_FACTOR = 1.5
 const MAX_BASE = 0.9
 const ALTERNATIVES = 40
--- a/src/rollout/queries/versions.ts
+++ b/src/rollout/queries/versions.ts
@@ -12,15 +12,24 @@
   canary: readonly Target[]
 }
 
-/** A target of the new version that is still starting gets no work. */
-export function splitByVersion (targets: readonly Target[], rollout: Rollout, share: number): VersionTargets {
+export interface CanaryChoice {
+  /** The part of the requests that the new version gets. */
+  share: number
+  /** The targets that get them change with this number, since hosts differ in speed. */
+  turn: number
+  /** True for a target that has been ready for long enough to be judged. */
+  isWarm: (target: Target) => boolean
+}
+
+export function splitByVersion (targets: readonly Target[], rollout: Rollout, { share, turn, isWarm }: CanaryChoice): VersionTargets {
   const earlier = targets.filter(({ version }) => version !== rollout.targetVersion)
   const next = targets.filter(({ version }) => version === rollout.targetVersion)
-  const ready = next.filter(({ state }) => state === 'ready')
+  const warm = next.filter(target => target.state === 'ready' && isWarm(target))
   // As few targets as get the load of one of the earlier version each, so that a fault that appears under load is detected.
   const size = Math.max(1, Math.floor(countUsable(earlier) * share))
-  const ranked = ready.map(target => ({ target, rank: computeRank(`${rollout.id} ${target.host}`) })).sort((left, right) => left.rank - right.rank)
-  return { earlier, next, canary: ranked.slice(0, size).map(({ target }) => target) }
+  const ranked = warm.map(target => ({ target, rank: computeRank(`${rollout.id} ${target.host}`) })).sort((left, right) => left.rank - right.rank)
+  const first = ranked.length === 0 ? 0 : turn * size % ranked.length
+  return { earlier, next, canary: [...ranked.slice(first), ...ranked.slice(0, first)].slice(0, size).map(({ target }) => target) }
 }
 
 /**
--- a/src/rollout/service.ts
+++ b/src/rollout/service.ts
@@ -1,6 +1,7 @@
 /**
  * The rollout of one service on one node.
  */
+import { getOrMake } from '../core/index.js'
 import type { Clock } from '../core/index.js'
 import type { Target } from '../membership/index.js'
 import { ResponseCounts } from './counts.js'
@@ -9,6 +10,11 @@
 import type { Rollout, RolloutBounds, RolloutPhase, RolloutReport } from './schema.js'
 import { ExposureLimit } from './share.js'
 
+/** A target is slow after its start, which says nothing about its version. */
+const WARM_UP_MS = 4_000
+/** The time for which the same targets of the new version get the work. */
+const TURN_MS = 5_000
+const SPLIT_VALID_MS = 500
 /** Without a response of the coordinator for this time, a node sends nothing to the new version. */
 const SILENCE_MS = 2_000
 
@@ -25,7 +31,8 @@
   isReporting = false
   private phase: RolloutPhase = 'held'
   private answeredAt = -Infinity
-  private splits = new WeakMap<readonly Target[], VersionTargets>()
+  private splits = new WeakMap<readonly Target[], { split: VersionTargets, until: number }>()
+  private readonly readyTimes = new Map<string, number>()
   /** Versions that were served beside the new one. After the end they are not those of a later replacement. */
   private readonly earlierVersions = new Set<string | undefined>()
 
@@ -90,10 +97,11 @@
 
   /** The targets of each version. Another version that no rollout allows gets nothing. */
   split (targets: readonly Target[]): VersionTargets {
+    const now = this.clock.monotonic()
     const existing = this.splits.get(targets)
-    if (existing !== undefined) return existing
-    const split = this.makeSplit(targets)
-    this.splits.set(targets, split)
+    if (existing !== undefined && now < existing.until) return existing.split
+    const split = this.makeSplit(targets, now)
+    this.splits.set(targets, { split, until: now + SPLIT_VALID_MS })
     return split
   }
 
@@ -102,13 +110,20 @@
     return { host, incarnation, service, id, phase: this.phaseInForce, routes: this.counts.list(), local }
   }
 
-  private makeSplit (targets: readonly Target[]): VersionTargets {
-    const { earlier, next, canary } = splitByVersion(targets, this.known, this.exposure.share)
+  private makeSplit (targets: readonly Target[], now: number): VersionTargets {
+    const turn = Math.floor((now - this.createdAt) / TURN_MS)
+    const isWarm = (target: Target): boolean => now - this.getReadyTime(target, now) >= WARM_UP_MS
+    const { earlier, next, canary } = splitByVersion(targets, this.known, { share: this.exposure.share, turn, isWarm })
     if (this.known.state === 'running') for (const { version } of earlier) this.earlierVersions.add(version)
     const allowed = this.known.state === 'completed' ? earlier.filter(({ version }) => !this.isBarred(version, next)) : earlier
     return { earlier: selectEstablished(allowed), next, canary }
   }
 
+  /** Returns the time at which this node first saw the target ready. */
+  private getReadyTime ({ id }: Target, now: number): number {
+    return getOrMake(this.readyTimes, id, () => now)
+  }
+
   /** After the end, another version serves only if it has replaced all targets of the new one. */
   private isBarred (version: string | undefined, targets: readonly Target[]): boolean {
     if (this.known.state !== 'completed' || this.earlierVersions.has(version)) return true
--- a/standins/objects/server.ts
+++ b/standins/objects/server.ts
@@ -112,10 +112,10 @@
       response.end(this.switches.answerWith)
       return
     }
-    const [, , , kind = '', name] = url.pathname.split('/').map(decodeURIComponent)
+    const [, , , kind = '', name, part] = url.pathname.split('/').map(decodeURIComponent)
     const apiResponse = message.method === 'GET'
       ? await this.read(kind, name, url.searchParams)
-      : this.write(message.method ?? '', kind, name, url.searchParams, body === '' ? {} : JSON.parse(body) as Partial<StoredObject>)
+      : this.write(message.method ?? '', kind, name, url.searchParams, parseBody(body), part === 'status')
     if (this.switches.loseAnswers && message.method !== 'GET') response.destroy()
     else writeResponse(response, apiResponse)
   }
@@ -156,7 +156,7 @@
     }
   }
 
-  private write (method: string, kind: string, nameInPath: string | undefined, query: URLSearchParams, body: Partial<StoredObject>): ApiResponse {
+  private write (method: string, kind: string, nameInPath: string | undefined, query: URLSearchParams, body: Partial<StoredObject>, isStatus: boolean): ApiResponse {
     const name = nameInPath ?? body.meta?.name ?? ''
     const existing = this.getObjects(kind).get(name)
     const expected = body.meta?.rev ?? (query.has('rev') ? Number(query.get('rev')) : undefined)
@@ -164,7 +164,7 @@
     if (existing === undefined) return { status: 404 }
     if (expected !== undefined && expected !== existing.meta.rev) return { status: 409, body: existing }
     if (method === 'DELETE') return this.remove(kind, existing)
-    return { status: 200, body: this.setObject(kind, { ...existing, spec: body.spec }) }
+    return { status: 200, body: this.setObject(kind, isStatus ? { ...existing, status: body.status ?? null } : { ...existing, spec: body.spec }) }
   }
 
   private create (kind: string, name: string, spec: unknown): ApiResponse {
@@ -217,3 +217,7 @@
   response.writeHead(status, { 'content-type': 'application/json' })
   response.end(body === undefined ? undefined : JSON.stringify(body))
 }
+
+function parseBody (body: string): Partial<StoredObject> {
+  return body === '' ? {} : JSON.parse(body) as Partial<StoredObject>
+}
