End an attempt whose error response a second attempt replaces

Cause: the response was kept as the fallback and its end never reported, so the picker counted the request as in flight at that target for ever and did not learn that it failed, and a rollout did not count the failure: in tests/platform/releases.test.ts a version of which half of the responses were 500 was completed. Change: the fallback is ended when another response takes its place.

--- a/src/request/tasks/attempts.ts
+++ b/src/request/tasks/attempts.ts
@@ -68,7 +68,11 @@
       const result = await attemptTarget(this.context, { activeCall: this.activeCall, target, number: this.attemptNumber, origin: this.origin })
       const failure = this.recordResult(target, result)
       if (hasReachedTarget(result)) this.finishRetry(true)
-      if (failure === undefined) return result.map(response => this.makeResponse(response))
+      if (failure === undefined) {
+        // The error response that this one replaces counts for its target, too.
+        this.fallbackResponse?.finish('whole')
+        return result.map(response => this.makeResponse(response))
+      }
       body.release()
       const decision = this.decide(failure)
       this.reportFailedAttempt(target, failure, decision)
--- a/standins/objects/server.ts
+++ b/standins/objects/server.ts
@@ -156,7 +156,9 @@
     }
   }
 
-  private write (method: string, kind: string, nameInPath: string | undefined, query: URLSearchParams, body: Partial<StoredObject>, isStatus: boolean): ApiResponse {
+  private write (
+    method: string, kind: string, nameInPath: string | undefined, query: URLSearchParams, body: Partial<StoredObject>, isStatus: boolean
+  ): ApiResponse {
     const name = nameInPath ?? body.meta?.name ?? ''
     const existing = this.getObjects(kind).get(name)
     const expected = body.meta?.rev ?? (query.has('rev') ? Number(query.get('rev')) : undefined)
--- a/tests/platform/releases.test.ts
+++ b/tests/platform/releases.test.ts
@@ -33,7 +33,7 @@
 let failureRate: number
 let output: string
 let calls: { total: number, failed: number }
-let stopped: boolean
+let stopped: AbortController
 
 async function startHost (index: number): Promise<TestHost> {
   const version = index < HOSTS / 2 ? 'v1' : 'v2'
@@ -79,7 +79,7 @@
 }
 
 async function sendHeartbeats (): Promise<void> {
-  while (!stopped) {
+  while (!stopped.signal.aborted) {
     await Promise.all(hosts.map(async (host, index) => {
       host.sequence += 1
       const info = { service: 'desk', version: host.version, zone: 'a', slots: 6 }
@@ -92,7 +92,7 @@
 }
 
 async function sendCalls (): Promise<void> {
-  for (let index = 0; !stopped; index += 1) {
+  for (let index = 0; !stopped.signal.aborted; index += 1) {
     const address = hosts[index % HOSTS]?.addresses.caller ?? ''
     const headers = { host: 'shop.example', 'x-attempt-id': `a${index}`, 'x-timeout-ms': '900' }
     calls.total += 1
@@ -124,7 +124,7 @@
   store.server.writeObject('config', 'main', makePlatformConfiguration(1))
   output = ''
   failureRate = 0
-  stopped = false
+  stopped = new AbortController()
   calls = { total: 0, failed: 0 }
   hosts = []
   for (let index = 0; index < HOSTS; index += 1) hosts.push(await startHost(index))
@@ -141,7 +141,7 @@
 }, 30_000)
 
 afterEach(async () => {
-  stopped = true
+  stopped.abort()
   await delay(600)
   for (const { node, server } of hosts) {
     if (node.exitCode === null) node.kill('SIGKILL')
@@ -165,6 +165,7 @@
   await delay(1_500)
   expect(countRuns(closed, endedAt)).toBe(0)
   expect(countRuns(closed === 'v1' ? 'v2' : 'v1', endedAt)).toBeGreaterThan(100)
-  console.log(state, JSON.stringify({ v1: countRuns('v1'), v2: countRuns('v2'), ...calls, storeCalls: store.server.calls.filter(call => call.includes('rollouts')).length }))
+  const storeCalls = store.server.calls.filter(call => call.includes('rollouts')).length
+  console.log(state, JSON.stringify({ v1: countRuns('v1'), v2: countRuns('v2'), ...calls, storeCalls }))
   expect(calls.failed).toBeLessThanOrEqual(state === 'completed' ? 5 : 0.1 * calls.total)
 }, 60_000)
