--- a/src/request/tasks/attempts.ts
+++ b/src/request/tasks/attempts.ts
@@ -77,7 +77,11 @@
         this.hasReached = true
         this.finishRetry(true)
       }
-      if (failure === undefined) return result.map(response => this.makeResponse(response))
+      if (failure === undefined) {
+        // The error response that this one replaces counts for its target, too.
+        this.fallbackResponse?.finish('whole')
+        return result.map(response => this.makeResponse(response))
+      }
       body.release()
       const decision = this.decide(failure)
       this.reportFailedAttempt(target, failure, decision)
