Reject a response whose status is no status of HTTP

Cause: undici passes on each status of three digits. 600 to 999 reached callers as responses. Those below 100 counted as informational in the handler; the exchange ended only since undici asserts that the status of a complete response is at least 100.

Change: the handler checks the status before anything else of the head; one below 100 or above 599 ends the connection as bad_answer (502, may have run). Statuses of other than three digits are rejected by the parser, as before.

The head comment of the connector is wrapped for the linter.

--- a/src/request/connector.ts
+++ b/src/request/connector.ts
@@ -1,8 +1,9 @@
 /**
- * Connections for undici that distinguish a reset, and an end before the request was written, from the end of a response. Libuv reports the end of the stream when a reset arrives
- * together with the last data, and undici treats a close-delimited response as complete at the end of its connection.
- * A write fails on a connection that was reset, but not on a connection that was closed. A target that ends its side while the request
- * is still being written may have stopped in the middle of its response, so nothing shows that a close-delimited one is complete.
+ * Connections for undici that distinguish a reset, and an end before the request was written, from the end of a response. Libuv
+ * reports the end of the stream when a reset arrives together with the last data, and undici treats a close-delimited response as
+ * complete at the end of its connection. A write fails on a connection that was reset, but not on a connection that was closed. A
+ * target that ends its side while the request is still being written may have stopped in the middle of its response, so nothing
+ * shows that a close-delimited one is complete.
  */
 import { Socket } from 'node:net'
 import type { buildConnector } from 'undici'
--- a/src/request/handler.ts
+++ b/src/request/handler.ts
@@ -9,7 +9,7 @@
 import type { IncomingHttpHeaders } from 'node:http'
 import { Readable } from 'node:stream'
 import type { Client, Dispatcher } from 'undici'
-import { Err, Ok } from '../core/index.js'
+import { Err, makeFailure, Ok } from '../core/index.js'
 import type { Failure, Result } from '../core/index.js'
 import type { OutgoingRequest, ResponseHead, TargetResponse } from './httpclient.js'
 import type { ConnectionState } from './connector.js'
@@ -21,7 +21,9 @@
 
 type Controller = Dispatcher.DispatchController
 
+const FIRST_STATUS_CODE = 100
 const FIRST_FINAL_STATUS_CODE = 200
+const LAST_STATUS_CODE = 599
 /** Such a response has no body, whatever its content-length. */
 const NOT_MODIFIED = 304
 const ENDS_CHUNKED = /(^|,)\s*chunked\s*$/i
@@ -74,11 +76,11 @@
   }
 
   onResponseStart (controller: Controller, statusCode: number, headers: IncomingHttpHeaders): void {
-    if (statusCode < FIRST_FINAL_STATUS_CODE) return
+    if (statusCode >= FIRST_STATUS_CODE && statusCode < FIRST_FINAL_STATUS_CODE) return
     this.state.isCloseDelimited = isCloseDelimited(headers)
     const head = { statusCode, headers }
     this.head = head
-    const failure = this.options.checkHead?.(head)
+    const failure = checkStatus(statusCode) ?? this.options.checkHead?.(head)
     if (failure !== undefined) this.rejectResponse(failure)
     else if (this.isStreamed(head)) this.startStream(controller, head)
   }
@@ -164,6 +166,12 @@
   }
 }
 
+/** Undici passes on each status of three digits. Some of them are no status of HTTP, so such a response says nothing about its request. */
+function checkStatus (statusCode: number): Failure | undefined {
+  if (statusCode >= FIRST_STATUS_CODE && statusCode <= LAST_STATUS_CODE) return undefined
+  return { ...makeFailure('may-have-run', 502, 'bad_answer', `the status ${statusCode} of the response is not valid`), reached: true }
+}
+
 /** A body whose last transfer coding is not `chunked` ends with its connection, as one without any length does. */
 function isCloseDelimited (headers: IncomingHttpHeaders): boolean {
   const coding = headers['transfer-encoding']
