--- a/tests/early-end.test.ts
+++ b/tests/early-end.test.ts
@@ -8,11 +8,10 @@
 import { Readable } from 'node:stream'
 import { setTimeout as delay } from 'node:timers/promises'
 import { afterEach, describe, expect, test } from '@jest/globals'
-import type { Target } from '../src/membership/index.js'
-import { Picker, UndiciHttpClient } from '../src/request/index.js'
-import type { PickRequest } from '../src/request/picker.js'
+import { UndiciHttpClient } from '../src/request/index.js'
 import { startMesh } from './fixtures/mesh.js'
 import type { Mesh, MeshOptions } from './fixtures/mesh.js'
+import { makeFirstPicker } from './fixtures/picker.js'
 import { openRawConnection, readRawResponse } from './fixtures/raw.js'
 import type { RawResponse } from './fixtures/raw.js'
 
@@ -78,21 +77,11 @@
   })
 }
 
-/** Tries the targets in their order, so that the first attempt of each call meets the faulty one. */
-class FirstPicker extends Picker {
-  override pick ({ targets, tried }: PickRequest): Target | undefined {
-    return targets.find(target => !tried.has(target.id))
-  }
-
-  override beginAttempt (): void {}
-  override endAttempt (): void {}
-}
-
 async function startNodes (targets: MeshOptions['targets'], path: 'local' | 'remote'): Promise<Mesh> {
   const mesh = await startMesh({
     targets, path, responseBufferBytes: RESPONSE_BUFFER_BYTES, document: { retries: { budgetPercent: 100, minPerSecond: 1_000 } }
   })
-  mesh.context.picker = new FirstPicker()
+  mesh.context.picker = makeFirstPicker()
   closers.push(mesh.close)
   return mesh
 }
