Admit requests and order the queue of a target by expected time

A request for a target without a free slot was admitted by the mean time of all requests and waited for its turn by class alone, so slots went to requests that could no longer be in time, and short nested calls waited behind long requests while their runs held slots. The queue of a target now plans by expected time: requests that can meet their objective first, in proportion to the weights of their classes by work, one that cannot be answered before its deadline is refused at once, also while it waits. Nested calls are marked between nodes (x-comfreyspoke-spent-ms) and count with the work already spent on their run. In force while accounts are, or for targets whose responses report the figure of their machine; otherwise the limiter is the one of before.

--- a/src/node/parts.ts
+++ b/src/node/parts.ts
@@ -4,7 +4,7 @@
 import type { ConfigurationSource } from '../configuration/index.js'
 import type { SystemClock, SystemRandom } from '../core/index.js'
 import type { Dialer, PeerCredentials } from '../peer/index.js'
-import type { AdmissionPolicy, Picker, ProtocolAdapter, RetryPolicy } from '../request/index.js'
+import type { AdmissionPolicy, Picker, ProtocolAdapter, RetryPolicy, WorkControl } from '../request/index.js'
 import type { ObjectStore } from '../store/index.js'
 import type { NodeSettings, NodeTimeouts } from './settings.js'
 
@@ -13,6 +13,8 @@
   picker: Picker
   retry: RetryPolicy
   admission: AdmissionPolicy
+  /** Decides by expected time where the deployment calls for it. Absent: decisions are made by the number of requests. */
+  control?: WorkControl
   /** Request bodies up to this many bytes are buffered before a target is picked. If absent, those of a known, short length are. */
   requestBufferBytes?: number
   /** Responses up to this many bytes are forwarded only once they are complete. */
@@ -30,8 +32,8 @@
   store: ObjectStore
   source: ConfigurationSource
   adapter: ProtocolAdapter
-  /** `countNodes` returns the number of nodes in the fleet that this node knows of. */
-  makePolicies: (clock: SystemClock, random: SystemRandom, countNodes: () => number) => RequestPolicies
+  /** `countNodes` returns the number of nodes in the fleet that this node knows of, `hasAccounts` whether client accounts are in force. */
+  makePolicies: (clock: SystemClock, random: SystemRandom, countNodes: () => number, hasAccounts: () => boolean) => RequestPolicies
   access?: AccessOptions
 }
 
--- a/src/node/start.ts
+++ b/src/node/start.ts
@@ -70,8 +70,9 @@
     this.state = new NodeState({ host, zone, region, inbound, peer, admin, incarnation: clock.now() }, clock)
     this.telemetry = new NodeTelemetry(this.state, clock)
     const { log, metrics } = this.telemetry
-    this.policies = parts.makePolicies(clock, random, () => this.state.members.size)
-    this.localTargets = new LocalTargets(this.state.localHost, () => this.state.snapshotTable.current, clock, this.policies.admission)
+    this.policies = parts.makePolicies(clock, random, () => this.state.members.size, () => this.state.accounts.isInForce)
+    const { admission, control } = this.policies
+    this.localTargets = new LocalTargets(this.state.localHost, () => this.state.snapshotTable.current, clock, admission, control)
     this.crashWatch = new CrashTracker(
       host, this.state.suspects, isConnectionRefused, target => this.state.localHost.formatProcess(target)
     )
@@ -249,6 +250,7 @@
       suspects,
       peerClient: this.peerHttpClient,
       picker,
+      control: policies.control,
       retry,
       getSnapshot: () => state.snapshotTable.current,
       getAccounts: () => state.accounts,
--- a/src/request/callrates.ts
+++ b/src/request/callrates.ts
@@ -45,7 +45,8 @@
     return [...this.all.calls.keys()].map(service => ({ service, calls: this.computeCalls(kind, service) }))
   }
 
-  private computeCalls (kind: string, service: string): number {
+  /** Returns the number of calls to a service that a run of a kind is expected to make. */
+  computeCalls (kind: string, service: string): number {
     const now = this.clock.monotonic()
     const counts = this.getCounts(kind)
     const averageCalls = readCalls(this.all, service, now) / Math.max(1, this.all.runs.read(now))
--- a/src/request/commands/admit.ts
+++ b/src/request/commands/admit.ts
@@ -9,6 +9,8 @@
 import type { AdmissionPolicy } from '../admission.js'
 import { SlotLimiter } from '../slots.js'
 import type { SlotLimits, Permit } from '../slots.js'
+import type { RequestNeed, WorkControl } from '../workcontrol.js'
+import { WorkLimiter } from '../worklimiter.js'
 import type { TargetLoad } from '../load.js'
 
 const RETRY_AFTER_MS = 50
@@ -16,7 +18,14 @@
 
 export interface AdmittedRequest { announcement: Announcement, permit: Permit }
 
-export interface AdmitRequest { target: string, routeClass: RouteClass, leftMs: number, objectiveMs?: number | undefined, signal: AbortSignal }
+export interface AdmitRequest {
+  target: string
+  routeClass: RouteClass
+  leftMs: number
+  objectiveMs?: number | undefined
+  need?: RequestNeed | undefined
+  signal: AbortSignal
+}
 
 export class LocalTargets {
   private readonly limiters = new Map<string, SlotLimiter>()
@@ -25,7 +34,8 @@
     private readonly localHost: LocalHost,
     private readonly getSnapshot: () => Snapshot,
     private readonly clock: Clock,
-    private readonly admission?: AdmissionPolicy
+    private readonly admission?: AdmissionPolicy,
+    private readonly control?: WorkControl
   ) {}
 
   /**
@@ -39,14 +49,14 @@
     return successor === undefined || others.length > 0 || Object.keys(successor.labels).length > 0 ? target : successor.target
   }
 
-  async admit ({ target, routeClass, leftMs, objectiveMs, signal }: AdmitRequest): Promise<Result<AdmittedRequest, Failure>> {
+  async admit ({ target, routeClass, leftMs, objectiveMs, need, signal }: AdmitRequest): Promise<Result<AdmittedRequest, Failure>> {
     const announcement = this.localHost.findAnnouncement(target)
     if (announcement === undefined) {
       this.applyLimits()
       return Err(makeFailure('not-run', 503, 'no_target', `this host has no registered target ${target}`, RETRY_AFTER_MS))
     }
     if (this.isLeaving(target)) return Err(makeLeavingFailure(target))
-    const permit = await this.getLimiter(announcement).acquire(routeClass, leftMs, signal, objectiveMs)
+    const permit = await this.getLimiter(announcement).acquire(routeClass, leftMs, signal, objectiveMs, need)
     if (permit.err) return permit
     const current = this.localHost.findAnnouncement(target)
     if (current !== undefined && !this.isLeaving(target)) return Ok({ announcement: current, permit: permit.val })
@@ -58,6 +68,11 @@
     return this.limiters.get(target)?.load ?? { used: 0, waiting: 0, slots: 0, freeInMs: 0 }
   }
 
+  /** Records the figure of the machine of a target, in percent of its usual time. */
+  recordMachine (target: string, percent: number): void {
+    this.control?.model.recordMachine(target, percent, this.clock.monotonic())
+  }
+
   countUsedSlots (): number {
     return [...this.limiters.values()].reduce((sum, limiter) => sum + limiter.usedSlots, 0)
   }
@@ -89,8 +104,10 @@
       existing.resize(limits)
       return existing
     }
-    const limiter = new SlotLimiter(limits, this.clock, this.admission)
-    this.limiters.set(announcement.target, limiter)
+    const { clock, admission, control } = this
+    const { target } = announcement
+    const limiter = control === undefined ? new SlotLimiter(limits, clock, admission) : new WorkLimiter(limits, clock, admission, target, control)
+    this.limiters.set(target, limiter)
     return limiter
   }
 
--- a/src/request/front.ts
+++ b/src/request/front.ts
@@ -26,6 +26,11 @@
   abstract makeTargetHeaders (call: TargetCall): Headers
   /** Returns a failure when the response of a target reports that the request was not run, or belongs to another request; undefined otherwise. */
   abstract checkResponse (sent: Headers, head: ResponseHead): Failure | undefined
+  /** Returns how long work takes on the machine of the target now, in percent of the usual time, if the response of the target says it. */
+  readMachinePercent (_head: ResponseHead): number | undefined {
+    return undefined
+  }
+
   abstract formatFailure (failure: Failure, request: string): FormattedFailure
   /** Returns the headers of the response of a target that are forwarded to the caller. */
   abstract filterResponseHeaders (headers: IncomingHttpHeaders, request: string): Headers
@@ -34,7 +39,7 @@
 /** Headers that nodes set for the target-side node, which removes them. */
 const TARGET_SIDE_NODE_HEADERS = [
   HEADERS.target, HEADERS.routeClass, HEADERS.fingerprint, HEADERS.suspect, HEADERS.objective, HEADERS.repeat,
-  HEADERS.repeatPercent
+  HEADERS.repeatPercent, HEADERS.kind, HEADERS.spent
 ] as const
 
 /** Uses the `x-comfreyspoke-` headers. */
--- a/src/request/headers.ts
+++ b/src/request/headers.ts
@@ -14,7 +14,7 @@
 /** Headers that nodes set for other nodes. Values that a caller sent are removed, since the target-side node acts on them. */
 const INTERNAL_HEADERS: readonly string[] = [
   HEADERS.attempt, HEADERS.target, HEADERS.routeClass, HEADERS.verdict, HEADERS.noRetry, HEADERS.fingerprint, HEADERS.suspect, HEADERS.load,
-  HEADERS.objective, HEADERS.repeat, HEADERS.repeatPercent, HEADERS.account
+  HEADERS.objective, HEADERS.repeat, HEADERS.repeatPercent, HEADERS.account, HEADERS.kind, HEADERS.spent
 ]
 
 /** A repetition of these headers could be interpreted in two ways. Node.js silently joins or discards repeated headers. */
--- a/src/request/queries/inbound.ts
+++ b/src/request/queries/inbound.ts
@@ -22,6 +22,9 @@
   /** Time within which the response has its full value to the caller. */
   objectiveMs: z.number().int().optional(),
   attempt: z.number().int(),
+  /** The name of the route. */
+  route: z.string().optional(),
+  spentMs: z.number().int(),
   origin: runOriginSchema,
   method: z.string(),
   path: z.string(),
@@ -47,6 +50,8 @@
     routeClass: routeClass === 'critical' || routeClass === 'bulk' ? routeClass : 'normal',
     deadlineMs: Math.min(deadlineMs, MAX_DEADLINE_MS),
     attempt: attempt ?? 1,
+    ...headers[HEADERS.kind] === undefined ? {} : { route: String(headers[HEADERS.kind]) },
+    spentMs: readSpent(message),
     origin: readOrigin(message),
     ...typeof objectiveMs === 'number' ? { objectiveMs } : {},
     method: message.method ?? 'GET',
@@ -61,3 +66,9 @@
   const percent = parseInteger(headers[HEADERS.repeatPercent], 0)
   return { isRepeat: false, repeatShare: typeof percent === 'number' ? Math.min(1, percent / 100) : 0 }
 }
+
+/** Only nested calls have the header. The least value still tells them from other requests. */
+function readSpent ({ headers }: IncomingMessage): number {
+  const spentMs = parseInteger(headers[HEADERS.spent], 0)
+  return typeof spentMs === 'number' ? Math.max(1, Math.min(spentMs, MAX_DEADLINE_MS)) : 0
+}
--- a/src/request/repeats.ts
+++ b/src/request/repeats.ts
@@ -33,7 +33,7 @@
   repeatShare: number
 }
 
-interface Run { kind: string, repeatShare: number, endsAt: number }
+interface Run { kind: string, repeatShare: number, startedAt: number, endsAt: number }
 
 /** A target counts its time from the arrival of the request, which is later than its sending. */
 const MAX_ARRIVAL_DELAY_MS = 30
@@ -70,6 +70,15 @@
     return this.listRuns(leftMs).length > 0 || now - this.lastEndedAt <= ENDED_RUN_MS || now - this.startedAt <= EARLIER_RUNS_MS
   }
 
+  /** Returns how long the run that made a call has lasted, by expectation; 0 if none of the runs on this host did. */
+  computeSpent (service: string, leftMs = 0): number {
+    const now = this.clock.monotonic()
+    const runs = this.listRuns(leftMs).map(({ kind, startedAt }) => ({ lastedMs: now - startedAt, calls: this.rates.computeCalls(kind, service) }))
+    const calls = runs.reduce((sum, run) => sum + run.calls, 0)
+    if (calls === 0) return runs.reduce((sum, { lastedMs }) => sum + lastedMs / runs.length, 0)
+    return runs.reduce((sum, run) => sum + run.lastedMs * run.calls / calls, 0)
+  }
+
   /** Records the decision that followed an attempt which reached a target. */
   recordDecision (service: string, decision: RetryDecision): void {
     if (typeof decision === 'number') this.getCounts(service).repeats += 1
@@ -86,7 +95,8 @@
    * request. Returns a function that ends the run.
    */
   beginRun (kind: string, { repeatShare }: RunOrigin, leftMs: number): () => void {
-    const run: Run = { kind, repeatShare, endsAt: this.clock.monotonic() + leftMs }
+    const startedAt = this.clock.monotonic()
+    const run: Run = { kind, repeatShare, startedAt, endsAt: startedAt + leftMs }
     this.runs.add(run)
     this.rates.recordRun(kind)
     return () => {
--- a/src/request/schema.ts
+++ b/src/request/schema.ts
@@ -23,6 +23,10 @@
   /** The name of the client account, percent-encoded. */
   account: 'x-comfreyspoke-account',
   objective: 'x-comfreyspoke-objective-ms',
+  /** The route of the request by its name, percent-encoded: requests of one route need similar work. */
+  kind: 'x-comfreyspoke-kind',
+  /** Present on a nested call while accounts are in force: how long the run that made it has used its slot, in milliseconds. */
+  spent: 'x-comfreyspoke-spent-ms',
   key: 'idempotency-key',
   fingerprint: 'x-comfreyspoke-fingerprint',
   suspect: 'x-comfreyspoke-suspect'
--- a/src/request/slots.ts
+++ b/src/request/slots.ts
@@ -8,25 +8,31 @@
 import type { AdmissionPolicy } from './admission.js'
 import type { TargetLoad } from './load.js'
 import { WeightedFairQueue } from './queue.js'
+import type { RequestNeed } from './workcontrol.js'
 
 const RETRY_AFTER_MS = 100
 /** Weight of a new sample in the moving average of the service time. */
 const SAMPLE_SHARE = 0.1
 
-export interface Permit { release: () => void }
+export interface Permit {
+  /** `isServed` is true if the target responded, and not with a server error. */
+  release: (isServed?: boolean) => void
+  /** The time for which the request used its slot, once that is known. */
+  readonly serviceMs?: number | undefined
+}
 
 export interface SlotLimits { slots: number, queue: number }
 
 interface QueuedRequest { routeClass: RouteClass, settle: (result: Result<Permit, Failure>) => void }
 
 export class SlotLimiter {
-  private used = 0
+  protected used = 0
   /** Moving average of the time for which a request uses its slot. */
   private averageServiceMs = 0
   private readonly queue = new WeightedFairQueue<QueuedRequest>()
 
   constructor (
-    private limits: SlotLimits, private readonly clock: Clock, private readonly admission: AdmissionPolicy = new DeadlineAdmissionPolicy()
+    protected limits: SlotLimits, protected readonly clock: Clock, private readonly admission: AdmissionPolicy = new DeadlineAdmissionPolicy()
   ) {}
 
   get usedSlots (): number {
@@ -49,7 +55,10 @@
     this.admitNext()
   }
 
-  async acquire (routeClass: RouteClass, leftMs: number, signal: AbortSignal, objectiveMs = Infinity): Promise<Result<Permit, Failure>> {
+  /** `need` is what the request needs, for limiters that decide by it. */
+  async acquire (
+    routeClass: RouteClass, leftMs: number, signal: AbortSignal, objectiveMs = Infinity, _need?: RequestNeed
+  ): Promise<Result<Permit, Failure>> {
     if (this.used < this.limits.slots) return Ok(this.acquireSlot())
     const waitMs = this.admission.computeMaxWait({ leftMs, objectiveMs, serviceMs: this.averageServiceMs })
     const { slots } = this.limits
@@ -63,7 +72,7 @@
 
   /** Rejects all queued requests, since a target that is no longer available frees no slot for them. */
   close (): void {
-    while (this.queue.length > 0) this.queue.removeLowest()?.settle(Err(makeFailure('not-run', 503, 'no_target', 'the target is unavailable', RETRY_AFTER_MS)))
+    while (this.queue.length > 0) this.queue.removeLowest()?.settle(Err(makeUnavailableFailure()))
   }
 
   private shedBelow (routeClass: RouteClass): boolean {
@@ -92,7 +101,7 @@
     }
   }
 
-  private admitNext (): void {
+  protected admitNext (): void {
     while (this.used < this.limits.slots) {
       const next = this.queue.removeNext()
       if (next === undefined) return
@@ -122,6 +131,10 @@
   }
 }
 
-function makeShedFailure (reason: string): Failure {
+export function makeUnavailableFailure (): Failure {
+  return makeFailure('not-run', 503, 'no_target', 'the target is unavailable', RETRY_AFTER_MS)
+}
+
+export function makeShedFailure (reason: string): Failure {
   return makeFailure('not-run', 503, 'shed', reason, RETRY_AFTER_MS)
 }
--- a/src/request/tasks/attempt.ts
+++ b/src/request/tasks/attempt.ts
@@ -11,6 +11,7 @@
 import type { SuspectCall } from '../commands/suspect.js'
 import type { TargetResponse, HttpClient, OutgoingRequest } from '../httpclient.js'
 import { parseLoad } from '../load.js'
+import type { TargetLoad } from '../load.js'
 import type { Headers } from '../headers.js'
 import type { Picker } from '../picker.js'
 import { deriveFailureOutcome, deriveResponseOutcome } from '../queries/outcome.js'
@@ -18,7 +19,9 @@
 import { HEADERS } from '../schema.js'
 import type { Call, RunOrigin } from '../schema.js'
 import type { RequestScope } from '../scope.js'
-import { runLocal } from './inbound.js'
+import { makeNeed } from '../workcontrol.js'
+import type { RequestNeed, WorkControl } from '../workcontrol.js'
+import { measureLoad, runLocal } from './inbound.js'
 import type { InboundContext } from './inbound.js'
 
 const FIRST_SERVER_ERROR_STATUS = 500
@@ -35,6 +38,8 @@
   /** The probability that a repeated run on this host made the call. */
   repeatShare: number
   account: Account | undefined
+  /** Present for a nested call: how long the run that made it has used its slot. */
+  spentMs?: number | undefined
 }
 
 export interface Attempt { activeCall: ActiveCall, target: Target, number: number, origin: RunOrigin }
@@ -42,7 +47,15 @@
 /** `finish` ends the accounting of the attempt after the response has been forwarded. */
 export interface AttemptResponse { targetResponse: TargetResponse, finish: (delivery: DeliveryOutcome) => void }
 
-export interface AttemptContext { host: string, clock: Clock, picker: Picker, inbound: InboundContext, peerClient: HttpClient }
+export interface AttemptContext {
+  host: string
+  clock: Clock
+  picker: Picker
+  /** Absent: nothing is decided by expected time. */
+  control?: WorkControl | undefined
+  inbound: InboundContext
+  peerClient: HttpClient
+}
 
 /** `release` frees the slot if the target is on this host. */
 interface ReceivedResponse { targetResponse: TargetResponse, release: () => void }
@@ -81,11 +94,12 @@
     attempt: number,
     origin,
     objectiveMs: measureRemainingObjective(activeCall),
+    need: makeCallNeed(activeCall),
     scope: activeCall.scope,
     outgoing: makeOutgoingRequest(attempt),
     body: activeCall.call.hasBody ? activeCall.body : undefined
   })
-  context.picker.recordLoad(target, local.measureLoad(name))
+  recordLoad(context, attempt, measureLoad(context.inbound, name, result))
   return result.map(({ targetResponse, permit }) => ({ targetResponse, release: permit.release }))
 }
 
@@ -93,7 +107,7 @@
   const { activeCall, target } = attempt
   const body = activeCall.call.hasBody ? activeCall.body.open() : undefined
   const received = await context.peerClient.send({
-    ...makeOutgoingRequest(attempt),
+    ...makeOutgoingRequest(attempt, context.control?.isInForce(target.id, context.clock.monotonic())),
     address: target.inbound,
     body,
     signal: activeCall.scope.signal,
@@ -101,11 +115,16 @@
   })
   if (received.err) return received.mapErr(failure => failure.verdict === 'not-run' ? failure : { ...failure, reached: true })
   const load = parseLoad(received.val.headers[HEADERS.load])
-  if (load !== undefined) context.picker.recordLoad(target, load)
+  if (load !== undefined) recordLoad(context, attempt, load)
   if (received.val.headers[HEADERS.verdict] !== undefined) return Err(await readPeerFailure(received.val))
   return received.map(targetResponse => ({ targetResponse, release: () => {} }))
 }
 
+function recordLoad ({ picker, control, clock }: AttemptContext, { target, activeCall }: Attempt, load: TargetLoad): void {
+  picker.recordLoad(target, load)
+  control?.recordReport(target.id, makeCallNeed(activeCall), load, clock.monotonic())
+}
+
 /**
  * Parses the failure that the target-side node reported. The request itself was accepted by this node, so a status below 500 is about
  * the message between the nodes. The caller cannot correct that, and another target-side node may accept the message.
@@ -120,8 +139,8 @@
   }
 }
 
-function makeOutgoingRequest ({ activeCall, target, number, origin }: Attempt): Pick<OutgoingRequest, 'method' | 'path' | 'headers'> {
-  const { call, resolved, headers, scope, suspect, account } = activeCall
+function makeOutgoingRequest ({ activeCall, target, number, origin }: Attempt, isDecidedByWork = false): Pick<OutgoingRequest, 'method' | 'path' | 'headers'> {
+  const { call, resolved, headers, scope, suspect, account, spentMs } = activeCall
   const outgoingHeaders: Headers = {
     ...headers,
     ...suspect.makeHeaders(target.host),
@@ -136,6 +155,8 @@
     ...call.caller === undefined ? {} : { [HEADERS.caller]: call.caller },
     ...account === undefined ? {} : { [HEADERS.account]: encodeURIComponent(account.name) }
   }
+  if (isDecidedByWork) outgoingHeaders[HEADERS.kind] = encodeURIComponent(resolved.name)
+  if (spentMs !== undefined) outgoingHeaders[HEADERS.spent] = String(Math.round(spentMs))
   if (origin.isRepeat) outgoingHeaders[HEADERS.repeat] = '1'
   const objectiveMs = measureRemainingObjective(activeCall)
   if (objectiveMs !== undefined) outgoingHeaders[HEADERS.objective] = String(Math.round(objectiveMs))
@@ -144,6 +165,10 @@
   return { method: call.method, path: call.path, headers: outgoingHeaders }
 }
 
+function makeCallNeed ({ call: { method }, resolved: { service, name }, spentMs }: ActiveCall): RequestNeed {
+  return makeNeed(service, encodeURIComponent(name), method, spentMs === undefined ? 0 : Math.max(1, spentMs))
+}
+
 function getClass ({ account, resolved: { route } }: ActiveCall): RouteClass {
   return account?.class ?? route.class
 }
--- a/src/request/tasks/caller.ts
+++ b/src/request/tasks/caller.ts
@@ -124,10 +124,14 @@
   // Targets have no keys, so no run on this host has made a request with one.
   const { isOfRun, repeatShare } = repeats.recordCall(service, authorized.val === undefined ? call.deadlineMs : Infinity)
   context.retry.countCall(service, isOfRun)
+  // Without accounts, a request without a key may be one of a caller on this host.
+  const isNested = accounts.isInForce && authorized.val === undefined && route.public !== true
+  const spentMs = isNested ? repeats.computeSpent(service, call.deadlineMs) : undefined
   const run = async (): Promise<Result<AttemptResponse, Failure>> => {
     const suspect = new SuspectCall(context.suspects, call, body.prefix)
     const headers = context.inbound.adapter.filterRequestHeaders(message.headers, accounts.isInForce)
-    return await new Attempts(context, { call, resolved: resolved.val, headers, body, scope, suspect, repeatShare, account: authorized.val }).run()
+    const account = authorized.val
+    return await new Attempts(context, { call, resolved: resolved.val, headers, body, scope, suspect, repeatShare, account, spentMs }).run()
   }
   if (call.hasBody && !(await body.bufferShortBody(scope.signal) && await body.readPrefix(scope.signal))) {
     scope.end()
--- a/src/request/tasks/inbound.ts
+++ b/src/request/tasks/inbound.ts
@@ -9,6 +9,7 @@
 import { writeResponse, writeFailure } from '../response.js'
 import type { ProtocolAdapter } from '../front.js'
 import { formatLoad } from '../load.js'
+import type { TargetLoad } from '../load.js'
 import { RequestBody } from '../body.js'
 import type { SuspectTable } from '../../suspect/index.js'
 import { TARGET_CRASHED } from '../commands/crash.js'
@@ -23,6 +24,8 @@
 import type { RepeatMeter } from '../repeats.js'
 import type { RetryPolicy } from '../retry.js'
 import type { Permit } from '../slots.js'
+import { makeNeed } from '../workcontrol.js'
+import type { RequestNeed } from '../workcontrol.js'
 import { HEADERS } from '../schema.js'
 import type { RunOrigin } from '../schema.js'
 
@@ -34,6 +37,8 @@
   origin: RunOrigin
   /** Time left until the latency objective of the route passes. */
   objectiveMs: number | undefined
+  /** Absent if nothing is decided by it. */
+  need?: RequestNeed | undefined
   scope: RequestScope
   outgoing: Pick<OutgoingRequest, 'method' | 'path' | 'headers'>
   body: RequestBody | undefined
@@ -55,6 +60,7 @@
 export interface LocalResponse { targetResponse: TargetResponse, permit: Permit }
 
 const RETRY_AFTER_MS = 200
+const FIRST_SERVER_ERROR_STATUS = 500
 const SHED_CODES = new Set(['queue_full', 'shed'])
 
 /** Runs a request on a target of this host. The permit must be released after the response has been forwarded or truncated. */
@@ -70,9 +76,9 @@
 
 /** Waits for a slot. No byte of the request has been sent to the target when it is rejected here. */
 async function admitRun (context: InboundContext, localRequest: LocalRequest): Promise<Result<AdmittedRun, Failure>> {
-  const { target, routeClass, attempt, objectiveMs, origin, scope, outgoing } = localRequest
+  const { target, routeClass, attempt, objectiveMs, need, origin, scope, outgoing } = localRequest
   const { signal } = scope
-  const admitted = await context.local.admit({ target, routeClass, leftMs: Math.max(0, scope.leftMs), objectiveMs, signal })
+  const admitted = await context.local.admit({ target, routeClass, leftMs: Math.max(0, scope.leftMs), objectiveMs, need, signal })
   if (admitted.err) return admitted.mapErr(failure => markNoRetry(failure, attempt))
   const { announcement: { address }, permit } = admitted.val
   if (signal.aborted) {
@@ -112,6 +118,8 @@
   })
   if (received.ok || received.val.verdict !== 'not-run' || received.val.reached === true) repeats.recordArrival(service, origin)
   if (received.ok) {
+    const percent = adapter.readMachinePercent(received.val)
+    if (percent !== undefined) context.local.recordMachine(target, percent)
     watchResponse(received.val, inFlight, runPermit, address)
     return received.map(targetResponse => ({ targetResponse, permit: runPermit }))
   }
@@ -119,6 +127,15 @@
   return Err(await checkCrash(received.val, inFlight, target, address))
 }
 
+/** The load of a target as the response to a request reports it. */
+export function measureLoad ({ local, adapter }: InboundContext, target: string, result: Result<LocalResponse, Failure>): TargetLoad {
+  const load = local.measureLoad(target)
+  if (result.err) return load
+  const { permit: { serviceMs }, targetResponse } = result.val
+  const machinePercent = adapter.readMachinePercent(targetResponse)
+  return { ...load, ...serviceMs === undefined ? {} : { serviceMs }, ...machinePercent === undefined ? {} : { machinePercent } }
+}
+
 /** Requests that agree in this are likely to be served by the same code of the target, which makes the same calls. */
 function getRunKind ({ service, routeClass, outgoing: { method } }: LocalRequest): string {
   return `${service} ${routeClass} ${method}`
@@ -127,9 +144,10 @@
 /** A run ends when its slot is released. */
 function makeRunPermit (permit: Permit, endRun: () => void): Permit {
   return {
-    release: () => {
+    get serviceMs () { return permit.serviceMs },
+    release: isServed => {
       endRun()
-      permit.release()
+      permit.release(isServed)
     }
   }
 }
@@ -138,13 +156,14 @@
  * Tracks a streamed response to its end, since a target can crash in the middle of its response. The target is done after its last
  * byte, which may be long before a slow caller has received the response.
  */
-function watchResponse ({ body }: TargetResponse, inFlight: InFlightRequest, permit: Permit, address: string): void {
+function watchResponse ({ statusCode, body }: TargetResponse, inFlight: InFlightRequest, permit: Permit, address: string): void {
+  const isServed = statusCode < FIRST_SERVER_ERROR_STATUS
   if (Buffer.isBuffer(body)) {
-    permit.release()
+    permit.release(isServed)
     inFlight.finish()
     return
   }
-  body.once('end', permit.release)
+  body.once('end', () => { permit.release(isServed) })
   finished(body, error => {
     if (error === undefined || error === null) inFlight.finish()
     else void inFlight.fail(address)
@@ -176,15 +195,16 @@
 
 async function forwardInbound (context: InboundContext, inbound: InboundRequest, body: RequestBody, response: ServerResponse): Promise<void> {
   const scope = new RequestScope(context.clock, inbound.deadlineMs, response)
-  const { request, service, routeClass, attempt, origin, objectiveMs, method, path, headers } = inbound
+  const { request, service, routeClass, attempt, origin, objectiveMs, route, spentMs, method, path, headers } = inbound
   const outgoing = { method, path, headers }
+  const need = route === undefined ? undefined : makeNeed(service, route, method, spentMs)
   try {
     await scope.awaitPendingClose()
     const target = context.local.resolveTarget(inbound.target, service)
     const result = await runLocal(context, {
-      service, target, routeClass, attempt, origin, objectiveMs, scope, outgoing, body: inbound.hasBody ? body : undefined
+      service, target, routeClass, attempt, origin, objectiveMs, need, scope, outgoing, body: inbound.hasBody ? body : undefined
     })
-    response.setHeader(HEADERS.load, formatLoad(context.local.measureLoad(target)))
+    response.setHeader(HEADERS.load, formatLoad(measureLoad(context, target, result)))
     if (result.err) {
       writeFailure(response, result.val, request)
       return
--- a/src/request/work.ts
+++ b/src/request/work.ts
@@ -83,7 +83,7 @@
     const usualMs = ms / machine / speed.value
     this.recordWork(need.service, usualMs, at)
     const expectedMs = this.recordWork(makeWorkKey(need.service, need.kind), usualMs, at)
-    speed.value *= 1 + SPEED_SAMPLE_SHARE * (limitRatio(usualMs / expectedMs) - 1)
+    speed.value *= 1 + SPEED_SAMPLE_SHARE * (computeCappedRatio(usualMs / expectedMs) - 1)
     speed.samples += 1
     speed.at = at
     this.evictUnused(at)
@@ -94,7 +94,7 @@
     const work = getOrMake(this.works, key, () => ({ value: Math.max(1, ms), samples: 0, at }))
     const before = work.value
     work.samples += 1
-    work.value = Math.max(1, before * (1 + Math.max(WORK_SAMPLE_SHARE, 1 / work.samples) * (limitRatio(ms / before) - 1)))
+    work.value = Math.max(1, before * (1 + Math.max(WORK_SAMPLE_SHARE, 1 / work.samples) * (computeCappedRatio(ms / before) - 1)))
     work.at = at
     return before
   }
@@ -112,6 +112,6 @@
   return `${service} ${kind}`
 }
 
-function limitRatio (ratio: number): number {
+function computeCappedRatio (ratio: number): number {
   return Math.min(MAX_SAMPLE_RATIO, ratio)
 }
