--- a/src/request/delaypicker.ts
+++ b/src/request/delaypicker.ts
@@ -44,7 +44,7 @@
   private readonly candidates: CandidateSelector
   private evictedAt = 0
 
-  constructor (private readonly locality: NodeLocality, private readonly clock: Clock, private readonly random: Random) {
+  constructor (private readonly locality: NodeLocality, protected readonly clock: Clock, private readonly random: Random) {
     super()
     this.candidates = new CandidateSelector(locality, random)
   }
@@ -60,14 +60,18 @@
     return this.pickFrom(all, request)
   }
 
-  private pickFrom (candidates: readonly Target[], { tried, needsFreeSlot, zones, bytes = 0 }: PickRequest): Target | undefined {
+  private pickFrom (candidates: readonly Target[], request: PickRequest): Target | undefined {
+    const { tried, needsFreeSlot, zones, bytes = 0 } = request
     const at = this.clock.monotonic()
     const untried = candidates.filter(target => !tried.has(target.id))
     const reachable = untried.filter(target => !this.stats.get(target).isUnreachable(at))
     const available = reachable.filter(target => !this.stats.get(target).isBackingOff(at))
-    const computePenalty = zones === 'any' ? (): number => 0 : (target: Target): number => this.computeDistancePenalty(target, bytes)
-    if (needsFreeSlot) return this.pickBest(this.selectLikelyFree(available, at), at, computePenalty)
-    return this.pickBest(available.length > 0 ? available : reachable.length > 0 ? reachable : untried, at, computePenalty)
+    const computeDelay = (target: Target): number => {
+      const delayMs = this.computeDelay(target, this.stats.get(target), at, request)
+      return zones === 'any' ? delayMs : delayMs + this.computeDistancePenalty(target, bytes)
+    }
+    if (needsFreeSlot) return this.pickBest(this.selectLikelyFree(available, at), computeDelay)
+    return this.pickBest(available.length > 0 ? available : reachable.length > 0 ? reachable : untried, computeDelay)
   }
 
   override beginAttempt (target: Target): void {
@@ -114,14 +118,12 @@
     this.rejectionShares.set(service, share + REJECTION_SAMPLE_SHARE * ((isRejected ? 1 : 0) - share))
   }
 
-  private pickBest (targets: readonly Target[], at: number, computePenalty: (target: Target) => number): Target | undefined {
+  private pickBest (targets: readonly Target[], computeDelay: (target: Target) => number): Target | undefined {
     let best: Target | undefined
     let lowest = Infinity
     for (const target of targets) {
-      const averageMs = this.averageServiceMs.get(target.service) ?? DEFAULT_SERVICE_MS
-      const delayMs = this.stats.get(target).computeDelay(at, target.slots, averageMs) + computePenalty(target)
       const jitterShare = target.host === this.locality.host ? 0 : RATING_JITTER_SHARE * this.random.next()
-      const rating = delayMs * (1 + jitterShare)
+      const rating = computeDelay(target) * (1 + jitterShare)
       if (rating >= lowest) continue
       lowest = rating
       best = target
@@ -129,6 +131,11 @@
     return best
   }
 
+  /** Returns the expected time of a call sent now, without the penalty for the distance. */
+  protected computeDelay (target: Target, stats: TargetStats, at: number, _request: PickRequest): number {
+    return stats.computeDelay(at, target.slots, this.averageServiceMs.get(target.service) ?? DEFAULT_SERVICE_MS)
+  }
+
   private computeDistancePenalty ({ host, zone, region }: Target, bytes: number): number {
     if (host === this.locality.host) return 0
     if (zone === this.locality.zone) return SAME_ZONE_PENALTY_MS
--- a/src/request/picker.ts
+++ b/src/request/picker.ts
@@ -3,6 +3,7 @@
  */
 import type { Target } from '../membership/index.js'
 import type { TargetLoad } from './load.js'
+import type { RequestNeed } from './workcontrol.js'
 
 export interface PickRequest {
   targets: readonly Target[]
@@ -11,6 +12,8 @@
   /** The previous attempt was rejected because the target had no free slot, so only a target that is likely to have one is worth another attempt. */
   needsFreeSlot: boolean
   zones: 'same-first' | 'any'
+  /** What the request needs, for pickers that decide by it. */
+  need?: RequestNeed
   /** Length of the request body, which is transferred to the target. */
   bytes?: number
   /** Returns the present load of a target on this host, including the requests that other nodes sent to it. */
@@ -26,7 +29,7 @@
 export abstract class Picker {
   abstract pick (request: PickRequest): Target | undefined
   /** Called at the start of each attempt, as `endAttempt` is at its end. Pickers learn about targets from these two. */
-  abstract beginAttempt (target: Target): void
+  abstract beginAttempt (target: Target, need?: RequestNeed): void
   /** `latencyMs` is undefined when the caller and not the target determined the time, as in an upload. */
   abstract endAttempt (target: Target, latencyMs: number | undefined, outcome: AttemptOutcome, code?: string): void
 
--- a/src/request/stats.ts
+++ b/src/request/stats.ts
@@ -94,10 +94,14 @@
   /** Returns the expected time of a call sent now in milliseconds, without the network delay. */
   computeDelay (at: number, slots: number, averageMs: number): number {
     const serviceMs = (this.serviceMs ?? averageMs) * (at - this.firstSeenAt < WARM_UP_MS ? WARM_UP_FACTOR : 1)
-    return serviceMs + this.computeQueueDelay(at, slots, serviceMs) + this.computeFailureRate(at) * FAILURE_PENALTY_MS
+    return serviceMs + this.computeQueueDelay(at, slots, serviceMs) + this.computeFailurePenalty(at)
   }
 
-  private computeQueueDelay (at: number, slots: number, serviceMs: number): number {
+  computeFailurePenalty (at: number): number {
+    return this.computeFailureRate(at) * FAILURE_PENALTY_MS
+  }
+
+  computeQueueDelay (at: number, slots: number, serviceMs: number): number {
     const ahead = Math.max(this.inFlight, this.computeUsed(at, slots, serviceMs)) + 1 - slots
     return ahead > 0 ? ahead * serviceMs / slots : 0
   }
--- a/src/request/tasks/attempt.ts
+++ b/src/request/tasks/attempt.ts
@@ -64,7 +64,7 @@
   const { picker, clock } = context
   const { target, activeCall } = attempt
   const startedAt = clock.monotonic()
-  picker.beginAttempt(target)
+  picker.beginAttempt(target, makeCallNeed(activeCall))
   const received = target.host === context.host ? await attemptLocal(context, attempt) : await attemptRemote(context, attempt)
   // The duration of a streamed upload mostly depends on the caller.
   const elapsedMs = clock.monotonic() - startedAt
@@ -165,7 +165,7 @@
   return { method: call.method, path: call.path, headers: outgoingHeaders }
 }
 
-function makeCallNeed ({ call: { method }, resolved: { service, name }, spentMs }: ActiveCall): RequestNeed {
+export function makeCallNeed ({ call: { method }, resolved: { service, name }, spentMs }: ActiveCall): RequestNeed {
   return makeNeed(service, encodeURIComponent(name), method, spentMs === undefined ? 0 : Math.max(1, spentMs))
 }
 
--- a/src/request/tasks/attempts.ts
+++ b/src/request/tasks/attempts.ts
@@ -9,7 +9,7 @@
 import type { TargetLoad } from '../load.js'
 import type { RetryDecision, RetryPolicy } from '../retry.js'
 import type { Call, RunOrigin } from '../schema.js'
-import { attemptTarget, getTargetName } from './attempt.js'
+import { attemptTarget, getTargetName, makeCallNeed } from './attempt.js'
 import type { AttemptContext, ActiveCall, AttemptResponse } from './attempt.js'
 
 /** An attempt without a response that can be forwarded, and the retry decision that followed. */
@@ -87,7 +87,13 @@
     const { local } = this.context.inbound
     const measureLocalLoad = (candidate: Target): TargetLoad => local.measureLoad(getTargetName(candidate))
     const target = this.context.picker.pick({
-      targets, tried: this.attemptedTargets, needsFreeSlot: this.needsFreeSlot, zones, bytes: call.bodyBytes ?? 0, measureLocalLoad
+      targets,
+      tried: this.attemptedTargets,
+      needsFreeSlot: this.needsFreeSlot,
+      zones,
+      bytes: call.bodyBytes ?? 0,
+      measureLocalLoad,
+      need: makeCallNeed(this.activeCall)
     })
     if (target !== undefined) this.attemptedTargets.add(target.id)
     return target
--- a/src/request/worklimiter.ts
+++ b/src/request/worklimiter.ts
@@ -76,7 +76,7 @@
       queued.settle(Ok(this.acquireWork(queued.need, queued.expectedMs)))
     }
     while (this.waiting.length > this.limits.queue) {
-      const least = this.waiting.findLeast(plan.late)
+      const least = this.waiting.findLeast()
       if (least === undefined) return
       this.endWait(least, Err(makeShedFailure('other requests replaced this one in the full queue')))
     }
--- a/src/request/workqueue.ts
+++ b/src/request/workqueue.ts
@@ -3,8 +3,8 @@
  * comes late is lost to a request that would have been in time, and in which a run holds its slot while its nested calls wait.
  *
  * A plan lists when each waiting request is expected to get a slot and to be answered. Requests that can meet their objective go first,
- * in proportion to the weights of their classes, by work instead of by number. The others follow if a slot is left for them. A request
- * that cannot be answered before its deadline has no place in the plan.
+ * in proportion to the weights of their classes, by work instead of by number. The others get a slot that is free at once. The rest is
+ * refused: a request that can be in time elsewhere should not wait here.
  */
 import type { RouteClass } from '../document/index.js'
 
@@ -23,8 +23,6 @@
 export interface Plan<T> {
   /** The requests in the order in which they are to be served. */
   order: T[]
-  /** The requests at the end of `order` that are expected to miss their objective. */
-  late: T[]
   /** Requests that are to be refused at once. */
   refused: T[]
   /** When a slot is expected to be free for a request behind all others. */
@@ -79,30 +77,29 @@
   /** `slotFreeAt` are the times at which the slots in use are expected to be free. */
   derivePlan (at: number, slotFreeAt: readonly number[]): Plan<T> {
     const slots = [...slotFreeAt].sort((left, right) => left - right)
-    const plan: Plan<T> = { order: [], late: [], refused: [], freeAt: at }
+    const plan: Plan<T> = { order: [], refused: [], freeAt: at }
     const late: T[] = []
     for (const item of this.listFairly()) {
       const startAt = slots[0] ?? Infinity
-      if (startAt + item.expectedMs * TIME_MARGIN + RESPONSE_MARGIN_MS <= item.objectiveAt) place(item, slots, plan.order)
+      if (startAt <= computeLatestStart(item)) place(item, slots, plan.order)
       else late.push(item)
     }
     for (const item of late.sort(compareLate)) {
       const startAt = Math.max(at, slots[0] ?? Infinity)
-      // A request that gets no slot before its objective has passed would only delay others that still can meet theirs.
-      const isHopeless = startAt + item.expectedMs + RESPONSE_MARGIN_MS > item.deadlineAt || startAt > item.objectiveAt
+      // A request that would be late gets a slot only if one is free at once, since it would take it from one that can be in time.
+      const isHopeless = startAt + item.expectedMs + RESPONSE_MARGIN_MS > item.deadlineAt || startAt > at
       if (isHopeless) {
         plan.refused.push(item)
         continue
       }
       place(item, slots, plan.order)
-      plan.late.push(item)
     }
     return { ...plan, freeAt: Math.max(at, slots[0] ?? Infinity) }
   }
 
-  /** Returns the request that the others can do best without: a late one, or else the newest of the lowest class. */
-  findLeast (late: readonly T[]): T | undefined {
-    return [...late].reverse().find(item => this.getLane(item).items.includes(item)) ?? this.lanes.find(({ items }) => items.length > 0)?.items.at(-1)
+  /** Returns the newest request of the lowest class, a nested call only if there is no other. */
+  findLeast (): T | undefined {
+    return this.lanes.find(({ items }) => items.length > 0)?.items.at(-1)
   }
 
   /** Lists the requests by virtual time, each lane from its oldest. */
@@ -126,9 +123,9 @@
   }
 }
 
-/** Returns the latest time at which it makes sense to give the request a slot. */
-export function computeLatestStart ({ expectedMs, objectiveAt, deadlineAt }: WaitingWork): number {
-  return Math.min(objectiveAt, deadlineAt - expectedMs - RESPONSE_MARGIN_MS)
+/** Returns the latest time at which a request that gets a slot is expected to meet its objective. */
+export function computeLatestStart ({ expectedMs, objectiveAt }: WaitingWork): number {
+  return objectiveAt - expectedMs * TIME_MARGIN - RESPONSE_MARGIN_MS
 }
 
 function makeLane<T> (routeClass: RouteClass): Lane<T> {
