Refuse requests near the caller when their service has no room

Under overload each refused request cost up to four attempts between nodes and its client returned at once. A node now sends calls of a class to a service until they are twice those that found room in the last 2 s, and refuses the rest before the first attempt (no_room). The node beside a target refuses a run before it starts if the nested calls that runs of its kind make find no room (nested_no_room). Retry-After is spread around the objective of the route, longer the more calls are refused. Log event overload_state, metric refusals_total{code,class}.

--- a/src/node/parts.ts
+++ b/src/node/parts.ts
@@ -4,7 +4,7 @@
 import type { ConfigurationSource } from '../configuration/index.js'
 import type { SystemClock, SystemRandom } from '../core/index.js'
 import type { Dialer, PeerCredentials } from '../peer/index.js'
-import type { AdmissionPolicy, Picker, ProtocolAdapter, RetryPolicy, WorkControl } from '../request/index.js'
+import type { AdmissionPolicy, EntryPolicy, EntryState, Picker, ProtocolAdapter, RetryPolicy, WorkControl } from '../request/index.js'
 import type { ObjectStore } from '../store/index.js'
 import type { NodeSettings, NodeTimeouts } from './settings.js'
 
@@ -15,6 +15,8 @@
   admission: AdmissionPolicy
   /** Decides by expected time where the deployment calls for it. Absent: decisions are made by the number of requests. */
   control?: WorkControl
+  /** Refuses calls before their first attempt. Absent: no call is. */
+  makeEntry?: (onState: (state: EntryState) => void) => EntryPolicy
   /** Request bodies up to this many bytes are buffered before a target is picked. If absent, those of a known, short length are. */
   requestBufferBytes?: number
   /** Responses up to this many bytes are forwarded only once they are complete. */
--- a/src/node/start.ts
+++ b/src/node/start.ts
@@ -231,6 +231,7 @@
     const { clock, random, state, telemetry, policies } = this
     const { suspects } = state
     const { picker, retry, requestBufferBytes, responseBufferBytes } = policies
+    const entry = policies.makeEntry?.(entryState => { telemetry.recordOverloadState(entryState) })
     return {
       host: settings.host,
       clock,
@@ -244,6 +245,7 @@
         suspects,
         repeats: this.repeats,
         retry,
+        entry,
         adapter,
         responseBufferBytes
       },
@@ -251,6 +253,7 @@
       peerClient: this.peerHttpClient,
       picker,
       control: policies.control,
+      entry,
       retry,
       getSnapshot: () => state.snapshotTable.current,
       getAccounts: () => state.accounts,
--- a/src/node/telemetry.ts
+++ b/src/node/telemetry.ts
@@ -7,7 +7,7 @@
 import type { Clock, Failure, StructuredLog } from '../core/index.js'
 import type { Announcement, HeartbeatResult, HostRecord } from '../membership/index.js'
 import { Metrics } from '../metrics/index.js'
-import type { Call, FailedAttempt, RepeatCounts } from '../request/index.js'
+import type { Call, EntryState, FailedAttempt, RepeatCounts } from '../request/index.js'
 import type { Entry } from '../snapshot/index.js'
 import { EventRecorder, EventRing } from '../timeline/index.js'
 import type { EventDetail } from '../timeline/index.js'
@@ -165,6 +165,10 @@
     }
   }
 
+  recordOverloadState ({ service, group, isRefusing }: EntryState): void {
+    this.log.log('change', 'overload_state', { service, class: group, state: isRefusing ? 'refusing' : 'open' })
+  }
+
   /** The request was rejected by its head alone, before its route was looked up. */
   recordRejectedHead ({ code, status, message }: Failure): void {
     this.metrics.count('rejected_heads_total', { code })
--- a/src/request/queries/outcome.ts
+++ b/src/request/queries/outcome.ts
@@ -21,7 +21,7 @@
 /** Rejections which mean that the target is busy or leaving, not that it is failing. */
 const BUSY_OR_LEAVING_CODES = new Set([
   'queue_full', 'shed', 'no_time', 'deadline_in_queue', 'target_refused', 'leaving', 'no_target', 'suspect_waits', 'quarantined',
-  'retry_budget'
+  'retry_budget', 'nested_no_room'
 ])
 const FIRST_SERVER_ERROR_STATUS = 500
 
--- a/src/request/tasks/attempt.ts
+++ b/src/request/tasks/attempt.ts
@@ -10,6 +10,7 @@
 import type { RequestBody } from '../body.js'
 import type { SuspectCall } from '../commands/suspect.js'
 import type { TargetResponse, HttpClient, OutgoingRequest } from '../httpclient.js'
+import type { EntryPolicy } from '../entry.js'
 import { parseLoad } from '../load.js'
 import type { TargetLoad } from '../load.js'
 import type { Headers } from '../headers.js'
@@ -53,6 +54,8 @@
   picker: Picker
   /** Absent: nothing is decided by expected time. */
   control?: WorkControl | undefined
+  /** Absent: no call is refused before its first attempt. */
+  entry?: EntryPolicy | undefined
   inbound: InboundContext
   peerClient: HttpClient
 }
--- a/src/request/tasks/attempts.ts
+++ b/src/request/tasks/attempts.ts
@@ -9,6 +9,7 @@
 import type { TargetLoad } from '../load.js'
 import type { RetryDecision, RetryPolicy } from '../retry.js'
 import type { Call, RunOrigin } from '../schema.js'
+import { NESTED_NO_ROOM } from './inbound.js'
 import { attemptTarget, getTargetName, makeCallNeed } from './attempt.js'
 import type { AttemptContext, ActiveCall, AttemptResponse } from './attempt.js'
 
@@ -127,7 +128,7 @@
   private decide (failure: Failure): RetryDecision {
     const { call, resolved, body, scope } = this.activeCall
     const { route, document, service } = resolved
-    if (call.noRetry || scope.signal.aborted) return 'final'
+    if (call.noRetry || scope.signal.aborted || failure.code === NESTED_NO_ROOM) return 'final'
     const decision = this.context.retry.decide({
       service,
       kind: route.kind,
--- a/src/request/tasks/caller.ts
+++ b/src/request/tasks/caller.ts
@@ -11,6 +11,7 @@
 import type { Snapshot } from '../../snapshot/index.js'
 import { checkHeadSize } from '../headers.js'
 import { writeResponse, writeFormattedFailure } from '../response.js'
+import { admitCall } from '../commands/enter.js'
 import { SuspectCall } from '../commands/suspect.js'
 import type { SuspectTable } from '../../suspect/index.js'
 import type { DeliveryOutcome } from '../response.js'
@@ -137,5 +138,10 @@
     scope.end()
     return Err(makeUnreadBodyFailure(context, body, route.maxBodyBytes))
   }
-  return await run()
+  const routeClass = authorized.val?.class ?? route.class
+  const group = isNested ? 'nested' : routeClass
+  const isCallerDisconnected = (): boolean => scope.isCallerDisconnected
+  const result = await admitCall(context, { service, group, objectiveMs: route.objectiveMs ?? 0, isCallerDisconnected }, run)
+  if (result.err && result.val.verdict === 'not-run') context.metrics.count('refusals_total', { code: result.val.code, class: routeClass })
+  return result
 }
--- a/src/request/tasks/inbound.ts
+++ b/src/request/tasks/inbound.ts
@@ -8,6 +8,7 @@
 import type { RouteClass } from '../../document/index.js'
 import { writeResponse, writeFailure } from '../response.js'
 import type { ProtocolAdapter } from '../front.js'
+import type { EntryPolicy } from '../entry.js'
 import { formatLoad } from '../load.js'
 import type { TargetLoad } from '../load.js'
 import { RequestBody } from '../body.js'
@@ -52,6 +53,8 @@
   suspects: SuspectTable
   repeats: RepeatMeter
   retry: RetryPolicy
+  /** Absent: no run is refused for the calls that it makes. */
+  entry?: EntryPolicy | undefined
   adapter: ProtocolAdapter
   /** Responses up to this size are buffered and forwarded only when they are complete. */
   responseBufferBytes: number
@@ -61,6 +64,8 @@
 
 const RETRY_AFTER_MS = 200
 const FIRST_SERVER_ERROR_STATUS = 500
+/** Other targets of the service make the same calls. */
+export const NESTED_NO_ROOM = 'nested_no_room'
 const SHED_CODES = new Set(['queue_full', 'shed'])
 
 /** Runs a request on a target of this host. The permit must be released after the response has been forwarded or truncated. */
@@ -78,6 +83,9 @@
 async function admitRun (context: InboundContext, localRequest: LocalRequest): Promise<Result<AdmittedRun, Failure>> {
   const { target, routeClass, attempt, objectiveMs, need, origin, scope, outgoing } = localRequest
   const { signal } = scope
+  if ((need?.spentMs ?? 0) === 0 && context.entry?.isRunRefused(context.repeats.listExpectedCalls(getRunKind(localRequest))) === true) {
+    return Err(makeFailure('not-run', 503, NESTED_NO_ROOM, 'the services that the target calls have no room', RETRY_AFTER_MS))
+  }
   const admitted = await context.local.admit({ target, routeClass, leftMs: Math.max(0, scope.leftMs), objectiveMs, need, signal })
   if (admitted.err) return admitted.mapErr(failure => markNoRetry(failure, attempt))
   const { announcement: { address }, permit } = admitted.val
--- a/src/request/work.ts
+++ b/src/request/work.ts
@@ -18,7 +18,7 @@
 const MACHINE_HALF_LIFE_MS = 150
 const MACHINE_MEAN_SHARE = 0.02
 /** Targets report the figure in each response, so a machine without one for this long no longer reports it. */
-const MACHINE_MAX_AGE_MS = 10_000
+export const MACHINE_MAX_AGE_MS = 10_000
 /** Bounds of the factor that a report may set, since a faulty report must not close a target. */
 const MACHINE_BOUNDS = { least: 0.2, most: 10 } as const
 const PERCENT = 100
--- a/tests/overload.test.ts
+++ b/tests/overload.test.ts
@@ -3,7 +3,7 @@
  * at 1.0, 1.7 and 2.5 times their usual rate: T with competing accounts and nested calls, C with machines that other workloads share.
  */
 import { expect, test } from '@jest/globals'
-import { ExpectedWaitAdmissionPolicy, LeastDelayPicker, SlotLimiter, WorkControl, WorkLimiter, WorkPicker } from '../src/request/index.js'
+import { ExpectedWaitAdmissionPolicy, LeastDelayPicker, SharedRoomEntryPolicy, SlotLimiter, WorkControl, WorkLimiter, WorkPicker } from '../src/request/index.js'
 import { makeClock } from './fixtures/clock.js'
 import { makeDeploymentC, makeDeploymentT, runOverload } from './fixtures/overload.js'
 import type { Deployment, OverloadResult } from './fixtures/overload.js'
@@ -21,10 +21,10 @@
     makeNode: (target, random) => {
       const limits = { slots: target.slots, queue: QUEUE }
       const admission = new ExpectedWaitAdmissionPolicy()
-      if (!hasPolicy) return { picker: new LeastDelayPicker(target, clock, random), limiter: new SlotLimiter(limits, clock, admission), control: undefined }
+      if (!hasPolicy) return { picker: new LeastDelayPicker(target, clock, random), limiter: new SlotLimiter(limits, clock, admission), control: undefined, entry: undefined }
       const control = new WorkControl(() => deployment.hasAccounts)
       const picker = process.env.OLDPICK !== undefined ? new LeastDelayPicker(target, clock, random) : new WorkPicker(target, clock, random, control)
-      return { picker, limiter: new WorkLimiter(limits, clock, admission, target.id, control), control }
+      return { picker, limiter: new WorkLimiter(limits, clock, admission, target.id, control), control, entry: process.env.NOENTRY !== undefined ? undefined : new SharedRoomEntryPolicy(clock, random) }
     }
   })
 }
