--- a/src/node/start.ts
+++ b/src/node/start.ts
@@ -78,11 +78,12 @@
     this.state = new NodeState({ host, zone, region, inbound, peer, admin, incarnation: clock.now() }, clock)
     this.telemetry = new NodeTelemetry(this.state, clock)
     const { log, metrics } = this.telemetry
-    this.policies = parts.makePolicies(clock, random, () => this.state.members.size)
     const rolloutContext = { state: this.state, clock, random, telemetry: this.telemetry }
     this.rollouts = parts.rollouts === undefined ? undefined : new NodeRollouts({ ...parts.rollouts, ...rolloutContext })
+    this.policies = parts.makePolicies(clock, random, () => this.state.members.size, () => this.state.accounts.isInForce)
+    const { admission, control } = this.policies
     this.localTargets = new LocalTargets(
-      this.state.localHost, () => this.state.snapshotTable.current, clock, this.policies.admission, this.rollouts?.guard
+      this.state.localHost, () => this.state.snapshotTable.current, clock, admission, this.rollouts?.guard, control
     )
     this.crashWatch = new CrashTracker(
       host, this.state.suspects, isConnectionRefused, target => this.state.localHost.formatProcess(target)
@@ -279,6 +280,7 @@
     const { suspects } = state
     const rollouts = this.rollouts === undefined ? {} : { rollouts: this.rollouts.guard }
     const { picker, retry, requestBufferBytes, responseBufferBytes } = policies
+    const entry = policies.makeEntry?.(entryState => { telemetry.recordOverloadState(entryState) })
     return {
       host: settings.host,
       clock,
@@ -292,6 +294,7 @@
         suspects,
         repeats: this.repeats,
         retry,
+        entry,
         adapter,
         ...rollouts,
         responseBufferBytes
@@ -299,6 +302,8 @@
       suspects,
       peerClient: this.peerHttpClient,
       picker,
+      control: policies.control,
+      entry,
       retry,
       getSnapshot: () => state.snapshotTable.current,
       ...rollouts,
--- a/src/node/telemetry.ts
+++ b/src/node/telemetry.ts
@@ -7,7 +7,7 @@
 import type { Clock, Failure, StructuredLog } from '../core/index.js'
 import type { Announcement, HeartbeatResult, HostRecord } from '../membership/index.js'
 import { Metrics } from '../metrics/index.js'
-import type { Call, FailedAttempt, RepeatCounts } from '../request/index.js'
+import type { Call, EntryState, FailedAttempt, RepeatCounts } from '../request/index.js'
 import type { Rollout } from '../rollout/index.js'
 import type { Entry } from '../snapshot/index.js'
 import { EventRecorder, EventRing } from '../timeline/index.js'
@@ -186,6 +186,10 @@
     this.metrics.count('rollout_requests_total', { service, version, result })
   }
 
+  recordOverloadState ({ service, group, isRefusing }: EntryState): void {
+    this.log.log('change', 'overload_state', { service, class: group, state: isRefusing ? 'refusing' : 'open' })
+  }
+
   /** The request was rejected by its head alone, before its route was looked up. */
   recordRejectedHead ({ code, status, message }: Failure): void {
     this.metrics.count('rejected_heads_total', { code })
--- a/src/request/commands/admit.ts
+++ b/src/request/commands/admit.ts
@@ -11,6 +11,8 @@
 import type { AdmissionPolicy } from '../admission.js'
 import { SlotLimiter } from '../slots.js'
 import type { SlotLimits, Permit } from '../slots.js'
+import type { RequestNeed, WorkControl } from '../workcontrol.js'
+import { WorkLimiter } from '../worklimiter.js'
 import type { TargetLoad } from '../load.js'
 
 const RETRY_AFTER_MS = 50
@@ -18,7 +20,14 @@
 
 export interface AdmittedRequest { announcement: Announcement, permit: Permit }
 
-export interface AdmitRequest { target: string, routeClass: RouteClass, leftMs: number, objectiveMs?: number | undefined, signal: AbortSignal }
+export interface AdmitRequest {
+  target: string
+  routeClass: RouteClass
+  leftMs: number
+  objectiveMs?: number | undefined
+  need?: RequestNeed | undefined
+  signal: AbortSignal
+}
 
 export class LocalTargets {
   private readonly limiters = new Map<string, SlotLimiter>()
@@ -28,7 +37,8 @@
     private readonly getSnapshot: () => Snapshot,
     private readonly clock: Clock,
     private readonly admission?: AdmissionPolicy,
-    private readonly versions: VersionGate = new OpenGate()
+    private readonly versions: VersionGate = new OpenGate(),
+    private readonly control?: WorkControl
   ) {}
 
   /**
@@ -43,7 +53,7 @@
     return this.versions.isSuccessor(successor) ? successor.target : target
   }
 
-  async admit ({ target, routeClass, leftMs, objectiveMs, signal }: AdmitRequest): Promise<Result<AdmittedRequest, Failure>> {
+  async admit ({ target, routeClass, leftMs, objectiveMs, need, signal }: AdmitRequest): Promise<Result<AdmittedRequest, Failure>> {
     const announcement = this.localHost.findAnnouncement(target)
     if (announcement === undefined) {
       this.applyLimits()
@@ -51,7 +61,7 @@
     }
     const unavailable = this.checkAvailable(target)
     if (unavailable !== undefined) return Err(unavailable)
-    const permit = await this.getLimiter(announcement).acquire(routeClass, leftMs, signal, objectiveMs)
+    const permit = await this.getLimiter(announcement).acquire(routeClass, leftMs, signal, objectiveMs, need)
     if (permit.err) return permit
     const current = this.localHost.findAnnouncement(target)
     const closed = this.checkAvailable(target)
@@ -64,6 +74,11 @@
     return this.limiters.get(target)?.load ?? { used: 0, waiting: 0, slots: 0, freeInMs: 0 }
   }
 
+  /** Records the figure of the machine of a target, in percent of its usual time. */
+  recordMachine (target: string, percent: number): void {
+    this.control?.model.recordMachine(target, percent, this.clock.monotonic())
+  }
+
   countUsedSlots (): number {
     return [...this.limiters.values()].reduce((sum, limiter) => sum + limiter.usedSlots, 0)
   }
@@ -101,8 +116,10 @@
       existing.resize(limits)
       return existing
     }
-    const limiter = new SlotLimiter(limits, this.clock, this.admission)
-    this.limiters.set(announcement.target, limiter)
+    const { clock, admission, control } = this
+    const { target } = announcement
+    const limiter = control === undefined ? new SlotLimiter(limits, clock, admission) : new WorkLimiter(limits, clock, admission, target, control)
+    this.limiters.set(target, limiter)
     return limiter
   }
 
--- a/src/request/tasks/attempts.ts
+++ b/src/request/tasks/attempts.ts
@@ -9,7 +9,8 @@
 import type { TargetLoad } from '../load.js'
 import type { RetryDecision, RetryPolicy } from '../retry.js'
 import type { Call, RunOrigin } from '../schema.js'
-import { attemptTarget, getTargetName } from './attempt.js'
+import { NESTED_NO_ROOM } from './inbound.js'
+import { attemptTarget, getTargetName, makeCallNeed } from './attempt.js'
 import type { AttemptContext, ActiveCall, AttemptResponse } from './attempt.js'
 
 /** An attempt without a response that can be forwarded, and the retry decision that followed. */
@@ -102,7 +103,13 @@
     const { local } = this.context.inbound
     const measureLocalLoad = (candidate: Target): TargetLoad => local.measureLoad(getTargetName(candidate))
     const pick = (targets: readonly Target[]): Target | undefined => this.context.picker.pick({
-      targets, tried: this.attemptedTargets, needsFreeSlot: this.needsFreeSlot, zones, bytes: call.bodyBytes ?? 0, measureLocalLoad
+      targets,
+      tried: this.attemptedTargets,
+      needsFreeSlot: this.needsFreeSlot,
+      zones,
+      bytes: call.bodyBytes ?? 0,
+      measureLocalLoad,
+      need: makeCallNeed(this.activeCall)
     })
     const target = rollout === undefined ? pick(resolved.targets) : rollout.pick(pick, this.lastCode)
     if (target !== undefined) this.attemptedTargets.add(target.id)
@@ -138,7 +145,7 @@
   private decide (failure: Failure): RetryDecision {
     const { call, resolved, body, scope } = this.activeCall
     const { route, document, service } = resolved
-    if (call.noRetry || scope.signal.aborted) return 'final'
+    if (call.noRetry || scope.signal.aborted || failure.code === NESTED_NO_ROOM) return 'final'
     const decision = this.context.retry.decide({
       service,
       kind: route.kind,
--- a/src/request/tasks/caller.ts
+++ b/src/request/tasks/caller.ts
@@ -13,6 +13,7 @@
 import type { Snapshot } from '../../snapshot/index.js'
 import { checkHeadSize } from '../headers.js'
 import { writeResponse, writeFormattedFailure } from '../response.js'
+import { admitCall } from '../commands/enter.js'
 import { SuspectCall } from '../commands/suspect.js'
 import type { SuspectTable } from '../../suspect/index.js'
 import type { DeliveryOutcome } from '../response.js'
@@ -131,11 +132,14 @@
   const { isOfRun, repeatShare } = repeats.recordCall(service, authorized.val === undefined ? call.deadlineMs : Infinity)
   context.retry.countCall(service, isOfRun)
   const rollout = context.rollouts?.beginCall(service, resolved.val.targets)
+  // Without accounts, a request without a key may be one of a caller on this host.
+  const isNested = accounts.isInForce && authorized.val === undefined && route.public !== true
+  const spentMs = isNested ? repeats.computeSpent(service, call.deadlineMs) : undefined
   const run = async (): Promise<Result<AttemptResponse, Failure>> => {
     const suspect = new SuspectCall(context.suspects, call, body.prefix)
     const headers = context.inbound.adapter.filterRequestHeaders(message.headers, accounts.isInForce)
     const account = authorized.val
-    const attempts = new Attempts(context, { call, resolved: resolved.val, headers, body, scope, suspect, repeatShare, account, rollout })
+    const attempts = new Attempts(context, { call, resolved: resolved.val, headers, body, scope, suspect, repeatShare, account, rollout, spentMs })
     if (context.quota === undefined || account === undefined) return await attempts.run()
     const credit = await context.quota.acquire(account)
     if (credit.err) {
@@ -150,5 +154,10 @@
     scope.end()
     return Err(makeUnreadBodyFailure(context, body, route.maxBodyBytes))
   }
-  return await run()
+  const routeClass = authorized.val?.class ?? route.class
+  const group = isNested ? 'nested' : routeClass
+  const isCallerDisconnected = (): boolean => scope.isCallerDisconnected
+  const result = await admitCall(context, { service, group, objectiveMs: route.objectiveMs ?? 0, isCallerDisconnected }, run)
+  if (result.err && result.val.verdict === 'not-run') context.metrics.count('refusals_total', { code: result.val.code, class: routeClass })
+  return result
 }
