Notify a peer once more when its connection has gone silent

Cause, by a trace of tests/severed.test.ts (times from the start of the test): the host is marked leaving at 93 ms, and its notification on the silent connection fails at 1,148 ms. The comparisons of a start (compareState) end earlier or later and don't delay it.

Change: a peer that responded until now gets a failed notification once more, on the new connection. A call that fails late closes the connection on which it was made only, not the newer one of the same address.

Ruled out: waiting longer in the test, since the promise binds the product.

--- a/src/node/tasks/peers.ts
+++ b/src/node/tasks/peers.ts
@@ -144,11 +144,20 @@
   async notifyPeers (payload: Partial<ExchangePayload>, reach: NotificationReach, onReceived?: OnResponse): Promise<void> {
     const { state, random } = this.context
     const peers = selectNotifiedPeers(state.listPeers(), state.identity.zone, reach, random)
-    await Promise.all(peers.map(async peer => { await this.exchange(peer, { ...EMPTY_PAYLOAD, ...payload }, onReceived) }))
+    await Promise.all(peers.map(async peer => { await this.notify(peer, { ...EMPTY_PAYLOAD, ...payload }, onReceived) }))
   }
 
-  /** Calls `onReceived` if the peer responds. */
-  async exchange (peer: HostRecord, payload: ExchangePayload, onReceived?: OnResponse): Promise<void> {
+  /**
+   * A peer that responded until now gets the notification once more if it fails, since only the connection may have gone silent. The
+   * periodic exchanges may bring the change too late: one may be waiting on the same connection, and the next one begins after its end.
+   */
+  private async notify (peer: HostRecord, payload: ExchangePayload, onReceived?: OnResponse): Promise<void> {
+    const hasResponded = !this.unreachableSince.has(peer.host)
+    if (!await this.exchange(peer, payload, onReceived) && hasResponded) await this.exchange(peer, payload, onReceived)
+  }
+
+  /** Calls `onReceived` if the peer responds. Resolves with false if it does not. */
+  async exchange (peer: HostRecord, payload: ExchangePayload, onReceived?: OnResponse): Promise<boolean> {
     const { state, transport, clock } = this.context
     const request = {
       host: state.identity.host,
@@ -161,7 +170,7 @@
     const result = await transport.exchange(peer.peer, request)
     if (result.err) {
       if (!this.unreachableSince.has(peer.host)) this.unreachableSince.set(peer.host, clock.monotonic())
-      return
+      return false
     }
     this.unreachableSince.delete(peer.host)
     onReceived?.(result.val)
@@ -173,6 +182,7 @@
     state.knowsHosts = true
     void this.compareState()
     if (payload.records.length === 0 && payload.complete === undefined) await this.sendMissing(peer, result.val)
+    return true
   }
 
   /**
--- a/src/peer/client.ts
+++ b/src/peer/client.ts
@@ -74,20 +74,25 @@
     this.clients.delete(address)
   }
 
-  /** Closes the connection after a failed call, since it may be unresponsive. The next call opens a new connection. */
+  /**
+   * Closes the connection after a failed call, since it may be unresponsive. The next call opens a new connection, which another call that
+   * fails on the former one later leaves open.
+   */
   private async call<Q, A> (address: string, method: MethodDefinition<Q, A>, request: Q, timeoutMs: number): Promise<Result<A, Fault>> {
     const deadline = Date.now() + timeoutMs
+    let client: Client | undefined
     return await new Promise(resolve => {
       const settle = (error: unknown, response?: A): void => {
         if (response !== undefined && error === null) {
           resolve(Ok(response))
           return
         }
-        this.closeClient(address)
+        if (client === this.clients.get(address)) this.closeClient(address)
         resolve(Err(makeFault('unreachable', `${address}: ${describeError(error)}`)))
       }
       try {
-        this.getClient(address).makeUnaryRequest(method.path, method.requestSerialize, method.responseDeserialize, request, { deadline }, settle)
+        client = this.getClient(address)
+        client.makeUnaryRequest(method.path, method.requestSerialize, method.responseDeserialize, request, { deadline }, settle)
       } catch (error) {
         // gRPC throws for a text that is no address.
         settle(error)
--- a/tests/severed.test.ts
+++ b/tests/severed.test.ts
@@ -10,7 +10,7 @@
 import { markHostLeaving } from '../src/membership/index.js'
 import { storeLocalRecord, storeRecords } from '../src/node/commands/records.js'
 import type { NodeState } from '../src/node/state.js'
-import { PeerSynchronizer } from '../src/node/tasks/peers.js'
+import { EMPTY_PAYLOAD, PeerSynchronizer } from '../src/node/tasks/peers.js'
 import { Dialer, MsgpackCodec, PeerClient, startPeerServer } from '../src/peer/index.js'
 import { findFreeAddress } from './fixtures/address.js'
 import { startLink } from './fixtures/link.js'
@@ -22,6 +22,8 @@
 /** The time within which a target that leaves must get no new requests. */
 const DRAIN_MS = 2_500
 const CHECK_INTERVAL_MS = 20
+/** Before a call to a peer is given up. */
+const LATE_EXCHANGE_MS = 900
 
 const codec = new MsgpackCodec()
 const clock = new SystemClock()
@@ -81,6 +83,32 @@
   expect(other.members.get('h1')?.state).toBe('leaving')
 })
 
+/**
+ * An exchange that begins on a silent connection right before the notification fails is lost as well, and the next one may begin only
+ * 1.5 s after its end.
+ */
+test('a host that leaves is leaving at its peer in time, also if no other exchange brings its record there', async () => {
+  const address = await findFreeAddress()
+  link = await startLink(address)
+  const [owner, other] = [makeState({ host: 'h1' }, clock), makeState({ host: 'h2', peer: address }, clock)]
+  const [ownerPeers, otherPeers] = [startPeers(owner), startPeers(other)]
+  await serve(address, otherPeers)
+  storeLocalRecord(owner, owner.localHost.makeRecord(), clock)
+  storeRecords(owner, { records: [other.localHost.makeRecord()] }, clock)
+  await ownerPeers.notifyPeers({ records: [owner.localHost.newestRecord ?? owner.localHost.makeRecord()] }, 'many')
+  link.silence()
+  const record = markHostLeaving(owner.localHost)
+  if (record === undefined) throw new Error('the record did not change')
+  storeLocalRecord(owner, record, clock)
+  const notified = ownerPeers.notifyPeers({ records: [record] }, 'many')
+  await delay(LATE_EXCHANGE_MS)
+  const exchanged = ownerPeers.exchange(other.localHost.makeRecord(), EMPTY_PAYLOAD)
+  const endsAt = performance.now() + DRAIN_MS - LATE_EXCHANGE_MS
+  while (other.members.get('h1')?.state !== 'leaving' && performance.now() < endsAt) await delay(CHECK_INTERVAL_MS)
+  expect(other.members.get('h1')?.state).toBe('leaving')
+  await Promise.all([notified, exchanged])
+})
+
 test('a request on a silent connection between nodes ends at its deadline, and the next ones are served on new connections', async () => {
   const agent = new Agent()
   const mesh = await startMesh({ targets: [(_, response) => { response.end('ok') }] })
