--- a/src/quota/commands/acquire.ts
+++ b/src/quota/commands/acquire.ts
@@ -34,6 +34,8 @@
 /** Bounds the wait of a request while the owners of several zones do not respond. */
 const MAX_ASKED_OWNERS = 4
 const UNAVAILABLE_RETRY_AFTER_MS = 500
+/** Other requests of the account may take the first credit that becomes available. */
+const MIN_RETRY_AFTER_MS = 50
 
 type Outcome = Result<Credit, Failure>
 
@@ -155,7 +157,7 @@
   private reject (account: string, lease: Lease): Outcome {
     const { clock, random, onResult } = this.context
     onResult('refused', account, 1)
-    const waitMs = Math.max(0, lease.refusedUntil - clock.monotonic())
+    const waitMs = Math.max(MIN_RETRY_AFTER_MS, lease.refusedUntil - clock.monotonic())
     // Clients that were refused together would otherwise come back together.
     const retryAfterMs = Math.ceil(waitMs * (1 + random.next()))
     return Err(makeFailure('not-run', 429, 'quota_exceeded', 'the account has used up its quota', retryAfterMs))
--- a/standins/layout/platformnode.ts
+++ b/standins/layout/platformnode.ts
@@ -30,6 +30,8 @@
   graceMs: number
   retryBudget?: SharedRetryBudget
   flags?: readonly string[]
+  /** Further settings. */
+  settings?: Readonly<Record<string, string>>
   /** A file descriptor for the output of the process, which is discarded otherwise. */
   output?: number
 }
@@ -53,7 +55,8 @@
     'retry-ratio': String(ratio),
     'retry-extra': String(extra),
     'retry-window': `${windowMs}ms`,
-    ...addresses
+    ...addresses,
+    ...options.settings
   }
   const file = join(mkdtempSync(join(tmpdir(), 'node-')), 'node.settings')
   writeFileSync(file, Object.entries(values).map(([name, value]) => `${name}=${value}`).join('\n'))
