--- a/tests/quota/fleet.test.ts
+++ b/tests/quota/fleet.test.ts
@@ -141,6 +141,12 @@
   const fleet = await startOverloaded()
   for (const host of fleet.records.keys()) fleet.kill(host)
   for (const host of fleet.records.keys()) fleet.clock.schedule(fleet.random.next() * 1_000, () => { fleet.restart(host) })
+  await fleet.advance(4_000)
+  // A bucket that did not begin empty would give its capacity again each time.
+  for (let round = 0; round < 4; round += 1) {
+    for (const host of fleet.records.keys()) fleet.restart(host)
+    await fleet.advance(1_000)
+  }
   await finish(fleet, 'restart of all, above the limit', 12_000)
   const second = await startFleet([makeAccount('one', 320)])
   for (const host of second.records.keys()) second.restart(host)
@@ -234,6 +240,17 @@
   expect(fleet.measureLargestWindow('one', limitedAt)).toBeLessThanOrEqual(fleet.measureBound('one'))
 })
 
+test('a node to which credits come too late gets none, and does not use them later', async () => {
+  const fleet = await startFleet([makeAccount('one', 320)])
+  const late = fleet.findOwner('one', 'a1') === 'h0' ? 'h6' : 'h0'
+  fleet.measureDelay = (from, to) => from === late || to === late ? 110 : 0
+  fleet.addLoad({ account: 'one', perSecond: 20, ms: 5_000, accepts: host => host === late })
+  await fleet.advance(6_000)
+  const { granted, refused, unavailable } = fleet.collectCounts()
+  expect(granted).toBe(0)
+  expect(refused + unavailable).toBeGreaterThan(50)
+})
+
 test('paused owners and lease holders, and delayed messages', async () => {
   const fleet = await startOverloaded()
   const owner = fleet.findOwner('one', 'a1')
