--- a/src/rollout/coordinator.ts
+++ b/src/rollout/coordinator.ts
@@ -14,6 +14,8 @@
 const STORE_VALID_MS = 5_000
 /** Nodes that get no response send nothing to the new version after 2 s, so after this time none does. */
 const BACK_AFTER_MS = 3_000
+/** Each report would otherwise sum the counts of all nodes. */
+const JUDGE_INTERVAL_MS = 200
 /** Part of the duration after which a version that shows no fault is complete. The rest is left for the switch. */
 const ACCEPT_SHARE = 0.5
 /** Part of the duration after which a version with few responses, or one that is suspected, is decided on. */
@@ -42,6 +44,7 @@
   private phaseAt: number
   private confirmedAt: number
   private lastCheckedAt = -Infinity
+  private judgedAt = -Infinity
   private reason = ''
   private firstBadAt = Infinity
   private bad = 0
@@ -79,7 +82,7 @@
   }
 
   decide (): RolloutDecision {
-    if (this.phase !== 'back') this.updatePhase()
+    if (this.phase !== 'back' && this.clock.monotonic() - this.judgedAt >= JUDGE_INTERVAL_MS) this.updatePhase()
     return { phase: this.visiblePhase, reason: this.reason, evidence: this.evidence }
   }
 
@@ -106,6 +109,7 @@
 
   private updatePhase (): void {
     const now = this.clock.monotonic()
+    this.judgedAt = now
     this.evidence = this.test.measure(sumCounts([...this.reports.values()].map(({ report }) => report.routes)))
     const { judgement, bad, responses, reason } = this.evidence
     if (bad > this.bad) {
--- a/tests/platform/settings.test.ts
+++ b/tests/platform/settings.test.ts
@@ -5,6 +5,7 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { expect, test } from '@jest/globals'
+import { getRolloutBounds } from '../../platform/rollouts.js'
 import { platformSettingsSchema } from '../../platform/settings.js'
 import { readSettings } from '../../src/core/index.js'
 
@@ -26,6 +27,13 @@
   expect(read({ ...makeLines(), later: '1' }).unwrap()).toMatchObject({ host: 'h', heartbeat: 1500, grace: 6000, 'retry-ratio': 0.2 })
 })
 
+test('bounds of rollouts that are missing or empty mean that there are none', () => {
+  expect(getRolloutBounds(read(makeLines()).unwrap())).toBeUndefined()
+  expect(getRolloutBounds(read({ ...makeLines(), 'expose-share': '', 'expose-slack': '', rollback: '' }).unwrap())).toBeUndefined()
+  expect(getRolloutBounds(read({ ...makeLines(), 'expose-share': '0.1', 'expose-slack': '50', rollback: '5s' }).unwrap()))
+    .toEqual({ exposeShare: 0.1, exposeSlack: 50, rollbackMs: 5_000 })
+})
+
 test('an environment variable takes precedence over the file', () => {
   expect(read(makeLines(), { COMFREYSPOKE_GRACE: '250ms' }).unwrap().grace).toBe(250)
 })
