Accept a version late, with enough ready targets, and judge it leniently after the switch

Cause: a fault that appears after half of the duration was seen only when all requests went to the new version; a switch to few ready targets would overload them; and after the switch the counts of the two versions are not of the same time, so load elsewhere counted against the new one. Change: a version is accepted at 0.6 of its duration (less if under 15 s would be left), with ready targets for 0.8 of the earlier ones; after the switch only a rate of bad responses above one half ends it. A service that has the new version only keeps being served by it.

--- a/src/node/rollouts.ts
+++ b/src/node/rollouts.ts
@@ -106,9 +106,11 @@
 
   private findHosts ({ service, targetVersion }: Rollout): RolloutHosts {
     const targets = (this.context.state.members.targets.get(service) ?? []).filter(({ state }) => state !== 'leaving')
+    const next = targets.filter(({ version }) => version === targetVersion)
     return {
       earlier: targets.filter(({ version }) => version !== targetVersion).map(({ host }) => host),
-      next: targets.filter(({ version }) => version === targetVersion).map(({ host }) => host)
+      next: next.map(({ host }) => host),
+      ready: next.filter(({ state }) => state === 'ready').length
     }
   }
 }
--- a/src/rollout/call.ts
+++ b/src/rollout/call.ts
@@ -45,8 +45,9 @@
     const { earlier, next, canary } = running.split(this.targets)
     switch (running.phaseInForce) {
       case 'switching': return this.findNext(find, next) ?? find(earlier)
-      case 'canary': return this.findAfterClosed(find, next) ?? this.findCanary(find, canary) ?? find(earlier)
-      default: return find(earlier)
+      case 'canary': return this.findAfterClosed(find, next) ?? this.findCanary(find, canary) ?? find(earlier) ?? (running.hasEarlier ? undefined : find(next))
+      // A service that has the new version only is not rolled out; its targets may serve.
+      default: return find(earlier) ?? (running.hasEarlier ? undefined : find(next))
     }
   }
 
--- a/src/rollout/coordinator.ts
+++ b/src/rollout/coordinator.ts
@@ -16,10 +16,14 @@
 const BACK_AFTER_MS = 3_000
 /** Each report would otherwise sum the counts of all nodes. */
 const JUDGE_INTERVAL_MS = 200
-/** Part of the duration after which a version that shows no fault is complete. The rest is left for the switch. */
-const ACCEPT_SHARE = 0.5
-/** Part of the duration after which a version with few responses, or one that is suspected, is decided on. */
-const LAST_SHARE = 0.75
+/**
+ * When a version that shows no fault is accepted, and when one with few responses, or one that is suspected, is decided on: the least of a
+ * part of the duration and the duration less what the switch and its write may take, but not before another part.
+ */
+const ACCEPT = { share: 0.6, leftMs: 15_000, leastShare: 0.4 } as const
+const LAST = { share: 0.75, leftMs: 8_000, leastShare: 0.6 } as const
+/** Ready targets of the new version, as a part of those of the earlier one, that can take over its load. */
+const MIN_READY_SHARE = 0.8
 /** Fewer responses of the new version than this are no reason to complete its rollout. */
 const MIN_LAST_RESPONSES = 20
 /** Bad responses within this time may have one cause that is not the version, as the crash of a host. */
@@ -33,7 +37,12 @@
 interface HeldReport { report: RolloutReport, at: number }
 
 /** The hosts that have targets of each version, by the host records of the coordinator. */
-export interface RolloutHosts { earlier: readonly string[], next: readonly string[] }
+export interface RolloutHosts {
+  earlier: readonly string[]
+  next: readonly string[]
+  /** Targets of the new version that are ready. */
+  ready: number
+}
 
 export interface RolloutDecision { phase: RolloutPhase, reason: string, evidence: Evidence }
 
@@ -46,6 +55,7 @@
   private lastCheckedAt = -Infinity
   private judgedAt = -Infinity
   private reason = ''
+  private hosts: RolloutHosts = { earlier: [], next: [], ready: 0 }
   private firstBadAt = Infinity
   private bad = 0
   private lastBadAt = -Infinity
@@ -58,6 +68,11 @@
     this.confirmedAt = now
   }
 
+  /** Called with the targets by the host records of this node, before each decision. */
+  recordHosts (hosts: RolloutHosts): void {
+    this.hosts = hosts
+  }
+
   /** The time of the last call to the store. */
   get checkedAt (): number {
     return this.lastCheckedAt
@@ -87,7 +102,8 @@
   }
 
   /** Returns the status to write, undefined while some targets still have to be closed. */
-  findOutcome (hosts: RolloutHosts): RolloutState | undefined {
+  findOutcome (): RolloutState | undefined {
+    const { hosts } = this
     if (this.phase === 'canary') return undefined
     if (this.phase === 'back') {
       const isOver = this.clock.monotonic() - this.phaseAt >= BACK_AFTER_MS
@@ -110,7 +126,7 @@
   private updatePhase (): void {
     const now = this.clock.monotonic()
     this.judgedAt = now
-    this.evidence = this.test.measure(sumCounts([...this.reports.values()].map(({ report }) => report.routes)))
+    this.evidence = this.test.measure(sumCounts([...this.reports.values()].map(({ report }) => report.routes)), this.phase === 'switching')
     const { judgement, bad, responses, reason } = this.evidence
     if (bad > this.bad) {
       if (now - this.lastBadAt > BAD_GAP_MS) this.firstBadAt = now
@@ -119,12 +135,14 @@
     }
     if (judgement === 'bad' && this.lastBadAt - this.firstBadAt >= MIN_BAD_SPAN_MS) this.setPhase('back', reason)
     if (this.phase !== 'canary') return
-    const share = (now - this.startedAt) / this.rollout.durationMs
+    const ageMs = now - this.startedAt
+    const isLast = ageMs >= this.computeTime(LAST)
+    const canSwitch = this.isConfirmed && this.hosts.ready > 0 && (isLast || this.hosts.ready >= this.hosts.earlier.length * MIN_READY_SHARE)
     // Without the store, the rollout may have been replaced or withdrawn.
-    if (share >= ACCEPT_SHARE && judgement === 'good' && this.isConfirmed) this.setPhase('switching', 'as good as the earlier version')
-    else if (share >= LAST_SHARE && judgement === 'unknown' && responses >= MIN_LAST_RESPONSES && this.isConfirmed) this.setPhase('switching', 'no evidence against it')
-    else if (share >= 1) this.setPhase('back', 'the time has passed without a decision')
-    else if (share >= LAST_SHARE && judgement === 'suspected') this.setPhase('back', reason)
+    if (ageMs >= this.computeTime(ACCEPT) && judgement === 'good' && canSwitch) this.setPhase('switching', 'as good as the earlier version')
+    else if (isLast && judgement === 'unknown' && responses >= MIN_LAST_RESPONSES && canSwitch) this.setPhase('switching', 'no evidence against it')
+    else if (ageMs >= this.rollout.durationMs) this.setPhase('back', 'the time has passed without a decision')
+    else if (isLast && judgement === 'suspected') this.setPhase('back', reason)
   }
 
   private setPhase (phase: 'switching' | 'back', reason: string): void {
@@ -134,6 +152,11 @@
     this.reason = reason
   }
 
+  private computeTime ({ share, leftMs, leastShare }: typeof ACCEPT | typeof LAST): number {
+    const { durationMs } = this.rollout
+    return Math.max(durationMs * leastShare, Math.min(durationMs * share, durationMs - leftMs))
+  }
+
   private findReport (host: string): HeldReport | undefined {
     return [...this.reports.values()].filter(({ report }) => report.host === host).sort((left, right) => right.at - left.at)[0]
   }
--- a/src/rollout/evidence.ts
+++ b/src/rollout/evidence.ts
@@ -17,7 +17,8 @@
 export interface Evidence { judgement: Judgement, bad: number, responses: number, reason: string }
 
 export abstract class VersionEvidence {
-  abstract measure (routes: ReadonlyMap<string, RouteCounts>): Evidence
+  /** `isAlone`: the earlier version gets no requests any more, so the counts of the two are not of the same time. */
+  abstract measure (routes: ReadonlyMap<string, RouteCounts>, isAlone: boolean): Evidence
 }
 
 /** Probability that a version that is as good as the earlier one is called bad during a rollout. */
@@ -37,14 +38,18 @@
 const MIN_SLOW_BASE = 0.25
 const SLOW_BASE_FACTOR = 1.5
 const MAX_BASE = 0.9
+/** Load or a fault elsewhere may have begun since the earlier version was closed. */
+const MIN_BASE_ALONE = 0.5
 const ALTERNATIVES = 40
 
 interface Sample { bad: number, responses: number, base: number, reason: string }
 
 export class SequentialEvidence extends VersionEvidence {
-  override measure (routes: ReadonlyMap<string, RouteCounts>): Evidence {
+  override measure (routes: ReadonlyMap<string, RouteCounts>, isAlone = false): Evidence {
     const all = sumCounts([...routes.values()].map(counts => ({ all: counts }))).get('all') ?? makeRouteCounts()
-    const samples = [makeFailureSample('all routes', all), ...[...routes].flatMap(([route, counts]) => [makeFailureSample(route, counts), ...makeSlowSample(route, counts)])]
+    const ofRoutes = [...routes].flatMap(([route, counts]) => [makeFailureSample(route, counts), ...makeSlowSample(route, counts)])
+    const samples = [makeFailureSample('all routes', all), ...ofRoutes]
+      .map(sample => isAlone ? { ...sample, base: Math.max(sample.base, MIN_BASE_ALONE) } : sample)
     const tested = samples.map(sample => ({ ...sample, weight: computeLogEvidence(sample) - Math.log(samples.length) }))
     const strongest = tested.reduce((left, right) => right.weight > left.weight ? right : left)
     const bad = all.next.failures + samples.reduce((sum, sample) => sum + (sample.reason.startsWith('slow') ? sample.bad : 0), 0)
--- a/src/rollout/service.ts
+++ b/src/rollout/service.ts
@@ -69,6 +69,11 @@
     return this.phase === 'canary' && !this.isAnswered ? 'held' : this.phase
   }
 
+  /** True if this node has seen another version beside the new one. */
+  get hasEarlier (): boolean {
+    return this.earlierVersions.size > 0
+  }
+
   update (rollout: Rollout): void {
     this.known = rollout
     this.splits = new WeakMap()
--- a/src/rollout/tasks/coordinate.ts
+++ b/src/rollout/tasks/coordinate.ts
@@ -32,8 +32,9 @@
 /** One step of one rollout. */
 export async function advanceRollout (context: CoordinateContext, coordinator: RolloutCoordinator): Promise<void> {
   const { store, clock, findHosts } = context
+  coordinator.recordHosts(findHosts(coordinator.rollout))
   const { reason } = coordinator.decide()
-  const outcome = coordinator.findOutcome(findHosts(coordinator.rollout))
+  const outcome = coordinator.findOutcome()
   if (outcome === undefined && clock.monotonic() - coordinator.checkedAt < CONFIRM_INTERVAL_MS) return
   coordinator.markChecked()
   const read = await store.get(coordinator.rollout.service)
--- a/tests/rollout/guard.test.ts
+++ b/tests/rollout/guard.test.ts
@@ -98,6 +98,17 @@
   expect(guard.isClosed({ service: SERVICE, version: 'v3' })).toBe(false)
 })
 
+test('a rollout of the only version that a service has leaves it in use, and one whose earlier targets have gone keeps to the share', () => {
+  const { guard, setTargets, listVersions } = makeGuard()
+  setTargets(makeVersion('v2', 20))
+  applyRollouts(guard, 7, [makeRollout('v2')])
+  expect(listVersions()).toEqual(['v2'])
+  setTargets([...makeVersion('v1', 10), ...makeVersion('v2', 20)])
+  expect(listVersions()).toEqual(['v1'])
+  setTargets(makeVersion('v2', 20))
+  expect(listVersions()).toEqual([])
+})
+
 test('a third version gets nothing during a rollout and after a rollback', () => {
   const { guard, setTargets, listVersions } = makeGuard()
   setTargets([...makeVersion('v1', 10), ...makeVersion('v2', 20), ...makeVersion('v3', 30)])
