--- a/tests/platform/settings.test.ts
+++ b/tests/platform/settings.test.ts
@@ -5,6 +5,7 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { expect, test } from '@jest/globals'
+import { getRolloutBounds } from '../../platform/rollouts.js'
 import { makeQuotaSettings, platformSettingsSchema } from '../../platform/settings.js'
 import { readSettings } from '../../src/core/index.js'
 
@@ -46,6 +47,13 @@
   ]))
 })
 
+test('bounds of rollouts that are missing or empty mean that there are none', () => {
+  expect(getRolloutBounds(read(makeLines()).unwrap())).toBeUndefined()
+  expect(getRolloutBounds(read({ ...makeLines(), 'expose-share': '', 'expose-slack': '', rollback: '' }).unwrap())).toBeUndefined()
+  expect(getRolloutBounds(read({ ...makeLines(), 'expose-share': '0.1', 'expose-slack': '50', rollback: '5s' }).unwrap()))
+    .toEqual({ exposeShare: 0.1, exposeSlack: 50, rollbackMs: 5_000 })
+})
+
 test('an environment variable takes precedence over the file', () => {
   expect(read(makeLines(), { COMFREYSPOKE_GRACE: '250ms' }).unwrap().grace).toBe(250)
 })
