--- a/src/request/workqueue.ts
+++ b/src/request/workqueue.ts
@@ -33,6 +33,8 @@
 const CLASSES = ['bulk', 'normal', 'critical'] as const satisfies readonly RouteClass[]
 /** The inverse of the weights 1, 4 and 8 of the classes, as in WeightedFairQueue. */
 const VIRTUAL_TIME_STEPS: Record<RouteClass, number> = { bulk: 8, normal: 2, critical: 1 }
+/** Below that of the highest class: whatever the class of a nested call, refusing it wastes a run that was admitted by its own class. */
+const NESTED_VIRTUAL_TIME_STEP = 0.25
 /** The time of a request varies, so one counts as in time if it would still be with a time that is longer by this factor. */
 const TIME_MARGIN = 1.4
 /** The refusal or response must reach the caller-side node, which may be in another region, before that node stops waiting. */
@@ -41,7 +43,7 @@
 interface Lane<T> { step: number, items: T[], nextVirtualTime: number }
 
 export class WorkQueue<T extends WaitingWork> {
-  private readonly lanes: Array<Lane<T>> = CLASSES.flatMap(routeClass => [makeLane<T>(routeClass), makeLane<T>(routeClass)])
+  private readonly lanes = CLASSES.flatMap(routeClass => [makeLane<T>(VIRTUAL_TIME_STEPS[routeClass]), makeLane<T>(NESTED_VIRTUAL_TIME_STEP)])
   private virtualTime = 0
 
   get length (): number {
@@ -128,8 +130,8 @@
   return objectiveAt - expectedMs * TIME_MARGIN - RESPONSE_MARGIN_MS
 }
 
-function makeLane<T> (routeClass: RouteClass): Lane<T> {
-  return { step: VIRTUAL_TIME_STEPS[routeClass], items: [], nextVirtualTime: 0 }
+function makeLane<T> (step: number): Lane<T> {
+  return { step, items: [], nextVirtualTime: 0 }
 }
 
 /** A nested call counts less the more work would be lost with it: the work of its run is spent already. */
