Test decisions by expected time with the built program

A target that reports the figure of its machine: of four requests at once, one has the slot, one that is expected to be in time waits, and two that would be late are refused at once and counted in refusals_total. No internal header reaches the target.

--- a/tests/platform/path.test.ts
+++ b/tests/platform/path.test.ts
@@ -23,6 +23,9 @@
 /** The target accepts larger heads than the node lets callers send. */
 const TARGET_HEAD_BYTES = 128 * 1024
 
+/** The time of a request on a machine that reports its figure. */
+const SLOW_MS = 300
+
 let store: StoreFixture
 let target: Server
 let received: IncomingMessage[]
@@ -53,8 +56,12 @@
   target = createServer({ maxHeaderSize: TARGET_HEAD_BYTES }, (message, response) => {
     received.push(message)
     message.resume()
-    response.writeHead(200, { 'x-attempt-id': String(message.headers['x-attempt-id']), 'x-response-signature': 's1' })
-    response.end('whole')
+    const respond = (headers: Record<string, string> = {}): void => {
+      response.writeHead(200, { 'x-attempt-id': String(message.headers['x-attempt-id']), 'x-response-signature': 's1', ...headers })
+      response.end('whole')
+    }
+    if (message.url?.startsWith('/read/slow') === true) setTimeout(() => { respond({ 'x-server-load': '1,0,1,100' }) }, SLOW_MS)
+    else respond()
   })
   target.listen(0, '127.0.0.1')
   await once(target, 'listening')
@@ -101,6 +108,22 @@
   expect(code).toBe(0)
 })
 
+test('requests for a target whose machine reports its figure wait if they can be in time, and are refused at once if not', async () => {
+  store.server.writeObject('config', 'main', makePlatformConfiguration(3))
+  await awaitReady()
+  const heartbeat = JSON.stringify(makeHeartbeat({ address: addresses.target ?? '', born: 5, slots: 1 }))
+  await send(addresses.control ?? '', '/-/Instances.Heartbeat/i-1', { method: 'POST', body: heartbeat })
+  const sendSlow = async (id: string) => await send(addresses.caller ?? '', '/read/slow', { headers: { host: 'shop.example', 'x-attempt-id': id } })
+  for (let index = 0; index < 4; index += 1) expect((await sendSlow(`w${index}`)).status).toBe(200)
+  const order: number[] = []
+  await Promise.all([0, 1, 2, 3].map(async index => { order.push((await sendSlow(`p${index}`)).status) }))
+  // One has the slot, one waits for it, and the others would be late.
+  expect(order).toEqual([503, 503, 200, 200])
+  expect(received.map(({ headers }) => Object.keys(headers).filter(name => name.startsWith('x-comfreyspoke'))).flat()).toEqual([])
+  const metrics = await send(addresses.admin ?? '', '/metrics')
+  expect(metrics.text).toMatch(/comfreyspoke_refusals_total\{code="no_time",class="[a-z]+"\} 2/)
+})
+
 /** The connection is one that was opened before the node had a configuration, as callers keep theirs. */
 test('the limit for request heads is that of the version in force, also on connections that are older', async () => {
   const single = new Agent({ connections: 1 })
