Explain what a node would do now with a request

A query on the peer port (OperatorQueries/Explain) and the subcommand comfreyspoke explain. The decisions before the first attempt move from the task of the caller to queries/decision.ts, which the task and the explanation call. The picker explains its ratings by their parts (service, queue, failures, distance) on copies of its statistics, so that an explanation changes no later pick. The tool sends the hash of the key; nothing logs it, and the response has the name of the account only.

--- a/src/node/handlers.ts
+++ b/src/node/handlers.ts
@@ -2,7 +2,8 @@
  * The handlers of the peer port: exchanges with peers, and queries and commands of operators.
  */
 import type { DrainRequest, DrainResponse, PeerHandlers } from '../peer/index.js'
-import { matchesSecret } from '../request/index.js'
+import { explainRequest, matchesSecret } from '../request/index.js'
+import type { ExplainContext } from '../request/index.js'
 import { filterEvents } from '../timeline/index.js'
 import { makeStatus } from './queries/status.js'
 import type { NodeState } from './state.js'
@@ -13,13 +14,14 @@
   state: NodeState
   telemetry: NodeTelemetry
   peers: PeerSynchronizer
+  caller: ExplainContext
   /** The secret that operators' commands must carry, if there is one. */
   operatorToken: string | undefined
   startLeaving: () => void
 }
 
 export function makePeerHandlers (context: HandlerContext): PeerHandlers {
-  const { state, telemetry, peers } = context
+  const { state, telemetry, peers, caller } = context
   return {
     exchange: request => {
       telemetry.recordExchange(request.host)
@@ -27,6 +29,8 @@
     },
     status: () => makeStatus(state),
     timeline: ({ filter }) => ({ events: filterEvents(telemetry.eventRing.list(), filter) }),
+    // The request has the hash of a key, so it is not logged.
+    explain: request => ({ node: state.identity.host, zone: state.identity.zone, version: state.version, ...explainRequest(caller, request) }),
     drain: request => acceptDrain(context, request)
   }
 }
--- a/src/node/start.ts
+++ b/src/node/start.ts
@@ -57,6 +57,7 @@
   private readonly targetHttpClient: UndiciHttpClient
   private readonly peerHttpClient: HttpClient
   private readonly callerPort: HttpPort
+  private readonly callerContext: CallerContext
   private readonly inboundPort: HttpPort
   private readonly stopped = new AbortController()
   private readonly shutdown: NodeShutdown
@@ -101,6 +102,7 @@
     const plainPeerHttpClient = new UndiciHttpClient(MAX_PEER_CONNECTIONS, address => dialer.resolve(address), clock, PEER_IDLE_TIMEOUT_MS)
     this.peerHttpClient = access.peerToken === undefined ? plainPeerHttpClient : new TokenHttpClient(plainPeerHttpClient, access.peerToken)
     const context = this.makeCallerContext()
+    this.callerContext = context
     this.callerPort = new HttpPort(async (message, response) => { await serveCaller(context, message, response) }, context.onRejected)
     this.inboundPort = new HttpPort(async (message, response) => { await this.serveNode(context, message, response) })
     this.shutdown = new NodeShutdown({
@@ -147,7 +149,12 @@
     await this.inboundPort.listen(settings.inbound)
     this.inboundPort.setTimeouts(INBOUND_HEADER_TIMEOUT_MS, INBOUND_IDLE_TIMEOUT_MS)
     const handlers = makePeerHandlers({
-      state, telemetry, peers, operatorToken: access?.operatorToken, startLeaving: () => { this.registration.startLeaving(this.countInFlight()) }
+      state,
+      telemetry,
+      peers,
+      caller: this.callerContext,
+      operatorToken: access?.operatorToken,
+      startLeaving: () => { this.registration.startLeaving(this.countInFlight()) }
     })
     await startPeerServer(settings.peer, this.meter.codec, handlers, access?.credentials?.server, [this.meter.serverInterceptor])
     const admin = { state, metrics: telemetry.metrics, countInFlight: () => this.countInFlight() }
--- a/src/peer/client.ts
+++ b/src/peer/client.ts
@@ -5,6 +5,7 @@
 import type { ChannelCredentials, Interceptor, MethodDefinition } from '@grpc/grpc-js'
 import { Err, Ok, describeError, makeFault } from '../core/index.js'
 import type { Fault, Result } from '../core/index.js'
+import type { ExplainRequest, ExplainResponse } from '../request/index.js'
 import type { EventFilter } from '../timeline/index.js'
 import { PeerTransport } from './transport.js'
 import type { Codec } from './codec.js'
@@ -47,6 +48,10 @@
     return await this.call(address, this.queries.timeline, { filter }, OPERATOR_TIMEOUT_MS)
   }
 
+  async queryExplanation (address: string, request: ExplainRequest): Promise<Result<ExplainResponse, Fault>> {
+    return await this.call(address, this.queries.explain, request, OPERATOR_TIMEOUT_MS)
+  }
+
   async drainHost (address: string, request: DrainRequest): Promise<Result<DrainResponse, Fault>> {
     return await this.call(address, this.commands.drain, request, OPERATOR_TIMEOUT_MS)
   }
--- a/src/peer/server.ts
+++ b/src/peer/server.ts
@@ -4,6 +4,7 @@
 import { Server, ServerCredentials, status } from '@grpc/grpc-js'
 import type { sendUnaryData, ServerCredentials as Credentials, ServerInterceptor, ServerUnaryCall } from '@grpc/grpc-js'
 import { describeError } from '../core/index.js'
+import type { ExplainRequest, ExplainResponse } from '../request/index.js'
 import type { Codec } from './codec.js'
 import type {
   DrainResponse, DrainRequest, ExchangeResponse, ExchangeRequest, StatusResponse, StatusRequest, TimelineResponse, TimelineRequest
@@ -14,6 +15,7 @@
   exchange: (request: ExchangeRequest) => ExchangeResponse
   status: (request: StatusRequest) => StatusResponse
   timeline: (request: TimelineRequest) => TimelineResponse
+  explain: (request: ExplainRequest) => ExplainResponse
   drain: (request: DrainRequest) => DrainResponse
 }
 
@@ -44,7 +46,7 @@
   const server = new Server({ ...CHANNEL_OPTIONS, interceptors })
   server.addService({ ...definePeerMethods(codec) }, { exchange: handleUnary(handlers.exchange) })
   server.addService({ ...defineOperatorQueries(codec) }, {
-    status: handleUnary(handlers.status), timeline: handleUnary(handlers.timeline)
+    status: handleUnary(handlers.status), timeline: handleUnary(handlers.timeline), explain: handleUnary(handlers.explain)
   })
   server.addService({ ...defineOperatorCommands(codec) }, { drain: handleUnary(handlers.drain) })
   await new Promise<void>((resolve, reject) => {
--- a/src/peer/services.ts
+++ b/src/peer/services.ts
@@ -4,6 +4,8 @@
  */
 import type { MethodDefinition } from '@grpc/grpc-js'
 import type * as z from 'zod'
+import { explainRequestSchema, explainResponseSchema } from '../request/index.js'
+import type { ExplainRequest, ExplainResponse } from '../request/index.js'
 import type { Codec } from './codec.js'
 import {
   drainResponseSchema, drainRequestSchema, exchangeResponseSchema, exchangeRequestSchema, statusResponseSchema, statusRequestSchema,
@@ -30,6 +32,7 @@
 export interface OperatorQueryMethods {
   status: MethodDefinition<StatusRequest, StatusResponse>
   timeline: MethodDefinition<TimelineRequest, TimelineResponse>
+  explain: MethodDefinition<ExplainRequest, ExplainResponse>
 }
 
 export interface OperatorCommandMethods { drain: MethodDefinition<DrainRequest, DrainResponse> }
@@ -41,7 +44,8 @@
 export function defineOperatorQueries (codec: Codec): OperatorQueryMethods {
   return {
     status: defineMethod(codec, '/comfreyspoke.OperatorQueries/Status', statusRequestSchema, statusResponseSchema),
-    timeline: defineMethod(codec, '/comfreyspoke.OperatorQueries/Timeline', timelineRequestSchema, timelineResponseSchema)
+    timeline: defineMethod(codec, '/comfreyspoke.OperatorQueries/Timeline', timelineRequestSchema, timelineResponseSchema),
+    explain: defineMethod(codec, '/comfreyspoke.OperatorQueries/Explain', explainRequestSchema, explainResponseSchema)
   }
 }
 
--- a/src/request/delaypicker.ts
+++ b/src/request/delaypicker.ts
@@ -9,7 +9,7 @@
 import type { NodeLocality } from './candidates.js'
 import type { TargetLoad } from './load.js'
 import { Picker } from './picker.js'
-import type { AttemptOutcome, PickRequest } from './picker.js'
+import type { AttemptOutcome, PickRequest, TargetRating } from './picker.js'
 import { SAMPLE_SHARE, TargetStats } from './stats.js'
 import { TargetTable, UNUSED_TARGET_MS } from './targettable.js'
 
@@ -36,6 +36,9 @@
 
 const UNREACHABLE_CODES = new Set(['not_connected', 'leaving', 'no_target'])
 
+/** A pick compares the targets in the first of these states that any target is in. */
+const STATES: ReadonlyArray<TargetRating['state']> = ['available', 'backing-off', 'unreachable']
+
 export class LeastDelayPicker extends Picker {
   private readonly stats = new TargetTable(() => new TargetStats(this.clock.monotonic()))
   private readonly averageServiceMs = new Map<string, number>()
@@ -60,6 +63,41 @@
     return this.pickFrom(all, request)
   }
 
+  /** Does not sample the farther targets, so it may list more than one pick compares. */
+  override explain ({ targets, tried, zones, bytes = 0, measureLocalLoad }: PickRequest): TargetRating[] {
+    const at = this.clock.monotonic()
+    const untried = this.candidates.selectAll(targets).filter(target => !tried.has(target.id))
+    const ratings = untried.map((target): TargetRating => {
+      const stats = this.stats.find(target)?.copy() ?? new TargetStats(at)
+      const load = target.host === this.locality.host ? measureLocalLoad?.(target) : undefined
+      if (load !== undefined && load.slots > 0) stats.setLoad(at, load)
+      const parts = {
+        ...stats.computeDelayParts(at, target.slots, this.getAverageServiceMs(target)),
+        distanceMs: zones === 'any' ? 0 : this.computeDistancePenalty(target, bytes)
+      }
+      const state = stats.isUnreachable(at) ? 'unreachable' : stats.isBackingOff(at) ? 'backing-off' : 'available'
+      return { target, state, delayMs: parts.serviceMs + parts.queueMs + parts.failureMs + parts.distanceMs, parts, isCandidate: false }
+    })
+    return this.markCandidates(ratings)
+  }
+
+  /** A pick increases each rating at random, except that of a target on this host. */
+  private markCandidates (ratings: readonly TargetRating[]): TargetRating[] {
+    const eligible = STATES.map(current => ratings.filter(({ state }) => state === current)).find(({ length }) => length > 0) ?? []
+    const limitMs = Math.min(...eligible.map(({ target, delayMs }) => delayMs * (1 + this.getJitterShare(target))))
+    return ratings
+      .map(rating => ({ ...rating, isCandidate: eligible.includes(rating) && rating.delayMs <= limitMs }))
+      .sort((left, right) => Number(right.isCandidate) - Number(left.isCandidate) || left.delayMs - right.delayMs)
+  }
+
+  private getJitterShare ({ host }: Target): number {
+    return host === this.locality.host ? 0 : RATING_JITTER_SHARE
+  }
+
+  private getAverageServiceMs ({ service }: Target): number {
+    return this.averageServiceMs.get(service) ?? DEFAULT_SERVICE_MS
+  }
+
   private pickFrom (candidates: readonly Target[], { tried, needsFreeSlot, zones, bytes = 0 }: PickRequest): Target | undefined {
     const at = this.clock.monotonic()
     const untried = candidates.filter(target => !tried.has(target.id))
@@ -118,10 +156,9 @@
     let best: Target | undefined
     let lowest = Infinity
     for (const target of targets) {
-      const averageMs = this.averageServiceMs.get(target.service) ?? DEFAULT_SERVICE_MS
-      const delayMs = this.stats.get(target).computeDelay(at, target.slots, averageMs) + computePenalty(target)
-      const jitterShare = target.host === this.locality.host ? 0 : RATING_JITTER_SHARE * this.random.next()
-      const rating = delayMs * (1 + jitterShare)
+      const delayMs = this.stats.get(target).computeDelay(at, target.slots, this.getAverageServiceMs(target)) + computePenalty(target)
+      const jitterShare = this.getJitterShare(target)
+      const rating = delayMs * (1 + (jitterShare === 0 ? 0 : jitterShare * this.random.next()))
       if (rating >= lowest) continue
       lowest = rating
       best = target
--- a/src/request/picker.ts
+++ b/src/request/picker.ts
@@ -3,6 +3,7 @@
  */
 import type { Target } from '../membership/index.js'
 import type { TargetLoad } from './load.js'
+import type { DelayParts } from './stats.js'
 
 export interface PickRequest {
   targets: readonly Target[]
@@ -23,6 +24,18 @@
  */
 export type AttemptOutcome = 'answered' | 'failed' | 'refused' | 'cancelled'
 
+/**
+ * What a picker expects of a target. `state` `unreachable` and `backing-off` are picked only if no other target is left. `isCandidate`:
+ * the next pick may yield the target.
+ */
+export interface TargetRating {
+  target: Target
+  state: 'available' | 'backing-off' | 'unreachable'
+  delayMs: number
+  parts: DelayParts & { distanceMs: number }
+  isCandidate: boolean
+}
+
 export abstract class Picker {
   abstract pick (request: PickRequest): Target | undefined
   /** Called at the start of each attempt, as `endAttempt` is at its end. Pickers learn about targets from these two. */
@@ -30,6 +43,11 @@
   /** `latencyMs` is undefined when the caller and not the target determined the time, as in an upload. */
   abstract endAttempt (target: Target, latencyMs: number | undefined, outcome: AttemptOutcome, code?: string): void
 
+  /** Returns what the next pick would compare, the best first, and changes nothing. A picker without expected delays returns undefined. */
+  explain (_request: PickRequest): TargetRating[] | undefined {
+    return undefined
+  }
+
   /** Called with the load that the node of the target's host reports. Pickers may ignore it. */
   recordLoad (_target: Target, _load: TargetLoad): void {}
 }
--- a/src/request/stats.ts
+++ b/src/request/stats.ts
@@ -23,6 +23,9 @@
 const WARM_UP_MS = 3_000
 const WARM_UP_FACTOR = 2
 
+/** The parts of an expected delay, in milliseconds. */
+export interface DelayParts { serviceMs: number, queueMs: number, failureMs: number }
+
 export class TargetStats {
   inFlight = 0
   usedAt: number
@@ -93,8 +96,18 @@
 
   /** Returns the expected time of a call sent now in milliseconds, without the network delay. */
   computeDelay (at: number, slots: number, averageMs: number): number {
+    const { serviceMs, queueMs, failureMs } = this.computeDelayParts(at, slots, averageMs)
+    return serviceMs + queueMs + failureMs
+  }
+
+  computeDelayParts (at: number, slots: number, averageMs: number): DelayParts {
     const serviceMs = (this.serviceMs ?? averageMs) * (at - this.firstSeenAt < WARM_UP_MS ? WARM_UP_FACTOR : 1)
-    return serviceMs + this.computeQueueDelay(at, slots, serviceMs) + this.computeFailureRate(at) * FAILURE_PENALTY_MS
+    return { serviceMs, queueMs: this.computeQueueDelay(at, slots, serviceMs), failureMs: this.computeFailureRate(at) * FAILURE_PENALTY_MS }
+  }
+
+  /** Returns statistics that can be changed without an effect on these. */
+  copy (): TargetStats {
+    return Object.assign(new TargetStats(this.firstSeenAt), this)
   }
 
   private computeQueueDelay (at: number, slots: number, serviceMs: number): number {
--- a/src/request/tasks/attempts.ts
+++ b/src/request/tasks/attempts.ts
@@ -8,6 +8,7 @@
 import type { TargetResponse } from '../httpclient.js'
 import type { TargetLoad } from '../load.js'
 import type { RetryDecision, RetryPolicy } from '../retry.js'
+import { makeNoTargetFailure } from '../queries/decision.js'
 import type { Call, RunOrigin } from '../schema.js'
 import { attemptTarget, getTargetName } from './attempt.js'
 import type { AttemptContext, ActiveCall, AttemptResponse } from './attempt.js'
@@ -28,7 +29,6 @@
   onAttemptFailed?: (failed: FailedAttempt) => void
 }
 
-const RETRY_AFTER_MS = 200
 const FIRST_SERVER_ERROR_STATUS = 500
 /** Rejections for lack of capacity, which other targets of the service are likely to repeat. */
 const CAPACITY_CODES = new Set(['queue_full', 'shed', 'no_time', 'deadline_in_queue', 'target_refused'])
@@ -61,7 +61,7 @@
       const blocked = suspect.reject()
       if (blocked !== undefined) return this.finish(blocked)
       const target = this.pickTarget()
-      if (target === undefined) return this.finish(this.worstFailure ?? this.makeNoTargetFailure())
+      if (target === undefined) return this.finish(this.worstFailure ?? makeNoTargetFailure(this.activeCall.resolved.service))
       this.attemptNumber += 1
       const result = await attemptTarget(this.context, { activeCall: this.activeCall, target, number: this.attemptNumber, origin: this.origin })
       const failure = this.recordResult(target, result)
@@ -156,13 +156,9 @@
     return this.attemptNumber > 1 || decision === 'spent' ? { ...this.worstFailure, noRetry: true } : this.worstFailure
   }
 
-  private makeNoTargetFailure (): Failure {
-    return makeFailure('not-run', 503, 'no_target', `${this.activeCall.resolved.service} has no available target`, RETRY_AFTER_MS)
-  }
-
   private finish (failure: Failure | undefined): Result<AttemptResponse, Failure> {
     if (this.fallbackResponse !== undefined) return Ok(this.fallbackResponse)
-    return Err(pickWorse(this.worstFailure, failure ?? this.makeNoTargetFailure()))
+    return Err(pickWorse(this.worstFailure, failure ?? makeNoTargetFailure(this.activeCall.resolved.service)))
   }
 }
 
--- a/src/request/tasks/caller.ts
+++ b/src/request/tasks/caller.ts
@@ -3,40 +3,29 @@
  * a target responds or the failure is final.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { AccountTable, authorizeRequest } from '../../account/index.js'
-import type { Credential } from '../../account/index.js'
 import { Err, makeFailure } from '../../core/index.js'
 import type { Failure, Random, Result } from '../../core/index.js'
 import type { Metrics } from '../../metrics/index.js'
-import type { Snapshot } from '../../snapshot/index.js'
 import { checkHeadSize } from '../headers.js'
 import { writeResponse, writeFormattedFailure } from '../response.js'
 import { SuspectCall } from '../commands/suspect.js'
 import type { SuspectTable } from '../../suspect/index.js'
 import type { DeliveryOutcome } from '../response.js'
 import { RequestBody } from '../body.js'
-import { resolveRoute } from '../queries/route.js'
+import { checkShutdown, computeDeadline, decideAccess, decideRoute, getAccountTable, makeOutdatedFailure } from '../queries/decision.js'
+import type { DecisionContext } from '../queries/decision.js'
 import type { Call } from '../schema.js'
 import { RequestScope } from '../scope.js'
 import { Attempts } from './attempts.js'
 import type { AttemptsContext } from './attempts.js'
 import type { AttemptResponse } from './attempt.js'
+import type { InboundContext } from './inbound.js'
 
-export interface CallerContext extends AttemptsContext {
+export interface CallerContext extends AttemptsContext, DecisionContext {
   random: Random
+  inbound: InboundContext
   metrics: Metrics
   suspects: SuspectTable
-  getSnapshot: () => Snapshot
-  /** The accounts of the version in force. Absent: callers need no keys. */
-  getAccounts?: () => AccountTable
-  isReady: () => boolean
-  /** True if a peer has a newer configuration than this node. */
-  isOutdated?: () => boolean
-  /**
-   * Time until this node stops, defined once callers have had time to notice that it is stopping. A request that may take
-   * longer is rejected.
-   */
-  getTimeToShutdownMs?: () => number | undefined
   /** The size of a request head that the configuration in force allows. */
   getMaxHeadBytes?: () => number | undefined
   /** Request bodies up to this size are buffered before a target is picked. Without a value, only bodies with a short content-length are. */
@@ -46,13 +35,9 @@
   onRejected?: (failure: Failure) => void
 }
 
-const RETRY_AFTER_MS = 200
 /** Applies while no configuration sets a limit. */
 const DEFAULT_HEAD_BYTES = 16 * 1024
 
-const NO_ACCOUNTS = new AccountTable(false)
-const NO_CREDENTIAL: Credential = { kind: 'none' }
-
 export async function serveCaller (context: CallerContext, message: IncomingMessage, response: ServerResponse): Promise<void> {
   const body = new RequestBody(message, response)
   const call = readCall(context, message)
@@ -89,11 +74,6 @@
   writeFormattedFailure(response, context.inbound.adapter.formatFailure(failure, call?.request ?? ''))
 }
 
-/** The newer configuration may allow the request, and callers do not repeat a request that is called wrong. */
-function makeOutdatedFailure ({ message }: Failure): Failure {
-  return makeFailure('not-run', 503, 'outdated', `${message} in the configuration of this node, and a peer has a newer one`, RETRY_AFTER_MS)
-}
-
 function makeUnreadBodyFailure (context: CallerContext, body: RequestBody, limitBytes: number): Failure {
   if (!body.isAboveLimit) return makeFailure('not-run', 504, 'deadline', 'the request body did not arrive before the deadline')
   const failure = makeFailure('not-run', 413, 'body_too_large', `the body exceeds ${limitBytes} bytes`)
@@ -103,23 +83,22 @@
 async function runCall (
   context: CallerContext, call: Call, body: RequestBody, message: IncomingMessage, response: ServerResponse
 ): Promise<Result<AttemptResponse, Failure>> {
-  if (!context.isReady()) return Err(makeFailure('not-run', 503, 'not_ready', 'this node has no configuration yet', RETRY_AFTER_MS))
-  const resolved = resolveRoute(context.getSnapshot(), call, context.random)
-  if (resolved.err) return Err(context.isOutdated?.() === true ? makeOutdatedFailure(resolved.val) : resolved.val)
+  const resolved = decideRoute(context, call)
+  if (resolved.err) return resolved
   const { route, service } = resolved.val
   body.setLimit(route.maxBodyBytes)
   if (context.requestBufferBytes !== undefined) body.bufferUpTo(context.requestBufferBytes)
-  const deadlineMs = Math.min(route.deadlineMs, call.deadlineMs ?? route.deadlineMs)
-  if (deadlineMs > (context.getTimeToShutdownMs?.() ?? Infinity)) return Err(makeFailure('not-run', 503, 'stopping', 'this node stops before the deadline of the request', RETRY_AFTER_MS))
+  const deadlineMs = computeDeadline(route, call)
+  const stopping = checkShutdown(context, deadlineMs)
+  if (stopping !== undefined) return Err(stopping)
   const scope = new RequestScope(context.clock, deadlineMs, response)
   await scope.awaitPendingClose()
-  const accounts = context.getAccounts?.() ?? NO_ACCOUNTS
-  const { credential = NO_CREDENTIAL } = call
   const { repeats } = context.inbound
-  const authorized = authorizeRequest(accounts, { credential, route, isOfRun: repeats.matchesRun(call.deadlineMs) })
+  const accounts = getAccountTable(context)
+  const authorized = decideAccess(context, accounts, call, route)
   if (authorized.err) {
     scope.end()
-    return Err(context.isOutdated?.() === true ? makeOutdatedFailure(authorized.val) : authorized.val)
+    return authorized
   }
   // Targets have no keys, so no run on this host has made a request with one.
   const { isOfRun, repeatShare } = repeats.recordCall(service, authorized.val === undefined ? call.deadlineMs : Infinity)
--- a/src/tool/main.ts
+++ b/src/tool/main.ts
@@ -5,6 +5,7 @@
 import { applyCommand } from './commands/apply.js'
 import { deleteCommand } from './commands/delete.js'
 import { drainCommand } from './commands/drain.js'
+import { explainCommand } from './queries/explain.js'
 import { getCommand } from './queries/get.js'
 import { historyCommand } from './queries/history.js'
 import { listCommand } from './queries/list.js'
@@ -17,6 +18,7 @@
     apply: applyCommand,
     delete: deleteCommand,
     drain: drainCommand,
+    explain: explainCommand,
     get: getCommand,
     history: historyCommand,
     list: listCommand,
--- a/tests/credentials.test.ts
+++ b/tests/credentials.test.ts
@@ -22,7 +22,7 @@
 
 async function servePeer (credentials: PeerCredentials): Promise<string> {
   const fail = (): never => { throw new Error('this test does not call this method') }
-  const handlers = { exchange: fail, status: fail, timeline: () => ({ events: [] }), drain: fail }
+  const handlers = { exchange: fail, status: fail, explain: fail, timeline: () => ({ events: [] }), drain: fail }
   const address = `${ip}:${port++}`
   const server: Server = await startPeerServer(address, new MsgpackCodec(), handlers, credentials.server)
   closers.push(() => { server.forceShutdown() })
--- a/tests/peers.test.ts
+++ b/tests/peers.test.ts
@@ -46,7 +46,11 @@
   const peers = makePeers(state, client, clock)
   const throwUnexpected = (): never => { throw new Error('not called in this test') }
   const server = await startPeerServer(peer, codec, {
-    exchange: request => peers.respond(request), status: throwUnexpected, timeline: throwUnexpected, drain: throwUnexpected
+    exchange: request => peers.respond(request),
+    status: throwUnexpected,
+    timeline: throwUnexpected,
+    explain: throwUnexpected,
+    drain: throwUnexpected
   })
   const node = { state, peers, server, client }
   nodes.push(node)
--- a/tests/severed.test.ts
+++ b/tests/severed.test.ts
@@ -56,7 +56,11 @@
 async function serve (peer: string, peers: PeerSynchronizer): Promise<Server> {
   const throwUnexpected = (): never => { throw new Error('not called in this test') }
   const server = await startPeerServer(peer, codec, {
-    exchange: exchange => peers.respond(exchange), status: throwUnexpected, timeline: throwUnexpected, drain: throwUnexpected
+    exchange: exchange => peers.respond(exchange),
+    status: throwUnexpected,
+    timeline: throwUnexpected,
+    explain: throwUnexpected,
+    drain: throwUnexpected
   })
   closers.push(() => { server.forceShutdown() })
   return server
