--- a/src/request/delaypicker.ts
+++ b/src/request/delaypicker.ts
@@ -68,7 +68,7 @@
     const at = this.clock.monotonic()
     const untried = this.candidates.selectAll(targets).filter(target => !tried.has(target.id))
     const ratings = untried.map((target): TargetRating => {
-      const stats = this.stats.find(target)?.copy() ?? new TargetStats(at)
+      const stats = this.stats.find(target)?.makeCopy() ?? new TargetStats(at)
       const load = target.host === this.locality.host ? measureLocalLoad?.(target) : undefined
       if (load !== undefined && load.slots > 0) stats.setLoad(at, load)
       const parts = {
--- a/src/request/stats.ts
+++ b/src/request/stats.ts
@@ -106,7 +106,7 @@
   }
 
   /** Returns statistics that can be changed without an effect on these. */
-  copy (): TargetStats {
+  makeCopy (): TargetStats {
     return Object.assign(new TargetStats(this.firstSeenAt), this)
   }
 
