--- a/tests/explain.test.ts
+++ b/tests/explain.test.ts
@@ -2,19 +2,27 @@
  * Guards against an explanation that differs from what the request path does on the same state, that sends a request or changes what the
  * next request meets, or from which a key could be learned.
  */
+import { execFile } from 'node:child_process'
+import { mkdtemp, rm, writeFile } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
 import { afterEach, expect, test } from '@jest/globals'
 import { Agent, request } from 'undici'
 import { AccountTable, hashKey } from '../src/account/index.js'
 import { SeededRandom, SystemClock } from '../src/core/index.js'
+import { MsgpackCodec, startPeerServer } from '../src/peer/index.js'
 import { explainRequest, LeastDelayPicker } from '../src/request/index.js'
 import type { ExplainContext, ExplainRequest } from '../src/request/index.js'
 import { PlatformProtocolAdapter } from '../platform/front.js'
+import { PlatformServer } from '../standins/platform/server.js'
+import { findFreeAddress } from './fixtures/address.js'
 import { makeClock } from './fixtures/clock.js'
 import { startMesh } from './fixtures/mesh.js'
 import type { Mesh, MeshOptions } from './fixtures/mesh.js'
 import { makeTarget } from './fixtures/target.js'
 
 const KEY = 'a-secret-key'
+const TOOL_TIMEOUT_MS = 30_000
 const HOST = 'desk.example'
 const ROUTES = {
   open: { methods: ['GET'], path: '/open', kind: 'idempotent', deadlineMs: 5_000, public: true, host: HOST },
@@ -123,6 +131,81 @@
   expect(JSON.stringify(explained)).not.toContain(hashKey(KEY))
 })
 
+interface Run { code: number, stdout: string, stderr: string }
+
+async function runTool (args: string[], input = ''): Promise<Run> {
+  return await new Promise(resolve => {
+    const child = execFile(process.execPath, ['dist/src/bin/tool.js', 'explain', ...args], { env: { PATH: process.env.PATH } }, (error, stdout, stderr) => {
+      resolve({ code: typeof error?.code === 'number' ? error.code : 0, stdout, stderr })
+    })
+    child.stdin?.end(input)
+  })
+}
+
+const fail = (): never => { throw new Error('not called in this test') }
+
+async function serveExplanations (context: ExplainContext): Promise<{ peer: string, stop: () => void }> {
+  const peer = await findFreeAddress()
+  const server = await startPeerServer(peer, new MsgpackCodec(), {
+    exchange: fail, status: fail, timeline: fail, drain: fail, explain: asked => ({ node: 'first', zone: 'a', version: 7, ...explainRequest(context, asked) })
+  })
+  return { peer, stop: () => { server.forceShutdown() } }
+}
+
+test('the command prints the answer of a node, with a key from standard input or a file', async () => {
+  const { mesh: started, context } = await startNode(['t-0', 't-1'])
+  const { peer, stop } = await serveExplanations(context)
+  const store = new PlatformServer()
+  const url = await store.listen(0)
+  const folder = await mkdtemp(join(tmpdir(), 'comfreyspoke-explain-'))
+  try {
+    const file = join(folder, 'key')
+    await writeFile(file, `${KEY}\n`)
+    const value = { host: 'first', zone: 'a', region: 'r', inbound: peer, peer, admin: peer, incarnation: 1, sequence: 1, state: 'serving', targets: [] }
+    store.objects.write({ kind: 'host', name: 'first', expected: 0, value }).unwrap()
+    const flags = ['--url-host', HOST, '--path', '/read']
+    const question = makeQuestion({ method: 'GET', path: '/read', host: HOST, key: KEY })
+    const expected = { node: 'first', zone: 'a', version: 7, ...explainRequest(context, question) }
+    const runs = [
+      await runTool([...flags, '--node', peer, '--key-file', file, '--json']),
+      await runTool([...flags, '--node', peer, '--key-file', '-', '--json'], KEY),
+      await runTool([...flags, '--zone', 'a', '--platform', url, '--key-file', file, '--json'])
+    ]
+    for (const { code, stdout } of runs) expect({ code, answer: JSON.parse(stdout) as unknown }).toMatchObject({ code: 0, answer: withoutTimes(expected) })
+    const text = await runTool([...flags, '--node', peer, '--key-file', file])
+    expect(text.stdout).toContain('first in a, configuration 7: send to host-')
+    expect(text.stdout).toContain('account: press, class critical')
+    const refused = await runTool([...flags, '--node', peer])
+    expect(refused).toMatchObject({ code: 0, stdout: expect.stringContaining('refuse with 401 no_key (not-run)') as unknown as string })
+    for (const { stdout, stderr } of [...runs, text]) for (const secret of [KEY, hashKey(KEY)]) expect(stdout + stderr).not.toContain(secret)
+    expect(started.failures).toEqual([])
+  } finally {
+    stop()
+    await store.close()
+    await rm(folder, { recursive: true })
+  }
+}, TOOL_TIMEOUT_MS)
+
+/** A new target counts as warming up at the time of each question. */
+function withoutTimes ({ candidates, ...rest }: { candidates?: readonly object[] | undefined }): unknown {
+  const stable = candidates?.map(candidate => ({ ...candidate, delayMs: expect.any(Number) as unknown, parts: expect.anything() as unknown }))
+  return { ...rest, ...stable === undefined ? {} : { candidates: stable } }
+}
+
+test.each([
+  [['--node', '127.0.0.1:1'], 2, '--url-host is missing'],
+  [['--url-host', HOST], 2, 'one of --node and --zone'],
+  [['--url-host', HOST, '--node', '127.0.0.1:1', '--zone', 'a'], 2, 'one of --node and --zone'],
+  [['--url-host', HOST, '--node', '127.0.0.1:1', '--bytes', 'many'], 2, '--bytes is not a whole number'],
+  [['--url-host', HOST, '--node', '127.0.0.1:1', '--key-file', '/nowhere'], 2, '--key-file'],
+  [['--url-host', HOST, '--node', '127.0.0.1:1', '--key', KEY], 2, '--key'],
+  [['--url-host', HOST, '--node', '127.0.0.1:1'], 4, 'unreachable']
+])('the command with %j ends with exit code %i', async (args, expected, message) => {
+  const { code, stdout, stderr } = await runTool(args)
+  expect({ code, stdout }).toEqual({ code: expected, stdout: '' })
+  expect(stderr).toContain(message)
+})
+
 const PLACE = { host: 'h0', zone: 'a', region: 'r' }
 const TARGETS = [
   makeTarget({ host: 'h0' }), ...['h1', 'h2', 'h3', 'h4'].map(host => makeTarget({ host })),
