--- a/src/node/handlers.ts
+++ b/src/node/handlers.ts
@@ -3,7 +3,8 @@
  */
 import type { DrainRequest, DrainResponse, PeerHandlers } from '../peer/index.js'
 import type { QuotaService } from '../quota/index.js'
-import { matchesSecret } from '../request/index.js'
+import { explainRequest, matchesSecret } from '../request/index.js'
+import type { ExplainContext } from '../request/index.js'
 import { filterEvents } from '../timeline/index.js'
 import { makeStatus } from './queries/status.js'
 import type { NodeRollouts } from './rollouts.js'
@@ -18,13 +19,14 @@
   quota: QuotaService | undefined
   /** Absent where there are no rollouts. */
   rollouts: NodeRollouts | undefined
+  caller: ExplainContext
   /** The secret that operators' commands must carry, if there is one. */
   operatorToken: string | undefined
   startLeaving: () => void
 }
 
 export function makePeerHandlers (context: HandlerContext): PeerHandlers {
-  const { state, telemetry, peers, quota, rollouts } = context
+  const { state, telemetry, peers, quota, rollouts, caller } = context
   return {
     exchange: request => {
       telemetry.recordExchange(request.host)
@@ -34,6 +36,8 @@
     report: report => rollouts?.receiveReport(report) ?? {},
     status: () => makeStatus(state),
     timeline: ({ filter }) => ({ events: filterEvents(telemetry.eventRing.list(), filter) }),
+    // The request has the hash of a key, so it is not logged.
+    explain: request => ({ node: state.identity.host, zone: state.identity.zone, version: state.version, ...explainRequest(caller, request) }),
     drain: request => acceptDrain(context, request),
     ...quota === undefined ? {} : { lend: async request => await quota.lend(request) }
   }
--- a/src/node/start.ts
+++ b/src/node/start.ts
@@ -65,6 +65,7 @@
   private readonly targetHttpClient: UndiciHttpClient
   private readonly peerHttpClient: HttpClient
   private readonly callerPort: HttpPort
+  private readonly callerContext: CallerContext
   private readonly inboundPort: HttpPort
   private readonly stopped = new AbortController()
   private readonly shutdown: NodeShutdown
@@ -120,6 +121,7 @@
     const plainPeerHttpClient = new UndiciHttpClient(MAX_PEER_CONNECTIONS, address => dialer.resolve(address), clock, PEER_IDLE_TIMEOUT_MS)
     this.peerHttpClient = access.peerToken === undefined ? plainPeerHttpClient : new TokenHttpClient(plainPeerHttpClient, access.peerToken)
     const context = this.makeCallerContext()
+    this.callerContext = context
     this.callerPort = new HttpPort(async (message, response) => { await serveCaller(context, message, response) }, context.onRejected)
     this.inboundPort = new HttpPort(async (message, response) => { await this.serveNode(context, message, response) })
     this.shutdown = new NodeShutdown({
@@ -182,6 +184,7 @@
       peers,
       quota: this.quota,
       rollouts: this.rollouts,
+      caller: this.callerContext,
       operatorToken: access?.operatorToken,
       startLeaving: () => { this.registration.startLeaving(this.countInFlight()) }
     })
--- a/src/peer/client.ts
+++ b/src/peer/client.ts
@@ -6,6 +6,7 @@
 import { Err, Ok, describeError, makeFault } from '../core/index.js'
 import type { Fault, Result } from '../core/index.js'
 import type { LendRequest, LendResponse } from '../quota/index.js'
+import type { ExplainRequest, ExplainResponse } from '../request/index.js'
 import type { EventFilter } from '../timeline/index.js'
 import type { RolloutReport, RolloutResponse } from '../rollout/index.js'
 import { PeerTransport } from './transport.js'
@@ -63,6 +64,10 @@
     return await this.call(address, this.queries.timeline, { filter }, OPERATOR_TIMEOUT_MS)
   }
 
+  async queryExplanation (address: string, request: ExplainRequest): Promise<Result<ExplainResponse, Fault>> {
+    return await this.call(address, this.queries.explain, request, OPERATOR_TIMEOUT_MS)
+  }
+
   async drainHost (address: string, request: DrainRequest): Promise<Result<DrainResponse, Fault>> {
     return await this.call(address, this.commands.drain, request, OPERATOR_TIMEOUT_MS)
   }
--- a/src/peer/server.ts
+++ b/src/peer/server.ts
@@ -6,6 +6,7 @@
 import { describeError } from '../core/index.js'
 import type { LendRequest, LendResponse } from '../quota/index.js'
 import type { RolloutReport, RolloutResponse } from '../rollout/index.js'
+import type { ExplainRequest, ExplainResponse } from '../request/index.js'
 import type { Codec } from './codec.js'
 import type {
   DrainResponse, DrainRequest, ExchangeResponse, ExchangeRequest, StatusResponse, StatusRequest, TimelineResponse, TimelineRequest
@@ -18,6 +19,7 @@
   report?: (report: RolloutReport) => RolloutResponse
   status: (request: StatusRequest) => StatusResponse
   timeline: (request: TimelineRequest) => TimelineResponse
+  explain: (request: ExplainRequest) => ExplainResponse
   drain: (request: DrainRequest) => DrainResponse
   /** Absent if the deployment has no quotas. */
   lend?: (request: LendRequest) => Promise<LendResponse>
@@ -61,7 +63,7 @@
     exchange: handleUnary(handlers.exchange), report: handleUnary<RolloutReport, RolloutResponse>(report => handlers.report?.(report) ?? {})
   })
   server.addService({ ...defineOperatorQueries(codec) }, {
-    status: handleUnary(handlers.status), timeline: handleUnary(handlers.timeline)
+    status: handleUnary(handlers.status), timeline: handleUnary(handlers.timeline), explain: handleUnary(handlers.explain)
   })
   server.addService({ ...defineOperatorCommands(codec) }, { drain: handleUnary(handlers.drain) })
   await new Promise<void>((resolve, reject) => {
--- a/src/peer/services.ts
+++ b/src/peer/services.ts
@@ -8,6 +8,8 @@
 import type { LendRequest, LendResponse } from '../quota/index.js'
 import { rolloutReportSchema, rolloutResponseSchema } from '../rollout/index.js'
 import type { RolloutReport, RolloutResponse } from '../rollout/index.js'
+import { explainRequestSchema, explainResponseSchema } from '../request/index.js'
+import type { ExplainRequest, ExplainResponse } from '../request/index.js'
 import type { Codec } from './codec.js'
 import {
   drainResponseSchema, drainRequestSchema, exchangeResponseSchema, exchangeRequestSchema, statusResponseSchema, statusRequestSchema,
@@ -40,6 +42,7 @@
 export interface OperatorQueryMethods {
   status: MethodDefinition<StatusRequest, StatusResponse>
   timeline: MethodDefinition<TimelineRequest, TimelineResponse>
+  explain: MethodDefinition<ExplainRequest, ExplainResponse>
 }
 
 export interface OperatorCommandMethods { drain: MethodDefinition<DrainRequest, DrainResponse> }
@@ -58,7 +61,8 @@
 export function defineOperatorQueries (codec: Codec): OperatorQueryMethods {
   return {
     status: defineMethod(codec, '/comfreyspoke.OperatorQueries/Status', statusRequestSchema, statusResponseSchema),
-    timeline: defineMethod(codec, '/comfreyspoke.OperatorQueries/Timeline', timelineRequestSchema, timelineResponseSchema)
+    timeline: defineMethod(codec, '/comfreyspoke.OperatorQueries/Timeline', timelineRequestSchema, timelineResponseSchema),
+    explain: defineMethod(codec, '/comfreyspoke.OperatorQueries/Explain', explainRequestSchema, explainResponseSchema)
   }
 }
 
--- a/src/request/workpicker.ts
+++ b/src/request/workpicker.ts
@@ -9,7 +9,7 @@
 import { LeastDelayPicker } from './delaypicker.js'
 import type { TargetLoad } from './load.js'
 import type { PickRequest } from './picker.js'
-import type { TargetStats } from './stats.js'
+import type { DelayParts, TargetStats } from './stats.js'
 import { TargetTable, UNUSED_TARGET_MS } from './targettable.js'
 import type { RequestNeed, WorkControl } from './workcontrol.js'
 
@@ -81,12 +81,13 @@
     return this.control.model.computeTime(need, target.id, at) + waitMs
   }
 
-  protected override computeDelay (target: Target, stats: TargetStats, at: number, request: PickRequest): number {
+  protected override computeDelayParts (target: Target, stats: TargetStats, at: number, request: PickRequest): DelayParts {
     const { need } = request
-    if (need === undefined || !this.control.isInForce(target.id, at)) return super.computeDelay(target, stats, at, request)
+    if (need === undefined || !this.control.isInForce(target.id, at)) return super.computeDelayParts(target, stats, at, request)
     const serviceMs = this.control.model.computeTime(need, target.id, at)
     // The reported wait is exact but soon out of date; the number of requests tells how likely a slot is still free.
-    const countedMs = serviceMs + stats.computeQueueDelay(at, target.slots, serviceMs)
-    return Math.max(this.computeExpected(target, need), countedMs) + stats.computeFailurePenalty(at)
+    const countedMs = stats.computeQueueDelay(at, target.slots, serviceMs)
+    const reportedMs = this.computeExpected(target, need) - serviceMs
+    return { serviceMs, queueMs: Math.max(reportedMs, countedMs), failureMs: stats.computeFailurePenalty(at) }
   }
 }
--- a/tests/quota/grpc.test.ts
+++ b/tests/quota/grpc.test.ts
@@ -41,7 +41,7 @@
     requests.push(request)
     return await quota.lend(request)
   }
-  const handlers = { exchange: fail, status: fail, timeline: fail, drain: fail, ...hasQuotas ? { lend } : {} }
+  const handlers = { exchange: fail, status: fail, timeline: fail, explain: fail, drain: fail, ...hasQuotas ? { lend } : {} }
   const server = await startPeerServer(peer, new MsgpackCodec(), handlers)
   closers.push(() => {
     client.close()
