--- a/tests/worklimiter.test.ts
+++ b/tests/worklimiter.test.ts
@@ -2,14 +2,17 @@
  * Guards against requests that wait for a slot until their caller has left, nested calls that wait behind long requests while their run
  * holds a slot, and a change of behaviour where neither accounts nor reports of machines call for decisions by expected time.
  */
+import type { IncomingMessage } from 'node:http'
 import { setImmediate as settle } from 'node:timers/promises'
 import { expect, test } from '@jest/globals'
 import { SeededRandom } from '../src/core/index.js'
 import type { Failure, Result } from '../src/core/index.js'
 import type { RouteClass } from '../src/document/index.js'
-import { ExpectedWaitAdmissionPolicy, SharedRoomEntryPolicy, SlotLimiter, WorkControl, WorkLimiter } from '../src/request/index.js'
+import { ExpectedWaitAdmissionPolicy, HEADERS, RepeatMeter, SharedRoomEntryPolicy, SlotLimiter, WorkControl, WorkLimiter } from '../src/request/index.js'
 import type { EntryState, Permit } from '../src/request/index.js'
+import { filterCallerHeaders } from '../src/request/headers.js'
 import { formatLoad, parseLoad } from '../src/request/load.js'
+import { readInboundRequest } from '../src/request/queries/inbound.js'
 import { makeNeed } from '../src/request/workcontrol.js'
 import { PlatformProtocolAdapter } from '../platform/front.js'
 import { makeClock } from './fixtures/clock.js'
@@ -164,3 +167,24 @@
   expect(countRefused(2)).toBeGreaterThan(500)
   expect(countRefused(2)).toBeLessThan(950)
 })
+
+test('the time that a run has used its slot goes with its nested calls between nodes, and a caller cannot set it', () => {
+  const clock = makeClock()
+  const repeats = new RepeatMeter(clock)
+  expect(repeats.computeSpent('registry', 400)).toBe(0)
+  const endRun = repeats.beginRun('gallery normal GET', { isRepeat: false, repeatShare: 0 }, 3_000)
+  clock.advance(100)
+  repeats.beginRun('gallery normal GET', { isRepeat: false, repeatShare: 0 }, 3_000)
+  clock.advance(50)
+  expect(repeats.computeSpent('registry', 400)).toBeCloseTo(100)
+  repeats.recordCall('registry', 400)
+  expect(repeats.computeSpent('registry', 400)).toBeCloseTo(100)
+  endRun()
+  expect(repeats.computeSpent('registry', 400)).toBeCloseTo(50)
+  const headers = { host: 'h', [HEADERS.deadline]: '400', [HEADERS.kind]: 'lookup', [HEADERS.spent]: '100' }
+  const readHead = (sent: Record<string, unknown>): Result<unknown, Failure> => readInboundRequest({ headers: sent, rawHeaders: [], httpVersion: '1.1' } as unknown as IncomingMessage)
+  expect(readHead(headers).val).toMatchObject({ route: 'lookup', spentMs: 100 })
+  expect(readHead({ ...headers, [HEADERS.spent]: '0' }).val).toMatchObject({ spentMs: 1 })
+  expect(readHead({ ...headers, [HEADERS.spent]: 'x' }).val).toMatchObject({ spentMs: 0 })
+  expect(Object.keys(filterCallerHeaders(headers))).toEqual(['host', HEADERS.deadline])
+})
