--- a/src/quota/commands/lend.ts
+++ b/src/quota/commands/lend.ts
@@ -5,7 +5,7 @@
 import { TokenBucket } from '../bucket.js'
 import { DemandMeter } from '../demand.js'
 import type { OwnerDirectory } from '../directory.js'
-import { computeCapacity, computeCreditLifetimeMs } from '../limits.js'
+import { computeCapacity, computeCreditLifetimeMs, computeRate } from '../limits.js'
 import type { LimitInForce, QuotaBounds } from '../limits.js'
 import type { Loan, LoanRequest } from '../schema.js'
 import { CreditStock } from '../stock.js'
@@ -100,7 +100,7 @@
     const beganAt = this.beganAt ?? now
     for (const [account, limit] of limits) {
       const holding = this.holdings.get(account)
-      const rate = limit.ratePerSecond / zoneCount
+      const rate = computeRate(bounds, limit, zoneCount)
       const capacity = computeCapacity(bounds, limit, zoneCount)
       if (holding === undefined && directory.isOwner(account)) {
         const isNew = this.limits?.has(account) === false
--- a/src/quota/limits.ts
+++ b/src/quota/limits.ts
@@ -19,12 +19,15 @@
 }
 
 /*
- * The overage allows requests that fill (window x overage) at the full rate. One part is for the life of credits, one for the capacity,
- * and the rest, with that of the slack, for the different times from taking a credit to reaching a target.
+ * The overage allows requests that fill (window x overage) at the full rate, and the slack a number of requests. Both are shared out among
+ * the life of credits, the capacity of the buckets and their rate. Without a part of the slack for the rate, an account of a few requests a
+ * second would be refused while it is below the bound.
  */
 const LIFETIME_SHARE_OF_OVERAGE = 0.4
 const CAPACITY_SHARE_OF_OVERAGE = 0.2
-const CAPACITY_SHARE_OF_SLACK = 0.8
+const RATE_SHARE_OF_OVERAGE = 0.3
+const CAPACITY_SHARE_OF_SLACK = 0.6
+const RATE_SHARE_OF_SLACK = 0.25
 /** Longer than a credit needs from an owner in another region over the one in the zone to a node. */
 const MAX_CREDIT_LIFETIME_MS = 200
 const MS_PER_S = 1_000
@@ -40,6 +43,12 @@
   return (burst + ofRate + slack * CAPACITY_SHARE_OF_SLACK) / zoneCount
 }
 
+/** Returns the credits a second with which the bucket of one zone refills. */
+export function computeRate ({ windowMs, overage, slack }: QuotaBounds, { ratePerSecond }: Limit, zoneCount: number): number {
+  const ofSlack = slack * RATE_SHARE_OF_SLACK * MS_PER_S / windowMs
+  return (ratePerSecond * (1 + overage * RATE_SHARE_OF_OVERAGE) + ofSlack) / zoneCount
+}
+
 /** Returns the most requests that may reach targets in one window. */
 export function computeBound ({ windowMs, overage, slack }: QuotaBounds, { ratePerSecond, burst }: Limit): number {
   return (ratePerSecond * windowMs / MS_PER_S + burst) * (1 + overage) + slack
