Count the calls for rollouts, and follow the store only once the hosts are known

Cause: a starting node knows no other host, so each would have listed the rollouts; the calls were not in store_calls_total; and a version was rolled back late in its duration on evidence of 20 to 1. Change: as the title says; the evidence for that is 100 to 1.

--- a/src/node/rollouts.ts
+++ b/src/node/rollouts.ts
@@ -3,7 +3,7 @@
  */
 import type { Clock, Random } from '../core/index.js'
 import type { LocalTargets } from '../request/index.js'
-import { runCoordination, followRollouts, RolloutCoordinators, RolloutGuard, RolloutReporter } from '../rollout/index.js'
+import { CountingRolloutStore, runCoordination, followRollouts, RolloutCoordinators, RolloutGuard, RolloutReporter } from '../rollout/index.js'
 import type { LocalTargetsReport, Rollout, RolloutHosts, RolloutReport, RolloutResponse, RolloutSet, ServiceRollout } from '../rollout/index.js'
 import { Err, makeFault, Ok } from '../core/index.js'
 import type { Fault, Result } from '../core/index.js'
@@ -44,10 +44,13 @@
   }
 
   listTasks (parts: RolloutTaskContext, signal: AbortSignal): SupervisedTask[] {
-    const { store, clock, random, telemetry } = this.context
+    const { state, clock, random, telemetry } = this.context
+    const store = new CountingRolloutStore(this.context.store, call => { telemetry.recordStoreCall(call, 'rollouts') })
     const { peers, localTargets } = parts
     const reporter = this.makeReporter(parts)
-    const follow = { store, clock, random, isReader: () => peers.isReader, onSet: (set: RolloutSet) => { this.applySet(set, parts) } }
+    // A node that knows no hosts yet would take itself for a reader.
+    const isReader = (): boolean => state.knowsHosts && peers.isReader
+    const follow = { store, clock, random, isReader, onSet: (set: RolloutSet) => { this.applySet(set, parts) } }
     const coordinate = {
       store,
       clock,
--- a/src/rollout/evidence.ts
+++ b/src/rollout/evidence.ts
@@ -24,7 +24,7 @@
 /** Probability that a version that is as good as the earlier one is called bad during a rollout. */
 export const FALSE_ALARM_RATE = 0.0001
 /** The evidence from which a version is suspected. */
-const SUSPICION = 20
+const SUSPICION = 100
 /** Fewer bad responses may be those of one crash of a target, which ends all that it runs. */
 const MIN_BAD = 12
 /** A response is slow if it takes this many times the median of the earlier version. A target may be half as fast as the median one. */
