Update only the account of a loan, and count no call for the retry budget that its account's quota refuses

Refused requests raised the retries that a service may get, so an account above its limit brought more load. Two function names that tests/names rejected are changed.

--- a/src/quota/commands/lend.ts
+++ b/src/quota/commands/lend.ts
@@ -44,6 +44,7 @@
 
 interface Holding {
   limit: LimitInForce
+  zoneCount: number
   bucket: TokenBucket
   borrowed: CreditStock
   demand: DemandMeter
@@ -58,7 +59,6 @@
 export class BucketOwner {
   private readonly holdings = new Map<string, Holding>()
   private readonly lifetimeMs: number
-  private zoneCount = 0
   private limits: ReadonlyMap<string, LimitInForce> | undefined
   /** Time at which this process could first be an owner. */
   private beganAt: number | undefined
@@ -74,7 +74,7 @@
 
   /** Handles a request of a node, or of the owner of another zone, which never waits for a third one. */
   async lend ({ account, credits }: LoanRequest, isOwner: boolean): Promise<Loan> {
-    this.update()
+    this.updateAccount(account, this.context.getLimits()?.get(account))
     const holding = this.holdings.get(account)
     if (holding === undefined) return this.respondWithoutBucket(account, credits)
     if (this.context.isIsolated()) return { credits: 0, notOwner: true }
@@ -82,37 +82,48 @@
   }
 
   /** Called if the other hosts did not learn that the earlier process of this host ended, so that none has taken over its buckets. */
-  resume (): void {
+  beginWithoutWait (): void {
     this.hasResumed = true
     this.update()
   }
 
   /** Begins and ends the ownership of buckets by the limits and hosts that are known now. Called often, since a bucket refills from its begin. */
   update (): void {
-    const { directory, bounds, clock, getLimits } = this.context
-    const limits = getLimits()
+    const limits = this.context.getLimits()
     if (limits === undefined) return
+    for (const account of [...this.holdings.keys()]) if (!limits.has(account)) this.updateAccount(account, undefined)
+    for (const [account, limit] of limits) this.updateAccount(account, limit)
+    if (!this.context.directory.hasLocalHost) return
+    this.beganAt ??= this.context.clock.monotonic()
+    this.limits = limits
+  }
+
+  private updateAccount (account: string, limit: LimitInForce | undefined): void {
+    const { directory: { zoneCount }, directory, bounds, clock } = this.context
+    const holding = this.holdings.get(account)
+    if (limit === undefined || !directory.isOwner(account)) {
+      this.holdings.delete(account)
+      return
+    }
+    if (holding?.limit === limit && holding.zoneCount === zoneCount) return
     const now = clock.monotonic()
-    for (const account of this.holdings.keys()) if (!limits.has(account) || !directory.isOwner(account)) this.holdings.delete(account)
-    const { zoneCount, hasLocalHost } = directory
-    const isBeginning = this.beganAt === undefined || this.limits === undefined
-    if (hasLocalHost) this.beganAt ??= now
-    const beganAt = this.beganAt ?? now
-    for (const [account, limit] of limits) {
-      const holding = this.holdings.get(account)
-      const rate = limit.ratePerSecond / zoneCount
-      const capacity = computeCapacity(bounds, limit, zoneCount)
-      if (holding === undefined && directory.isOwner(account)) {
-        const isNew = this.limits?.has(account) === false
-        const startsAt = isBeginning || isNew ? Math.max(now, beganAt + (this.hasResumed ? 0 : TAKEOVER_MS)) : now + TAKEOVER_MS
-        this.holdings.set(account, makeHolding(limit, new TokenBucket(rate, capacity, startsAt, isNew && limit.startsFull ? capacity : 0)))
-      }
-      if (holding === undefined || (holding.limit === limit && zoneCount === this.zoneCount)) continue
-      holding.limit = limit
-      holding.bucket.setLimit(rate, capacity, now)
+    const rate = limit.ratePerSecond / zoneCount
+    const capacity = computeCapacity(bounds, limit, zoneCount)
+    if (holding === undefined) {
+      const isNew = this.limits?.has(account) === false
+      const bucket = new TokenBucket(rate, capacity, this.computeStart(isNew, now), isNew && limit.startsFull ? capacity : 0)
+      this.holdings.set(account, makeHolding(limit, zoneCount, bucket))
+      return
     }
-    this.zoneCount = zoneCount
-    if (hasLocalHost) this.limits = limits
+    Object.assign(holding, { limit, zoneCount })
+    holding.bucket.setLimit(rate, capacity, now)
+  }
+
+  /** Returns the time from which a new bucket refills. A limit that is new has no earlier owner. */
+  private computeStart (isNew: boolean, now: number): number {
+    const isBeginning = this.beganAt === undefined || this.limits === undefined
+    if (!isBeginning && !isNew) return now + TAKEOVER_MS
+    return Math.max(now, (this.beganAt ?? now) + (this.hasResumed ? 0 : TAKEOVER_MS))
   }
 
   /** An account whose limit was removed in the version of this node gets what the other node asks for. */
@@ -198,8 +209,8 @@
   }
 }
 
-function makeHolding (limit: LimitInForce, bucket: TokenBucket): Holding {
+function makeHolding (limit: LimitInForce, zoneCount: number, bucket: TokenBucket): Holding {
   const borrowed = new CreditStock()
   const demand = new DemandMeter()
-  return { limit, bucket, borrowed, demand, borrowing: undefined, waitingCredits: 0, lastBorrowAt: -Infinity, backoffMs: 0 }
+  return { limit, zoneCount, bucket, borrowed, demand, borrowing: undefined, waitingCredits: 0, lastBorrowAt: -Infinity, backoffMs: 0 }
 }
--- a/src/quota/directory.ts
+++ b/src/quota/directory.ts
@@ -3,7 +3,7 @@
  */
 import { getOrMake } from '../core/index.js'
 import type { HostRecord } from '../membership/index.js'
-import { pickHigher, rankHost, selectOwner } from './queries/owner.js'
+import { pickHigher, makeRankedHost, selectOwner } from './queries/owner.js'
 import type { RankedHost } from './queries/owner.js'
 
 export interface Location { host: string, zone: string, region: string }
@@ -41,7 +41,7 @@
     if (this.zones.size === 0) this.regions.set(zone, region)
     const owners = this.owners.get(zone) ?? new Map<string, RankedHost | undefined>()
     for (const [account, owner] of owners) {
-      if (isOwner) owners.set(account, pickHigher(owner, rankHost(account, host)))
+      if (isOwner) owners.set(account, pickHigher(owner, makeRankedHost(account, host)))
       else if (owner?.host === host) owners.set(account, selectOwner(account, hosts.keys()))
     }
   }
--- a/src/quota/queries/owner.ts
+++ b/src/quota/queries/owner.ts
@@ -10,7 +10,7 @@
 /** Returns the host with the highest hash of (account, host), undefined without hosts. */
 export function selectOwner (account: string, hosts: Iterable<string>): RankedHost | undefined {
   let owner: RankedHost | undefined
-  for (const host of hosts) owner = pickHigher(owner, rankHost(account, host))
+  for (const host of hosts) owner = pickHigher(owner, makeRankedHost(account, host))
   return owner
 }
 
@@ -19,12 +19,12 @@
   return right.rank === left.rank && right.host > left.host ? right : left
 }
 
-export function rankHost (account: string, host: string): RankedHost {
-  return { host, rank: computeRank(account, host) }
+export function makeRankedHost (account: string, host: string): RankedHost {
+  return { host, rank: hashPair(account, host) }
 }
 
 /** FNV-1a with the final mixing of MurmurHash3, since the names of hosts differ only in their last characters. */
-function computeRank (account: string, host: string): number {
+function hashPair (account: string, host: string): number {
   const text = `${account}\n${host}`
   let hash = FNV_OFFSET
   for (let index = 0; index < text.length; index += 1) hash = Math.imul(hash ^ text.charCodeAt(index), FNV_PRIME)
--- a/src/quota/service.ts
+++ b/src/quota/service.ts
@@ -80,7 +80,7 @@
 
   /** Called when the earlier records of this host are known. `wasServing`: by these, its earlier process ended without notice. */
   beginOwning (wasServing: boolean): void {
-    if (wasServing) this.owner.resume()
+    if (wasServing) this.owner.beginWithoutWait()
   }
 
   /** Called when the store, or the named peer, has sent or answered a message. */
--- a/src/request/tasks/caller.ts
+++ b/src/request/tasks/caller.ts
@@ -126,7 +126,9 @@
   }
   // Targets have no keys, so no run on this host has made a request with one.
   const { isOfRun, repeatShare } = repeats.recordCall(service, authorized.val === undefined ? call.deadlineMs : Infinity)
-  context.retry.countCall(service, isOfRun)
+  const isLimited = context.quota !== undefined && authorized.val !== undefined
+  // A request that is refused for its account gives the service no retries.
+  if (!isLimited) context.retry.countCall(service, isOfRun)
   const run = async (): Promise<Result<AttemptResponse, Failure>> => {
     const suspect = new SuspectCall(context.suspects, call, body.prefix)
     const headers = context.inbound.adapter.filterRequestHeaders(message.headers, accounts.isInForce)
@@ -138,6 +140,7 @@
       scope.end()
       return Err(credit.val)
     }
+    context.retry.countCall(service, isOfRun)
     const result = await attempts.run()
     if (!attempts.hasReachedTarget) credit.val.returnUnused()
     return result
