Decide by expected time only while accounts are in force

Requests that would probably be late were refused, though their callers wait for six times the objective.

--- a/src/request/commands/enter.ts
+++ b/src/request/commands/enter.ts
@@ -3,11 +3,11 @@
  * force for the service, every call begins.
  */
 import { Err, makeFailure } from '../../core/index.js'
-import type { Clock, Failure, Result } from '../../core/index.js'
+import type { Failure, Result } from '../../core/index.js'
 import type { EntryGroup, EntryPolicy } from '../entry.js'
 import type { WorkControl } from '../workcontrol.js'
 
-export interface EntryContext { clock: Clock, entry?: EntryPolicy | undefined, control?: WorkControl | undefined }
+export interface EntryContext { entry?: EntryPolicy | undefined, control?: WorkControl | undefined }
 
 export interface EnteringCall { service: string, group: EntryGroup, objectiveMs: number, isCallerDisconnected: () => boolean }
 
@@ -15,9 +15,9 @@
 const ROOM_CODES = new Set(['queue_full', 'shed', 'no_time', 'deadline_in_queue', 'target_refused', 'no_room', 'nested_no_room'])
 
 export async function admitCall<T> (
-  { clock, entry, control }: EntryContext, { service, group, objectiveMs, isCallerDisconnected }: EnteringCall, run: () => Promise<Result<T, Failure>>
+  { entry, control }: EntryContext, { service, group, objectiveMs, isCallerDisconnected }: EnteringCall, run: () => Promise<Result<T, Failure>>
 ): Promise<Result<T, Failure>> {
-  if (entry === undefined || control?.isServiceInForce(service, clock.monotonic()) !== true) return await run()
+  if (entry === undefined || control?.isInForce !== true) return await run()
   if (entry.isRefused(service, group)) {
     entry.recordCall(service, group, false)
     const message = `the targets of ${service} have no room for requests of this class`
--- a/src/request/tasks/attempt.ts
+++ b/src/request/tasks/attempt.ts
@@ -124,7 +124,7 @@
   const { activeCall, target } = attempt
   const body = activeCall.call.hasBody ? activeCall.body.open() : undefined
   const received = await context.peerClient.send({
-    ...makeOutgoingRequest(attempt, context.control?.isInForce(target.id, context.clock.monotonic())),
+    ...makeOutgoingRequest(attempt, context.control?.isInForce),
     address: target.inbound,
     body,
     signal: activeCall.scope.signal,
--- a/src/request/workcontrol.ts
+++ b/src/request/workcontrol.ts
@@ -3,7 +3,7 @@
  * decisions by number of requests apply.
  */
 import type { TargetLoad } from './load.js'
-import { MACHINE_MAX_AGE_MS, WorkModel } from './work.js'
+import { WorkModel } from './work.js'
 import type { WorkKind } from './work.js'
 
 /** What a request needs, as far as it is known before it runs. */
@@ -18,29 +18,18 @@
 }
 
 export class WorkControl {
-  /** When a machine of a service last reported its figure. */
-  private readonly reportedAt = new Map<string, number>()
-
   /** `hasAccounts` returns true while accounts are in force, whose classes have to share targets that are too few for all. */
   constructor (private readonly hasAccounts: () => boolean, readonly model: WorkModel = new WorkModel()) {}
 
-  /** Returns true if requests for a target are to be decided on by expected time: with accounts, or if its machine reports its figure. */
-  isInForce (target: string, at: number): boolean {
-    return this.hasAccounts() || this.model.hasMachine(target, at)
-  }
-
-  /** The same for a service of which some machines report their figure. */
-  isServiceInForce (service: string, at: number): boolean {
-    return this.hasAccounts() || at - (this.reportedAt.get(service) ?? -Infinity) <= MACHINE_MAX_AGE_MS
+  /** Returns true if requests are to be decided on by expected time. */
+  get isInForce (): boolean {
+    return this.hasAccounts()
   }
 
   /** Records what the load report of a response says about the request and the machine of its target. */
   recordReport (target: string, need: WorkKind, { serviceMs, machinePercent }: TargetLoad, at: number): void {
     const before = this.model.getMachine(target, at)
-    if (machinePercent !== undefined) {
-      this.model.recordMachine(target, machinePercent, at)
-      this.reportedAt.set(need.service, at)
-    }
+    if (machinePercent !== undefined) this.model.recordMachine(target, machinePercent, at)
     if (serviceMs !== undefined) this.model.recordTime(need, target, serviceMs, (before + this.model.getMachine(target, at)) / 2, at)
   }
 }
--- a/src/request/worklimiter.ts
+++ b/src/request/worklimiter.ts
@@ -34,7 +34,7 @@
   override get load (): TargetLoad {
     const load = super.load
     const at = this.clock.monotonic()
-    if (!this.control.isInForce(this.target, at)) return load
+    if (!this.control.isInForce) return load
     const { freeAt } = this.waiting.derivePlan(at, this.listSlotTimes(at))
     return { ...load, waiting: load.waiting + this.waiting.length, freeInMs: freeAt - at }
   }
@@ -47,7 +47,7 @@
     routeClass: RouteClass, leftMs: number, signal: AbortSignal, objectiveMs = Infinity, need?: RequestNeed
   ): Promise<Result<Permit, Failure>> {
     const at = this.clock.monotonic()
-    if (need === undefined || !this.control.isInForce(this.target, at)) return await super.acquire(routeClass, leftMs, signal, objectiveMs)
+    if (need === undefined || !this.control.isInForce) return await super.acquire(routeClass, leftMs, signal, objectiveMs)
     const expectedMs = this.control.model.computeTime(need, this.target, at)
     // An idle target serves whatever comes: nobody else wants the slot, and only a served request corrects a wrong expectation.
     if (this.used === 0) return Ok(this.acquireWork(need, expectedMs))
--- a/src/request/workpicker.ts
+++ b/src/request/workpicker.ts
@@ -60,7 +60,7 @@
   override beginAttempt (target: Target, need?: RequestNeed): void {
     super.beginAttempt(target)
     const at = this.clock.monotonic()
-    if (need !== undefined && this.control.isInForce(target.id, at)) {
+    if (need !== undefined && this.control.isInForce) {
       this.pending.get(target).countSend(at, this.control.model.computeTime(need, target.id, at))
     }
     if (at - this.clearedAt < UNUSED_TARGET_MS) return
@@ -71,7 +71,7 @@
   override recordLoad (target: Target, load: TargetLoad): void {
     super.recordLoad(target, load)
     const at = this.clock.monotonic()
-    if (load.slots > 0 && this.control.isInForce(target.id, at)) this.pending.get(target).setLoad(at, load)
+    if (load.slots > 0 && this.control.isInForce) this.pending.get(target).setLoad(at, load)
   }
 
   /** Returns the expected time of a request, from now to its response. */
@@ -83,7 +83,7 @@
 
   protected override computeDelayParts (target: Target, stats: TargetStats, at: number, request: PickRequest): DelayParts {
     const { need } = request
-    if (need === undefined || !this.control.isInForce(target.id, at)) return super.computeDelayParts(target, stats, at, request)
+    if (need === undefined || !this.control.isInForce) return super.computeDelayParts(target, stats, at, request)
     const serviceMs = this.control.model.computeTime(need, target.id, at)
     // The reported wait is exact but soon out of date; the number of requests tells how likely a slot is still free.
     const countedMs = stats.computeQueueDelay(at, target.slots, serviceMs)
