--- a/src/quota/commands/acquire.ts
+++ b/src/quota/commands/acquire.ts
@@ -31,8 +31,16 @@
 const MIN_SKIP_MS = 1_000
 /** An owner that stays silent is asked less often. */
 const MAX_SKIP_MS = 8_000
-/** Bounds the wait of a request while the owners of several zones do not respond. */
-const MAX_ASKED_OWNERS = 4
+/**
+ * An owner that has no time for an account far above its limit does not respond either. To ask the owners of more zones then would only
+ * load them as well.
+ */
+const MAX_ASKED_OWNERS = 2
+/**
+ * After a refusal the owner is not asked again for this time. The load pattern is an account at several times its limit: each of its
+ * requests would otherwise cost the owner a message, which on a small host is more than the request itself.
+ */
+const MIN_REFUSAL_MS = 250
 const UNAVAILABLE_RETRY_AFTER_MS = 500
 /** Other requests of the account may take the first credit that becomes available. */
 const MIN_RETRY_AFTER_MS = 50
@@ -91,7 +99,7 @@
       const loan = await this.queryOwners(account, lease, wanted)
       if (loan === undefined) this.endWaiting(lease, () => this.reportUnavailable(account))
       else if (loan.credits === 0) {
-        lease.refusedUntil = clock.monotonic() + (loan.retryAfterMs ?? 0)
+        lease.refusedUntil = clock.monotonic() + Math.max(MIN_REFUSAL_MS, loan.retryAfterMs ?? 0)
         this.endWaiting(lease, () => this.reject(account, lease))
       } else if (!this.serveWaiting(account, lease)) this.endWaiting(lease, () => this.reportUnavailable(account))
     }
