--- a/src/node/start.ts
+++ b/src/node/start.ts
@@ -2,6 +2,7 @@
  * Assembles one node: state, ports and tasks. The store, the source of the configuration, the protocol
  * adapter and the policies are passed in, so that the node does not depend on a platform.
  */
+import { setMaxListeners } from 'node:events'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Account } from '../account/index.js'
 import type { Configuration, ConfigurationUpdate } from '../configuration/index.js'
@@ -142,6 +143,8 @@
   async start (): Promise<void> {
     const { settings, source, access } = this.parts
     const { clock, random, state, telemetry, peers, stopped: { signal } } = this
+    // Each task and each call in flight listens to this signal, so Node.js would take them for a leak.
+    setMaxListeners(0, signal)
     telemetry.recordStart()
     observeHosts({ state, log: telemetry.log, recorder: telemetry.recorder }, signal)
     state.readiness.stream.observe(() => { telemetry.recordReady() }).catch(error => { throw error })
