--- a/src/node/rollouts.ts
+++ b/src/node/rollouts.ts
@@ -107,11 +107,11 @@
     }
   }
 
-  private findHosts ({ service, targetVersion }: Rollout): RolloutHosts {
+  private findHosts ({ service, newVersion }: Rollout): RolloutHosts {
     const targets = (this.context.state.members.targets.get(service) ?? []).filter(({ state }) => state !== 'leaving')
-    const next = targets.filter(({ version }) => version === targetVersion)
+    const next = targets.filter(({ version }) => version === newVersion)
     return {
-      earlier: targets.filter(({ version }) => version !== targetVersion).map(({ host }) => host),
+      earlier: targets.filter(({ version }) => version !== newVersion).map(({ host }) => host),
       next: next.map(({ host }) => host),
       ready: next.filter(({ state }) => state === 'ready').length
     }
--- a/src/node/telemetry.ts
+++ b/src/node/telemetry.ts
@@ -169,17 +169,17 @@
     }
   }
 
-  recordRolloutPhase ({ service, targetVersion }: Rollout, phase: string): void {
-    this.log.log('change', 'rollout_phase', { service, version: targetVersion, phase })
+  recordRolloutPhase ({ service, newVersion }: Rollout, phase: string): void {
+    this.log.log('change', 'rollout_phase', { service, version: newVersion, phase })
   }
 
   /** Logged by the coordinator when it has written the state of the rollout. */
-  recordRolloutDecision ({ service, targetVersion }: Rollout, state: string, reason: string): void {
-    this.log.log('change', 'rollout_decided', { service, version: targetVersion, state, reason })
+  recordRolloutDecision ({ service, newVersion }: Rollout, state: string, reason: string): void {
+    this.log.log('change', 'rollout_decided', { service, version: newVersion, state, reason })
   }
 
-  recordRolloutFault ({ service, targetVersion }: Rollout, reason: string): void {
-    this.log.log('failure', 'rollout_store_failed', { service, version: targetVersion, reason })
+  recordRolloutFault ({ service, newVersion }: Rollout, reason: string): void {
+    this.log.log('failure', 'rollout_store_failed', { service, version: newVersion, reason })
   }
 
   recordRolloutRequest (service: string, version: string, result: string): void {
--- a/src/rollout/guard.ts
+++ b/src/rollout/guard.ts
@@ -132,7 +132,7 @@
   private remove (service: string): void {
     const running = this.services.get(service)
     this.services.delete(service)
-    if (running?.rollout.state === 'completed') this.establishedVersions.set(service, running.rollout.targetVersion)
+    if (running?.rollout.state === 'completed') this.establishedVersions.set(service, running.rollout.newVersion)
     if (running !== undefined) this.context.onPhase?.(running.rollout, 'withdrawn')
   }
 
--- a/src/rollout/queries/versions.ts
+++ b/src/rollout/queries/versions.ts
@@ -22,8 +22,8 @@
 }
 
 export function splitByVersion (targets: readonly Target[], rollout: Rollout, { share, turn, isWarm }: CanaryChoice): VersionTargets {
-  const earlier = targets.filter(({ version }) => version !== rollout.targetVersion)
-  const next = targets.filter(({ version }) => version === rollout.targetVersion)
+  const earlier = targets.filter(({ version }) => version !== rollout.newVersion)
+  const next = targets.filter(({ version }) => version === rollout.newVersion)
   const warm = next.filter(target => target.state === 'ready' && isWarm(target))
   // As few targets as get the load of one of the earlier version each, so that a fault that appears under load is detected.
   const size = Math.max(1, Math.floor(countUsable(earlier) * share))
--- a/src/rollout/schema.ts
+++ b/src/rollout/schema.ts
@@ -16,7 +16,7 @@
 
 export const rolloutSchema = z.object({
   service: z.string().min(1),
-  targetVersion: z.string().min(1),
+  newVersion: z.string().min(1),
   durationMs: z.number().positive(),
   /** Distinguishes two rollouts of one service, also of the same version. */
   id: z.string(),
--- a/src/rollout/service.ts
+++ b/src/rollout/service.ts
@@ -88,7 +88,7 @@
   }
 
   isNext (version: string | undefined): boolean {
-    return version === this.known.targetVersion
+    return version === this.known.newVersion
   }
 
   /** `targets` are all targets of the service. */
--- a/tests/platform/rollouts.test.ts
+++ b/tests/platform/rollouts.test.ts
@@ -32,7 +32,7 @@
   expect(set.rollouts).toEqual([])
   putRollout()
   const created = (await store.watch(position, AbortSignal.timeout(5_000))).unwrap()
-  expect(created.set?.rollouts).toMatchObject([{ service: 'desk', targetVersion: 'v2', durationMs: 60_000, state: 'running', hasStatus: false, ageMs: 0 }])
+  expect(created.set?.rollouts).toMatchObject([{ service: 'desk', newVersion: 'v2', durationMs: 60_000, state: 'running', hasStatus: false, ageMs: 0 }])
   await store.writeState(await getRollout(), 'completed')
   const written = (await store.watch(created.position, AbortSignal.timeout(5_000))).unwrap()
   expect(written.set?.rollouts).toMatchObject([{ state: 'completed', hasStatus: true }])
@@ -62,7 +62,7 @@
   putRollout()
   await store.writeState(await getRollout(), 'rolled_back')
   await fixture.client.call({ method: 'PUT', kind: 'rollouts', name: 'desk', body: { spec: { service: 'desk', targetVersion: 'v3', duration: '30s' } } })
-  expect(await getRollout()).toMatchObject({ targetVersion: 'v3', state: 'running', hasStatus: false })
+  expect(await getRollout()).toMatchObject({ newVersion: 'v3', state: 'running', hasStatus: false })
 })
 
 test('a write whose response is lost shows in the next read', async () => {
--- a/tests/rollout/faults.test.ts
+++ b/tests/rollout/faults.test.ts
@@ -123,7 +123,7 @@
   await simulation.run(10_000)
   simulation.create(DURATION_MS, 'v3')
   await runToEnd(simulation)
-  expect(simulation.store.find('gallery')).toMatchObject({ state: 'completed', targetVersion: 'v3' })
+  expect(simulation.store.find('gallery')).toMatchObject({ state: 'completed', newVersion: 'v3' })
   const targets = simulation.listTargets('gallery')
   const versions = simulation.nodes.map(({ guard }) => guard.beginCall('gallery', targets)?.pick(list => list[0])?.version)
   expect(new Set(versions)).toEqual(new Set(['v3']))
--- a/tests/rollout/guard.test.ts
+++ b/tests/rollout/guard.test.ts
@@ -43,8 +43,8 @@
   })
 }
 
-function makeRollout (targetVersion: string, state: RolloutState = 'running'): Rollout {
-  return { service: SERVICE, targetVersion, durationMs: 60_000, id: targetVersion, revision: 5, state, hasStatus: true, ageMs: 0 }
+function makeRollout (newVersion: string, state: RolloutState = 'running'): Rollout {
+  return { service: SERVICE, newVersion, durationMs: 60_000, id: newVersion, revision: 5, state, hasStatus: true, ageMs: 0 }
 }
 
 function applyRollouts (guard: RolloutGuard, revision: number, rollouts: Rollout[]): boolean {
