--- a/src/request/work.ts
+++ b/src/request/work.ts
@@ -18,7 +18,7 @@
 const MACHINE_HALF_LIFE_MS = 150
 const MACHINE_MEAN_SHARE = 0.02
 /** Targets report the figure in each response, so a machine without one for this long no longer reports it. */
-export const MACHINE_MAX_AGE_MS = 10_000
+const MACHINE_MAX_AGE_MS = 10_000
 /** Bounds of the factor that a report may set, since a faulty report must not close a target. */
 const MACHINE_BOUNDS = { least: 0.2, most: 10 } as const
 const PERCENT = 100
@@ -58,10 +58,6 @@
     return machine.mean + (machine.factor - machine.mean) * 0.5 ** ((at - machine.at) / MACHINE_HALF_LIFE_MS)
   }
 
-  hasMachine (target: string, at: number): boolean {
-    return at - (this.machines.get(target)?.at ?? -Infinity) <= MACHINE_MAX_AGE_MS
-  }
-
   /** Returns the expected time for which a request that starts now uses its slot, in milliseconds. */
   computeTime (need: WorkKind, target: string, at: number): number {
     return this.getWork(need) * this.getSpeed(target, at) * this.getMachine(target, at)
