Count no request for the retry budget that is refused for its quota

The merge of quotas with the entry policy counted each call before its credit was asked for, and so dropped what had built: an account far above its limit raised the retry budget of its service.

--- a/src/request/tasks/caller.ts
+++ b/src/request/tasks/caller.ts
@@ -110,7 +110,10 @@
   }
   // Targets have no keys, so no run on this host has made a request with one.
   const { isOfRun, repeatShare } = repeats.recordCall(service, authorized.val === undefined ? call.deadlineMs : Infinity)
-  context.retry.countCall(service, isOfRun)
+  const countCall = (): void => { context.retry.countCall(service, isOfRun) }
+  const isLimited = context.quota !== undefined && authorized.val !== undefined
+  // A request that is refused for its quota adds nothing to the retry budget.
+  if (!isLimited) countCall()
   const rollout = context.rollouts?.beginCall(service, resolved.val.targets)
   // Without accounts, a request without a key may be one of a caller on this host.
   const isNested = accounts.isInForce && authorized.val === undefined && route.public !== true
@@ -127,7 +130,10 @@
   const entering = {
     service, group: isNested ? 'nested' as const : routeClass, objectiveMs: route.objectiveMs ?? 0, isCallerDisconnected: () => scope.isCallerDisconnected
   }
-  const result = await runWithCredit(context, account, attempts, async () => await admitCall(context, entering, async () => await attempts.run()))
+  const result = await runWithCredit(context, account, attempts, async () => {
+    if (isLimited) countCall()
+    return await admitCall(context, entering, async () => await attempts.run())
+  })
   if (result.err && result.val.verdict === 'not-run') context.metrics.count('refusals_total', { code: result.val.code, class: routeClass })
   return result
 }
--- a/tests/quota/request.test.ts
+++ b/tests/quota/request.test.ts
@@ -70,6 +70,21 @@
   expect(received).toBe(0)
 })
 
+/** Under an account far above its limit, refused requests would otherwise allow retries when there is least room for them. */
+test.each([[true, 0], [false, 1]])('a request that is refused for its quota (%s) adds nothing to the retry budget of its service', async (isRefused, expected) => {
+  const failure = makeFailure('not-run', 429, 'quota_exceeded', 'the account has used up its quota', 100)
+  await startQuotaMesh(new CountingPolicy(isRefused ? failure : undefined))
+  let counted = 0
+  const { retry } = mesh.context
+  const countCall = retry.countCall.bind(retry)
+  retry.countCall = (service, isOfRun) => {
+    counted += 1
+    countCall(service, isOfRun)
+  }
+  expect((await send()).status).toBe(isRefused ? 429 : 200)
+  expect(counted).toBe(expected)
+})
+
 test('without an owner that responds the request gets 503 as not run', async () => {
   await startQuotaMesh(new CountingPolicy(makeFailure('not-run', 503, 'quota_unavailable', 'no owner responds', 500)))
   expect(await send()).toEqual({ status: 503, retryAfter: '0.500', verdict: 'not-run' })
